--- /dev/null
+++ b/include/siskindrift/core/random.h
@@ -0,0 +1,18 @@
+// Random numbers that replay from a seed.
+#pragma once
+
+#include <cstdint>
+#include <random>
+
+namespace siskindrift::core {
+
+/// The generator that decision code is given.
+using random_source = std::mt19937_64;
+
+/// Returns a uniform number in [0, @p bound); @p bound must be positive.
+[[nodiscard]] inline std::uint64_t uniform_below(random_source& random, std::uint64_t bound)
+{
+    return std::uniform_int_distribution<std::uint64_t>{0, bound - 1}(random);
+}
+
+} // namespace siskindrift::core
--- /dev/null
+++ b/include/siskindrift/requests/entry_core.h
@@ -0,0 +1,132 @@
+// One entry VM as a pure state machine: membership, ownership, ingress, owner.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "siskindrift/requests/context.h"
+#include "siskindrift/requests/ingress.h"
+#include "siskindrift/requests/owner.h"
+
+namespace siskindrift::requests {
+
+/// Everything an entry VM decides. Not thread-safe: the process guards it with one lock,
+/// which comes before the mesh's and the metrics' locks.
+class entry_core final : private peer_sender, private claim_sender, private permit_sender {
+public:
+    entry_core(const core::clock& time, entry_outputs& out, entry_options options,
+               entry_identity self, std::vector<std::string> control_addresses,
+               std::uint64_t seed);
+    ~entry_core() override = default;
+
+    /// Starts from a configuration stored before a restart; it serves nothing until confirmed.
+    void restore_config(const wire::config_page_t& stored);
+
+    // Callers.
+    void on_request(caller_id caller, caller_request request);
+    void on_caller_left(caller_id caller);
+    /// Returns a request id that no other request of the system has.
+    [[nodiscard]] core::request_id new_request_id();
+    /// Returns the team of an Authorization header's value, or none.
+    [[nodiscard]] std::optional<core::team_id> authenticate(const std::string& authorization) const;
+    /// Returns addresses for a caller; empty before the first contact with control.
+    [[nodiscard]] std::vector<std::string> endpoints(const std::string& caller,
+                                                     const std::string& failure_domain) const;
+    [[nodiscard]] std::vector<std::string> models_of(const core::team_id& team) const;
+    [[nodiscard]] bool ready() const;
+
+    // Upstreams.
+    void on_announcement(const wire::announcement_t& said);
+    void on_call_head(call_id call, const call_head& head);
+    void on_call_data(call_id call, const std::string& bytes);
+    void on_call_end(call_id call, call_end how);
+
+    // The system's own processes.
+    void on_peer(wire::envelope_t message);
+    void on_control_reply(const wire::control_reply_t& reply);
+    void on_link(const std::string& address, bool up);
+
+    void tick();
+
+    /// Begins a graceful stop.
+    void drain();
+    /// Returns whether a graceful stop has nothing left to wait for.
+    [[nodiscard]] bool drained() const;
+    /// Gives the session up; nothing may be served afterwards.
+    void leave();
+
+    [[nodiscard]] const entry_context& context() const { return m_context; }
+    [[nodiscard]] const ingress& callers() const { return m_ingress; }
+    [[nodiscard]] const owner& owned() const { return m_owner; }
+
+private:
+    enum class purpose : std::uint8_t { other, renew, config, claim, permit, acquire };
+    struct pending_control {
+        wire::control_request_t request;
+        purpose what = purpose::other;
+        std::string subject;
+        core::time_point first_sent{};
+        core::time_point sent{};
+        core::time_point give_up{};
+    };
+
+    // peer_sender
+    void send(const std::string& vm, wire::envelope_t message) override;
+    [[nodiscard]] bool reachable(const std::string& vm) const override;
+    // claim_sender
+    void take_claim(const core::request_id& id, wire::take_claim_t order) override;
+    void finish_claim(wire::finish_claim_t order) override;
+    // permit_sender
+    void ask_permit(const core::upstream_id& upstream, const std::string& adapter,
+                    double benefit) override;
+    void return_permit(std::uint64_t permit) override;
+
+    template <class Body>
+    void ask_control(Body body, purpose what, std::string subject, core::duration patience);
+    void resend_control();
+    void use_next_control();
+    void on_grant(const pending_control& asked, const wire::control_reply_t& reply);
+    void on_config(const pending_control& asked, const wire::control_reply_t& reply);
+    void take_ownership_list(const wire::session_grant_t& grant);
+    void register_vm();
+    void renew();
+    void read_config();
+    void manage_ownership();
+    void acquire_unowned();
+    void rebalance();
+    void release(const core::upstream_id& upstream);
+    void send_digest();
+    void forward_announcements();
+    void deliver_local();
+    void handle(const std::string& from, wire::envelope_t& message);
+    [[nodiscard]] bool busy(purpose what, const std::string& subject) const;
+    [[nodiscard]] std::string preferred_owner(const core::upstream_id& upstream) const;
+    [[nodiscard]] std::string relay_for(const std::string& vm) const;
+
+    entry_context m_context;
+    ingress m_ingress;
+    owner m_owner;
+    std::vector<std::string> m_control;
+    std::size_t m_control_at = 0;
+    std::map<std::uint64_t, pending_control> m_pending;
+    std::uint64_t m_next_control_id = 1;
+    bool m_registered = false;
+    std::uint64_t m_ownership_version = 0;
+    std::map<std::string, bool> m_links; ///< By address: whether the path works.
+    std::set<std::string> m_kept;
+    std::vector<wire::envelope_t> m_local; ///< Messages to this VM itself.
+    std::vector<wire::announcement_t> m_to_forward;
+    core::time_point m_renew_at{};
+    core::time_point m_digest_at{};
+    core::time_point m_ownership_at{};
+    core::time_point m_rebalance_at{};
+    core::time_point m_drain_since{};
+    std::uint64_t m_next_request = 1;
+    bool m_left = false;
+};
+
+} // namespace siskindrift::requests
--- /dev/null
+++ b/include/siskindrift/requests/ingress.h
@@ -0,0 +1,132 @@
+// A request's life at the VM that its caller chose: admission, claim, attempts, final answer.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "siskindrift/requests/context.h"
+#include "siskindrift/requests/team_limits.h"
+#include "siskindrift/routing/placement.h"
+
+namespace siskindrift::requests {
+
+/// Sends a request to the control replicas; the answer comes to `on_claim`.
+class claim_sender {
+public:
+    claim_sender() = default;
+    claim_sender(const claim_sender&) = delete;
+    claim_sender& operator=(const claim_sender&) = delete;
+    virtual ~claim_sender() = default;
+
+    virtual void take_claim(const core::request_id& id, wire::take_claim_t order) = 0;
+    virtual void finish_claim(wire::finish_claim_t order) = 0;
+};
+
+/// All requests that callers have open at this VM. Pure: events in, outputs out.
+class ingress {
+public:
+    ingress(entry_context& context, peer_sender& peers, claim_sender& claims);
+
+    /// Begins a request. The outcome always comes through `entry_outputs::finish`.
+    void submit(caller_id caller, caller_request request);
+    /// The caller closed its connection.
+    void on_caller_left(caller_id caller);
+    void on_claim(const core::request_id& id, const wire::control_reply_t& reply);
+    void on_dispatch_reply(const std::string& from, const wire::dispatch_reply_t& reply);
+    void on_abandon_reply(const std::string& from, const wire::abandon_reply_t& reply);
+    /// The path to a VM broke; what was sent to it may be lost.
+    void on_peer_down(const std::string& vm);
+    /// An owner's word on its engines.
+    void on_digest(const std::string& vm, const wire::owner_digest_t& digest);
+    void on_ownership_changed();
+    void tick();
+
+    [[nodiscard]] std::size_t open_requests() const { return m_calls.size(); }
+    [[nodiscard]] const std::map<core::upstream_id, routing::engine_view>& views() const
+    {
+        return m_views;
+    }
+
+private:
+    enum class phase : std::uint8_t { claiming, placing, running, abandoning };
+
+    struct attempt {
+        std::uint32_t number = 0;
+        std::string vm;
+        std::uint64_t vm_incarnation = 0;
+        core::upstream_id upstream;
+        core::time_point last_progress{};
+        std::size_t base_offset = 0; ///< Bytes delivered before this attempt.
+        std::size_t received = 0;    ///< Bytes of this attempt.
+        std::uint16_t status = 200;
+        std::string content_type;
+    };
+
+    struct call {
+        caller_id caller = 0;
+        caller_request request;
+        phase now_in = phase::placing;
+        core::time_point begun{};
+        core::time_point deadline{};
+        core::time_point retry_at{};
+        core::time_point placing_since{};
+        core::time_point abandon_at{};
+        core::time_point abandon_sent{};
+        core::reason abandon_why = core::reason::none;
+        attempt current;
+        std::string delivered;
+        std::uint32_t pieces = 0;
+        std::uint32_t stall_ms = 0;
+        std::set<core::upstream_id> avoided;
+        core::outcome last{core::verdict::not_run, core::reason::none};
+        std::uint32_t retry_after_ms = 0;
+        bool may_have_run = false; ///< Some attempt may have run.
+        bool claimed = false;
+        bool first_piece_seen = false;
+    };
+
+    // Admission (ingress.cpp).
+    [[nodiscard]] std::optional<refusal> check(const caller_request& request) const;
+    void refuse(caller_id caller, const caller_request& request, const refusal& why);
+    void take_claim(call& entry);
+    void finish_from_claim(call& entry, const wire::claim_result_t& held);
+    void complete(call& entry, core::outcome result, std::uint16_t status,
+                  std::string content_type, std::string body, std::string message);
+    void settle_claim(const call& entry, core::outcome result, const final_answer& answer);
+
+    // Attempts (ingress_attempts.cpp).
+    void place(call& entry);
+    [[nodiscard]] std::optional<core::upstream_id> choose(const call& entry);
+    [[nodiscard]] bool usable(const core::upstream_id& id, const call& entry) const;
+    [[nodiscard]] bool matches(const membership::upstream_record& record,
+                               const call& entry) const;
+    void dispatch(call& entry, const core::upstream_id& upstream);
+    void take_piece(call& entry, const wire::dispatch_reply_t& reply);
+    void take_end(call& entry, const wire::dispatch_reply_t& reply);
+    void after_attempt(call& entry, core::outcome result, std::uint32_t retry_after_ms);
+    void abandon(call& entry, core::reason why);
+    void send_abandon(call& entry, bool cancel);
+    void tick(call& entry);
+    [[nodiscard]] std::string text_of(const call& entry) const;
+
+    entry_context& m_context;
+    peer_sender& m_peers;
+    claim_sender& m_claims;
+    team_limits m_limits;
+    retry_budget m_retries;
+    std::unique_ptr<routing::placement_policy> m_placement;
+    std::string m_placement_key;
+    std::map<core::request_id, call> m_calls;
+    std::map<caller_id, core::request_id> m_by_caller;
+    std::map<core::upstream_id, routing::engine_view> m_views;
+    std::set<core::request_id> m_done; ///< Ended during the current event.
+
+    void remove_done();
+    void refresh_placement();
+};
+
+} // namespace siskindrift::requests
--- /dev/null
+++ b/include/siskindrift/requests/team_limits.h
@@ -0,0 +1,50 @@
+// What each team may have in progress at this VM, and how many retries all may make.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+
+#include "siskindrift/config/catalog.h"
+#include "siskindrift/core/clock.h"
+#include "siskindrift/core/ids.h"
+#include "siskindrift/core/verdict.h"
+
+namespace siskindrift::requests {
+
+/// Rate and concurrency of teams; a deployment's limits are shared evenly by its live VMs.
+class team_limits {
+public:
+    /// Admits a request, or returns the limit that refuses it.
+    std::optional<core::reason> admit(const core::team_id& team, const config::team_config& config,
+                                      std::size_t live_vms, core::time_point now);
+    /// Ends an admitted request.
+    void release(const core::team_id& team);
+    [[nodiscard]] std::uint32_t in_progress(const core::team_id& team) const;
+
+private:
+    struct usage {
+        double tokens = 0.0;
+        core::time_point refilled_at{};
+        std::uint32_t in_progress = 0;
+        bool begun = false;
+    };
+    std::map<core::team_id, usage> m_usage;
+};
+
+/// Retries as a share of fresh requests.
+class retry_budget {
+public:
+    retry_budget(double share, double burst) : m_share(share), m_burst(burst), m_tokens(burst) {}
+
+    void note_fresh() { m_tokens = m_tokens + m_share > m_burst ? m_burst : m_tokens + m_share; }
+    /// Takes one retry. Returns false when the budget is spent.
+    bool take();
+
+private:
+    double m_share;
+    double m_burst;
+    double m_tokens;
+};
+
+} // namespace siskindrift::requests
--- /dev/null
+++ b/src/apps/control_process.cpp
@@ -0,0 +1,235 @@
+#include "control_process.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <random>
+#include <thread>
+
+#include "siskindrift/config/catalog.h"
+#include "siskindrift/observe/log.h"
+
+namespace siskindrift::apps {
+namespace {
+
+constexpr core::milliseconds tick_every{10};
+constexpr core::milliseconds stop_grace{1000}; // for the successor's election
+constexpr int worker_count = 2;
+
+std::uint64_t random_number()
+{
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 32 | device()) | 1U;
+}
+
+bool is_operator_request(const wire::control_request_t& request)
+{
+    switch (request.body.type) {
+    case wire::control_body::apply_change:
+    case wire::control_body::form_cluster:
+    case wire::control_body::change_member:
+    case wire::control_body::transfer_leadership:
+        return true;
+    default:
+        return false;
+    }
+}
+
+} // namespace
+
+std::optional<std::string>
+catalog_checker::check(const std::map<std::string, std::string>&,
+                       const wire::apply_change_t& change) const
+{
+    if (change.change_id.empty() || change.operations.empty()) {
+        return "a change needs an id and at least one operation";
+    }
+    std::string faults;
+    for (const auto& operation : change.operations) {
+        if (operation->remove) {
+            continue;
+        }
+        if (const auto fault = config::check_entry(operation->key, operation->value)) {
+            faults += *fault + "\n";
+        }
+    }
+    return faults.empty() ? std::nullopt : std::optional{faults};
+}
+
+control_process::control_process(config::control_settings settings)
+    : m_settings(std::move(settings)),
+      m_mesh(std::make_shared<net::mesh>(m_context, net::mesh_options{}, *this))
+{
+}
+
+bool control_process::start()
+{
+    core::last_reason why;
+    auto folder = log::data_folder::open(m_settings.data_folder, random_number(), why);
+    if (!folder) {
+        observe::error("data_folder_refused", {{"reason", why.text()}});
+        return false;
+    }
+    m_folder.emplace(std::move(*folder));
+    m_store.emplace(m_folder->path(), m_opener);
+    log::recovery_report report;
+    auto recovered = m_store->open(report, why);
+    if (!recovered) {
+        observe::error("storage_failed", {{"reason", why.text()}});
+        return false;
+    }
+    if (recovered->damaged) {
+        observe::error("log_damaged", {{"reason", report.damage},
+                                       {"advice", "this replica does not vote; replace it"}});
+    }
+    observe::info("recovered", {{"replica", m_folder->identity().value()},
+                                {"records", report.records},
+                                {"cut_bytes", report.cut_bytes}});
+    control::control_options options;
+    options.compact_after = m_settings.compact_after;
+    m_core = std::make_unique<control::control_core>(m_folder->identity(), std::move(*recovered),
+                                                     options, random_number(), m_clock,
+                                                     &m_checker);
+    std::string error;
+    if (!m_mesh->listen(m_settings.address, error)) {
+        observe::error("cannot_listen", {{"reason", error}});
+        return false;
+    }
+    return true;
+}
+
+int control_process::run()
+{
+    if (!start()) {
+        return 1;
+    }
+    boost::asio::signal_set signals{m_context, SIGTERM, SIGINT};
+    signals.async_wait([this](boost::system::error_code failed, int) {
+        if (!failed) {
+            m_stopping = true;
+            m_wake.notify_one();
+        }
+    });
+    const auto guard = boost::asio::make_work_guard(m_context);
+    std::vector<std::thread> workers;
+    for (int i = 0; i < worker_count; ++i) {
+        workers.emplace_back([this] { m_context.run(); });
+    }
+    observe::info("started", {{"address", m_settings.address}});
+    const int status = drive();
+    m_mesh->stop();
+    m_context.stop();
+    for (auto& worker : workers) {
+        worker.join();
+    }
+    observe::info("stopped", {{"status", status}});
+    return status;
+}
+
+int control_process::drive()
+{
+    bool handed_over = false;
+    core::time_point stop_at{};
+    while (true) {
+        std::vector<input> inputs;
+        {
+            std::unique_lock lock{m_mutex};
+            m_wake.wait_for(lock, tick_every, [this] { return !m_inputs.empty(); });
+            inputs.swap(m_inputs);
+        }
+        if (!cycle(std::move(inputs))) {
+            return 1;
+        }
+        if (!m_stopping) {
+            continue;
+        }
+        if (!handed_over) {
+            handed_over = true;
+            stop_at = m_clock.now() + stop_grace;
+            m_core->prepare_stop();
+        }
+        if (m_clock.now() >= stop_at || !m_core->raft().is_leader()) {
+            cycle({});
+            return 0;
+        }
+    }
+}
+
+bool control_process::cycle(std::vector<input> inputs)
+{
+    for (auto& item : inputs) {
+        take(std::move(item));
+    }
+    m_core->tick();
+    core::last_reason why;
+    const auto work = m_core->take_ready();
+    send(work.early);
+    if (!m_store->persist(work, m_core->raft(), why)) {
+        observe::error("storage_failed", {{"reason", why.text()}});
+        return false;
+    }
+    send(work.messages);
+    const auto made = m_core->complete(work);
+    if (made && !m_store->store_snapshot(*made, m_core->raft(), why)) {
+        observe::error("storage_failed", {{"reason", why.text()}});
+        return false;
+    }
+    for (auto& answer : m_core->take_replies()) {
+        m_mesh->reply(answer.client, wire::make_envelope(std::move(answer.reply)));
+    }
+    return true;
+}
+
+void control_process::take(input item)
+{
+    if (const auto* request = item.message.body.Ascontrol_request()) {
+        if (!permitted(*request)) {
+            wire::control_reply_t refusal;
+            refusal.id = request->id;
+            refusal.outcome = wire::control_outcome::refused;
+            refusal.detail = "wrong operator token";
+            m_mesh->reply(item.from, wire::make_envelope(std::move(refusal)));
+            return;
+        }
+        m_core->on_request(item.from, *request);
+        return;
+    }
+    m_core->on_peer(item.message);
+}
+
+bool control_process::permitted(const wire::control_request_t& request) const
+{
+    const auto& hashes = m_settings.operator_token_hashes;
+    if (hashes.empty() || !is_operator_request(request)) {
+        return true;
+    }
+    const auto presented = config::sha256_hex(request.token);
+    bool found = false;
+    for (const auto& hash : hashes) {
+        found = config::equal_constant_time(hash, presented) || found;
+    }
+    return found;
+}
+
+void control_process::send(const std::vector<consensus::outgoing_message>& messages)
+{
+    for (const auto& item : messages) {
+        m_mesh->send(item.address, item.message);
+    }
+}
+
+void control_process::on_message(net::connection_id from, wire::envelope_t message)
+{
+    constexpr std::size_t max_inputs = 100'000;
+    const std::lock_guard lock{m_mutex};
+    if (m_inputs.size() < max_inputs) {
+        m_inputs.push_back({from, std::move(message)});
+        m_wake.notify_one();
+    }
+}
+
+void control_process::on_bad_frame(core::reason why)
+{
+    observe::warn("bad_frame", {{"reason", core::to_string(why)}});
+}
+
+} // namespace siskindrift::apps
--- /dev/null
+++ b/src/config/settings.cpp
@@ -0,0 +1,125 @@
+#include "siskindrift/config/settings.h"
+
+#include <boost/json.hpp>
+#include <cerrno>
+#include <cstring>
+#include <fstream>
+#include <sstream>
+
+#include "siskindrift/config/schema.h"
+#include "siskindrift/config/schemas.h"
+
+namespace siskindrift::config {
+namespace {
+
+namespace json = boost::json;
+
+std::optional<json::object> checked_object(const std::string& text, std::string_view schema,
+                                           core::last_reason& why)
+{
+    auto document = parse_json(text, why);
+    if (!document) {
+        return std::nullopt;
+    }
+    const auto faults = check_against(schema, *document);
+    if (!faults.empty()) {
+        why.set(describe(faults));
+        return std::nullopt;
+    }
+    return std::move(document->as_object());
+}
+
+void read(const json::object& from, std::string_view name, std::string& to)
+{
+    if (const auto* value = from.if_contains(name)) {
+        to = value->as_string();
+    }
+}
+
+template <class Number>
+void read(const json::object& from, std::string_view name, Number& to)
+    requires std::is_arithmetic_v<Number>
+{
+    if (const auto* value = from.if_contains(name)) {
+        to = value->to_number<Number>();
+    }
+}
+
+void read(const json::object& from, std::string_view name, core::duration& to)
+{
+    if (const auto* value = from.if_contains(name)) {
+        to = core::milliseconds{value->to_number<std::int64_t>()};
+    }
+}
+
+void read(const json::object& from, std::string_view name, std::vector<std::string>& to)
+{
+    if (const auto* value = from.if_contains(name)) {
+        for (const auto& item : value->as_array()) {
+            to.emplace_back(item.as_string());
+        }
+    }
+}
+
+} // namespace
+
+std::optional<entry_settings> read_entry_settings(const std::string& text, core::last_reason& why)
+{
+    const auto object = checked_object(text, entry_settings_schema, why);
+    if (!object) {
+        return std::nullopt;
+    }
+    entry_settings settings;
+    read(*object, "vm", settings.vm);
+    read(*object, "failure_domain", settings.failure_domain);
+    read(*object, "caller_address", settings.caller_address);
+    read(*object, "inner_address", settings.inner_address);
+    read(*object, "control", settings.control);
+    read(*object, "data_folder", settings.data_folder);
+    read(*object, "workers", settings.workers);
+    read(*object, "endpoints_ttl_ms", settings.endpoints_ttl);
+    read(*object, "config_bound_ms", settings.config_bound);
+    read(*object, "max_connections", settings.max_connections);
+    read(*object, "max_body_bytes", settings.max_body_bytes);
+    read(*object, "header_timeout_ms", settings.header_timeout);
+    read(*object, "idle_timeout_ms", settings.idle_timeout);
+    read(*object, "operator_token_hashes", settings.operator_token_hashes);
+    read(*object, "log_level", settings.log_level);
+    if (settings.caller_address == settings.inner_address) {
+        why.set(describe({{"/inner_address", settings.inner_address,
+                           "must differ from /caller_address"}}));
+        return std::nullopt;
+    }
+    return settings;
+}
+
+std::optional<control_settings> read_control_settings(const std::string& text,
+                                                      core::last_reason& why)
+{
+    const auto object = checked_object(text, control_settings_schema, why);
+    if (!object) {
+        return std::nullopt;
+    }
+    control_settings settings;
+    read(*object, "vm", settings.vm);
+    read(*object, "address", settings.address);
+    read(*object, "data_folder", settings.data_folder);
+    read(*object, "operator_token_hashes", settings.operator_token_hashes);
+    read(*object, "compact_after", settings.compact_after);
+    read(*object, "log_level", settings.log_level);
+    return settings;
+}
+
+std::optional<std::string> read_file(const std::string& path, core::last_reason& why)
+{
+    std::ifstream file{path, std::ios::binary};
+    if (!file) {
+        why.set(path + ": " + std::strerror(errno));
+        return std::nullopt;
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+} // namespace siskindrift::config
--- /dev/null
+++ b/src/consensus/raft_node.cpp
@@ -0,0 +1,407 @@
+#include "siskindrift/consensus/raft_node.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "siskindrift/wire/frame.h"
+
+namespace siskindrift::consensus {
+
+raft_node::raft_node(core::replica_id self, recovered_state recovered, raft_options options,
+                     std::uint64_t seed, core::time_point now)
+    : m_self(self.value()), m_options(options), m_random(seed), m_damaged(recovered.damaged),
+      m_hard(recovered.hard), m_now(now), m_saved_hard(recovered.hard)
+{
+    if (recovered.base) {
+        m_log.reset(recovered.base->last_index, recovered.base->last_term);
+        m_snapshot_members = recovered.base->members;
+        m_commit = m_handed_out = recovered.base->last_index;
+        m_snapshot = std::make_shared<const snapshot>(std::move(*recovered.base));
+    }
+    for (auto& entry : recovered.entries) {
+        m_log.append(std::move(entry));
+    }
+    m_persisted_index = m_log.last_index();
+    recompute_members();
+    reset_election_timer(now);
+}
+
+bool raft_node::form(std::uint64_t cluster, const std::string& vm, const std::string& address)
+{
+    if (m_hard.cluster != 0 || m_damaged || cluster == 0) {
+        return false;
+    }
+    m_hard.cluster = cluster;
+    m_hard.term = 1;
+    wire::snapshot_file_t list;
+    wire::replica_info_t own;
+    own.id = m_self;
+    own.vm = vm;
+    own.address = address;
+    own.voter = true;
+    wire::append(list.members, own);
+    append_own(wire::entry_kind::members, wire::encode_table(list), 0);
+    return true;
+}
+
+void raft_node::step(const wire::envelope_t& message, core::time_point now)
+{
+    m_now = now;
+    if (m_damaged) {
+        return;
+    }
+    const auto& body = message.body;
+    if (const auto* append = body.Asappend_request()) {
+        handle(*append, now);
+    }
+    else if (const auto* appended = body.Asappend_reply()) {
+        handle(*appended, now);
+    }
+    else if (const auto* vote = body.Asvote_request()) {
+        handle(*vote, now);
+    }
+    else if (const auto* voted = body.Asvote_reply()) {
+        handle(*voted, now);
+    }
+    else if (const auto* chunk = body.Assnapshot_request()) {
+        handle(*chunk, now);
+    }
+    else if (const auto* taken = body.Assnapshot_reply()) {
+        handle(*taken, now);
+    }
+    else if (const auto* order = body.Astimeout_now()) {
+        handle(*order, now);
+    }
+}
+
+void raft_node::tick(core::time_point now)
+{
+    m_now = now;
+    if (m_damaged || m_hard.cluster == 0) {
+        return;
+    }
+    if (m_role == role::leader) {
+        check_quorum(now);
+        if (m_role == role::leader && now >= m_heartbeat_due) {
+            broadcast(now, true);
+        }
+        return;
+    }
+    if (now >= m_election_due && is_voter()) {
+        become_pre_candidate(now);
+    }
+}
+
+bool raft_node::leads_committed() const
+{
+    return is_leader() && m_log.term_at(m_commit) == m_hard.term;
+}
+
+std::string raft_node::leader_address() const
+{
+    const auto* found = member(m_leader);
+    return found != nullptr ? found->address : std::string{};
+}
+
+std::uint64_t raft_node::match_index(std::uint64_t replica) const
+{
+    if (replica == m_self) {
+        return m_persisted_index;
+    }
+    const auto found = m_progress.find(replica);
+    return found == m_progress.end() ? 0 : found->second.match;
+}
+
+bool raft_node::is_voter() const
+{
+    const auto* own = member(m_self);
+    return own != nullptr && own->voter;
+}
+
+const wire::replica_info_t* raft_node::member(std::uint64_t replica) const
+{
+    const auto found = std::find_if(m_members.begin(), m_members.end(),
+                                    [&](const auto& info) { return info.id == replica; });
+    return found == m_members.end() ? nullptr : &*found;
+}
+
+std::size_t raft_node::voter_count() const
+{
+    return static_cast<std::size_t>(std::count_if(m_members.begin(), m_members.end(),
+                                                  [](const auto& info) { return info.voter; }));
+}
+
+bool raft_node::addressed_to_us(std::uint64_t cluster, std::uint64_t to) const
+{
+    return to == m_self && cluster != 0 && cluster == m_hard.cluster;
+}
+
+template <class Message>
+void raft_node::send(std::uint64_t to, Message message)
+{
+    const auto* target = member(to);
+    if (target == nullptr) {
+        return;
+    }
+    message.cluster = m_hard.cluster;
+    message.to = to;
+    m_messages.push_back({target->address, wire::make_envelope(std::move(message))});
+}
+
+std::string raft_node::own_address() const
+{
+    const auto* own = member(m_self);
+    return own != nullptr ? own->address : std::string{};
+}
+
+void raft_node::reset_election_timer(core::time_point now)
+{
+    const auto spread = static_cast<std::uint64_t>(
+        (m_options.election_max - m_options.election_min).count());
+    m_election_timeout =
+        m_options.election_min + core::duration{core::uniform_below(m_random, spread + 1)};
+    m_election_due = now + m_election_timeout;
+}
+
+void raft_node::become_follower(std::uint64_t term, std::uint64_t leader)
+{
+    if (term > m_hard.term) {
+        m_hard.term = term;
+        m_hard.voted_for = 0;
+    }
+    if (m_role != role::follower) {
+        reset_election_timer(m_now);
+    }
+    m_role = role::follower;
+    m_leader = leader;
+    m_progress.clear();
+    m_votes.clear();
+    m_self_vote_unsynced = false;
+    m_read_wanted = false;
+}
+
+void raft_node::become_pre_candidate(core::time_point now)
+{
+    m_role = role::pre_candidate;
+    m_leader = 0;
+    m_votes.clear();
+    reset_election_timer(now);
+    request_votes(true, false);
+    count_vote(m_self, now);
+}
+
+void raft_node::become_candidate(core::time_point now, bool transfer)
+{
+    m_role = role::candidate;
+    m_leader = 0;
+    ++m_hard.term;
+    m_hard.voted_for = m_self;
+    m_votes.clear();
+    m_self_vote_unsynced = true; // counted once the vote is on disk
+    reset_election_timer(now);
+    request_votes(false, transfer);
+}
+
+void raft_node::request_votes(bool pre_vote, bool transfer)
+{
+    for (const auto& peer : m_members) {
+        if (peer.id == m_self || !peer.voter) {
+            continue;
+        }
+        wire::vote_request_t request;
+        request.candidate = m_self;
+        request.address = own_address();
+        request.term = pre_vote ? m_hard.term + 1 : m_hard.term;
+        request.last_index = m_log.last_index();
+        request.last_term = m_log.last_term();
+        request.pre_vote = pre_vote;
+        request.transfer = transfer;
+        send(peer.id, request);
+    }
+}
+
+void raft_node::count_vote(std::uint64_t voter, core::time_point now)
+{
+    const auto* info = member(voter);
+    if (info == nullptr || !info->voter) {
+        return;
+    }
+    if (std::find(m_votes.begin(), m_votes.end(), voter) == m_votes.end()) {
+        m_votes.push_back(voter);
+    }
+    if (!is_quorum(m_votes.size())) {
+        return;
+    }
+    if (m_role == role::pre_candidate) {
+        become_candidate(now, false);
+    }
+    else if (m_role == role::candidate) {
+        become_leader(now);
+    }
+}
+
+void raft_node::become_leader(core::time_point now)
+{
+    m_role = role::leader;
+    m_leader = m_self;
+    m_led_since = now;
+    m_progress.clear();
+    m_confirmed_round = 0;
+    m_round = 0;
+    for (const auto& peer : m_members) {
+        if (peer.id != m_self) {
+            m_progress[peer.id].next = m_log.last_index() + 1;
+            m_progress[peer.id].last_ack = now;
+        }
+    }
+    append_own(wire::entry_kind::noop, {}, 0);
+    broadcast(now, true);
+}
+
+bool raft_node::log_is_current(std::uint64_t last_index, std::uint64_t last_term) const
+{
+    if (last_term != m_log.last_term()) {
+        return last_term > m_log.last_term();
+    }
+    return last_index >= m_log.last_index();
+}
+
+bool raft_node::heard_from_leader(core::time_point now) const
+{
+    if (m_role == role::leader) {
+        return true;
+    }
+    return m_leader != 0 && now - m_last_leader_contact < m_options.election_min;
+}
+
+void raft_node::handle(const wire::vote_request_t& request, core::time_point now)
+{
+    if (!addressed_to_us(request.cluster, request.to)) {
+        return;
+    }
+    wire::vote_reply_t reply;
+    reply.from = m_self;
+    reply.pre_vote = request.pre_vote;
+    const bool disruptive = heard_from_leader(now) && !request.transfer;
+    if (!request.pre_vote && !disruptive && request.term > m_hard.term) {
+        become_follower(request.term, 0);
+    }
+    const bool current = log_is_current(request.last_index, request.last_term);
+    if (request.pre_vote) {
+        reply.granted = !disruptive && current && request.term > m_hard.term;
+    }
+    else {
+        const bool free = m_hard.voted_for == 0 || m_hard.voted_for == request.candidate;
+        reply.granted = !disruptive && current && free && request.term == m_hard.term &&
+                        m_role == role::follower;
+    }
+    if (reply.granted && !request.pre_vote) {
+        m_hard.voted_for = request.candidate;
+        reset_election_timer(now);
+    }
+    reply.term = reply.granted ? request.term : m_hard.term;
+    answer(request.candidate, request.address, reply);
+}
+
+void raft_node::handle(const wire::vote_reply_t& reply, core::time_point now)
+{
+    if (!addressed_to_us(reply.cluster, reply.to)) {
+        return;
+    }
+    if (!reply.granted && reply.term > m_hard.term) {
+        become_follower(reply.term, 0);
+        return;
+    }
+    const bool pre = m_role == role::pre_candidate && reply.pre_vote &&
+                     reply.term == m_hard.term + 1;
+    const bool real = m_role == role::candidate && !reply.pre_vote && reply.term == m_hard.term;
+    if (reply.granted && (pre || real)) {
+        count_vote(reply.from, now);
+    }
+}
+
+void raft_node::handle(const wire::timeout_now_t& order, core::time_point now)
+{
+    const bool valid = addressed_to_us(order.cluster, order.to) && order.term == m_hard.term;
+    if (valid && m_role == role::follower && is_voter()) {
+        become_candidate(now, true);
+    }
+}
+
+void raft_node::check_quorum(core::time_point now)
+{
+    std::size_t alive = is_voter() ? 1 : 0;
+    for (const auto& [replica, peer] : m_progress) {
+        const auto* info = member(replica);
+        if (info != nullptr && info->voter && now - peer.last_ack < m_options.election_max) {
+            ++alive;
+        }
+    }
+    if (!is_quorum(alive)) {
+        become_follower(m_hard.term, 0);
+    }
+}
+
+void raft_node::transfer_leadership(core::time_point now)
+{
+    if (m_role != role::leader) {
+        return;
+    }
+    std::uint64_t best = 0;
+    for (const auto& peer : m_members) {
+        const bool candidate = peer.id != m_self && peer.voter;
+        if (candidate && (best == 0 || match_index(peer.id) > match_index(best))) {
+            best = peer.id;
+        }
+    }
+    if (best == 0) {
+        return;
+    }
+    broadcast(now, false);
+    wire::timeout_now_t order;
+    order.leader = m_self;
+    order.term = m_hard.term;
+    send(best, order);
+}
+
+ready raft_node::take_ready()
+{
+    if (m_role == role::leader) {
+        broadcast(m_now, m_read_wanted);
+    }
+    ready work;
+    work.early = std::exchange(m_early, {});
+    work.messages = std::exchange(m_messages, {});
+    if (m_saved_hard != m_hard) {
+        work.hard = m_hard;
+        m_saved_hard = m_hard;
+    }
+    work.installed = std::exchange(m_unsaved_snapshot, nullptr);
+    if (m_unsaved_from != 0) {
+        for (auto index = std::max(m_unsaved_from, m_log.base_index() + 1);
+             index <= m_log.last_index(); ++index) {
+            work.entries.push_back(m_log.at(index));
+        }
+        m_unsaved_from = 0;
+    }
+    while (m_handed_out < m_commit) {
+        ++m_handed_out;
+        work.committed.push_back(m_log.at(m_handed_out));
+    }
+    return work;
+}
+
+void raft_node::persisted(core::time_point now)
+{
+    m_now = now;
+    m_persisted_index = m_log.last_index();
+    if (std::exchange(m_self_vote_unsynced, false) && m_role == role::candidate) {
+        count_vote(m_self, now);
+    }
+    if (m_role == role::leader) {
+        advance_commit();
+        advance_confirmed_round();
+    }
+}
+
+} // namespace siskindrift::consensus
--- /dev/null
+++ b/src/consensus/raft_replication.cpp
@@ -0,0 +1,465 @@
+#include <algorithm>
+#include <utility>
+
+#include "siskindrift/consensus/raft_node.h"
+#include "siskindrift/wire/frame.h"
+
+namespace siskindrift::consensus {
+namespace {
+
+member_list decode_members(const wire::log_entry_t& entry)
+{
+    const std::string_view bytes{reinterpret_cast<const char*>(entry.data.data()),
+                                 entry.data.size()};
+    member_list members;
+    if (const auto list = wire::decode_table<wire::snapshot_file_t>(bytes)) {
+        for (const auto& info : list->members) {
+            members.push_back(*info);
+        }
+    }
+    return members;
+}
+
+std::string encode_members(const member_list& members)
+{
+    wire::snapshot_file_t list;
+    for (const auto& info : members) {
+        wire::append(list.members, info);
+    }
+    return wire::encode_table(list);
+}
+
+} // namespace
+
+std::optional<std::uint64_t> raft_node::propose(std::string data, std::uint64_t stamp_ms)
+{
+    if (m_role != role::leader) {
+        return std::nullopt;
+    }
+    append_own(wire::entry_kind::command, std::move(data), stamp_ms);
+    return m_log.last_index();
+}
+
+std::optional<std::uint64_t> raft_node::propose_members(member_list members)
+{
+    if (!leads_committed() || m_members_index > m_commit || !single_change(members)) {
+        return std::nullopt;
+    }
+    append_own(wire::entry_kind::members, encode_members(members), 0);
+    return m_log.last_index();
+}
+
+bool raft_node::single_change(const member_list& members) const
+{
+    std::size_t voter_changes = 0;
+    std::size_t voters = 0;
+    const auto voter_in = [](const member_list& list, std::uint64_t id) {
+        return std::any_of(list.begin(), list.end(),
+                           [&](const auto& info) { return info.id == id && info.voter; });
+    };
+    for (const auto& info : members) {
+        voters += info.voter ? 1 : 0;
+        voter_changes += info.voter && !voter_in(m_members, info.id) ? 1 : 0;
+    }
+    for (const auto& info : m_members) {
+        voter_changes += info.voter && !voter_in(members, info.id) ? 1 : 0;
+    }
+    return voters > 0 && voter_changes <= 1;
+}
+
+std::uint64_t raft_node::request_read()
+{
+    m_read_wanted = true;
+    return m_round + 1;
+}
+
+void raft_node::append_own(wire::entry_kind kind, std::string data, std::uint64_t stamp_ms)
+{
+    wire::log_entry_t entry;
+    entry.term = m_hard.term;
+    entry.index = m_log.last_index() + 1;
+    entry.kind = kind;
+    entry.stamp_ms = stamp_ms;
+    entry.data.assign(data.begin(), data.end());
+    if (m_unsaved_from == 0) {
+        m_unsaved_from = entry.index;
+    }
+    m_log.append(std::move(entry));
+    if (kind == wire::entry_kind::members) {
+        track_members();
+    }
+}
+
+void raft_node::track_members()
+{
+    recompute_members();
+    if (m_role != role::leader) {
+        return;
+    }
+    for (const auto& peer : m_members) {
+        if (peer.id != m_self && !m_progress.contains(peer.id)) {
+            m_progress[peer.id].next = m_log.last_index();
+            m_progress[peer.id].last_ack = m_now;
+        }
+    }
+    std::erase_if(m_progress, [&](const auto& item) { return member(item.first) == nullptr; });
+}
+
+void raft_node::recompute_members()
+{
+    for (auto index = m_log.last_index(); index > m_log.base_index(); --index) {
+        const auto& entry = m_log.at(index);
+        if (entry.kind == wire::entry_kind::members) {
+            m_members = decode_members(entry);
+            m_members_index = index;
+            return;
+        }
+    }
+    m_members = m_snapshot_members;
+    m_members_index = m_log.base_index();
+}
+
+void raft_node::broadcast(core::time_point now, bool heartbeat)
+{
+    if (heartbeat) {
+        ++m_round;
+        m_read_wanted = false;
+        m_heartbeat_due = now + m_options.heartbeat;
+    }
+    const auto targets = m_members;
+    for (const auto& peer : targets) {
+        if (peer.id != m_self) {
+            send_append(peer, now, heartbeat);
+        }
+    }
+    if (heartbeat) {
+        advance_confirmed_round();
+    }
+}
+
+void raft_node::send_append(const wire::replica_info_t& to, core::time_point now, bool heartbeat)
+{
+    auto& peer = m_progress[to.id];
+    const auto prev = peer.next - 1;
+    const auto prev_term = m_log.term_at(prev);
+    // A lost append would pause the peer for good; the next heartbeat tries again.
+    const bool resend = peer.paused && now - peer.last_send > m_options.heartbeat * 2;
+    const bool has_entries = peer.next <= m_log.last_index() && (!peer.paused || resend);
+    if (!prev_term) {
+        if (!peer.paused || resend) {
+            send_snapshot_chunk(to, peer);
+            peer.last_send = now;
+            return;
+        }
+        if (!heartbeat) {
+            return;
+        }
+    }
+    if (!heartbeat && !has_entries) {
+        return;
+    }
+    wire::append_request_t request;
+    request.address = own_address();
+    request.cluster = m_hard.cluster;
+    request.to = to.id;
+    request.leader = m_self;
+    request.term = m_hard.term;
+    // While a snapshot is under way the heartbeat only proves leadership.
+    request.prev_index = prev_term ? prev : 0;
+    request.prev_term = prev_term.value_or(0);
+    request.commit = std::min(m_commit, peer.match);
+    request.round = m_round;
+    if (has_entries && prev_term) {
+        const auto last = std::min<std::uint64_t>(
+            m_log.last_index(), prev + m_options.max_entries_per_message);
+        for (auto index = peer.next; index <= last; ++index) {
+            wire::append(request.entries, m_log.at(index));
+        }
+        request.commit = std::min(m_commit, last);
+        peer.paused = true;
+        peer.last_send = now;
+    }
+    m_early.push_back({to.address, wire::make_envelope(std::move(request))});
+}
+
+void raft_node::send_snapshot_chunk(const wire::replica_info_t& to, progress& peer)
+{
+    if (!m_snapshot) {
+        return;
+    }
+    const auto& state = m_snapshot->state;
+    peer.snapshot_offset = std::min<std::uint64_t>(peer.snapshot_offset, state.size());
+    const auto size = std::min<std::uint64_t>(m_options.snapshot_chunk_bytes,
+                                              state.size() - peer.snapshot_offset);
+    wire::snapshot_request_t request;
+    request.address = own_address();
+    request.cluster = m_hard.cluster;
+    request.to = to.id;
+    request.leader = m_self;
+    request.term = m_hard.term;
+    request.last_index = m_snapshot->last_index;
+    request.last_term = m_snapshot->last_term;
+    for (const auto& info : m_snapshot->members) {
+        wire::append(request.members, info);
+    }
+    request.offset = peer.snapshot_offset;
+    const auto begin = state.begin() + static_cast<std::ptrdiff_t>(request.offset);
+    request.data.assign(begin, begin + static_cast<std::ptrdiff_t>(size));
+    request.done = request.offset + size == state.size();
+    request.round = m_round;
+    peer.paused = true;
+    m_early.push_back({to.address, wire::make_envelope(std::move(request))});
+}
+
+void raft_node::accept_leader(std::uint64_t term, std::uint64_t leader, core::time_point now)
+{
+    become_follower(term, leader);
+    m_last_leader_contact = now;
+    m_election_due = now + m_election_timeout;
+}
+
+void raft_node::handle(const wire::append_request_t& request, core::time_point now)
+{
+    if (request.to != m_self || request.cluster == 0) {
+        return;
+    }
+    if (m_hard.cluster == 0) {
+        m_hard.cluster = request.cluster; // a new replica joins the cluster that calls it
+    }
+    if (request.cluster != m_hard.cluster) {
+        return;
+    }
+    wire::append_reply_t reply;
+    reply.from = m_self;
+    reply.round = request.round;
+    if (request.term >= m_hard.term) {
+        accept_leader(request.term, request.leader, now);
+        const auto prev_term = m_log.term_at(request.prev_index);
+        const bool covered = request.prev_index < m_log.base_index();
+        const bool matches = prev_term && *prev_term == request.prev_term;
+        if (matches || (covered && request.prev_index != 0)) {
+            append_from_leader(request);
+            reply.success = true;
+            reply.match_index = request.prev_index + request.entries.size();
+            const auto commit = std::min(request.commit, reply.match_index);
+            m_commit = std::max(m_commit, std::min(commit, m_log.last_index()));
+        }
+        else {
+            reply.match_index = std::min(m_log.last_index(), request.prev_index - 1);
+            if (request.prev_index == 0) {
+                reply.match_index = m_log.last_index();
+            }
+        }
+    }
+    reply.term = m_hard.term;
+    answer(request.leader, request.address, reply);
+}
+
+void raft_node::append_from_leader(const wire::append_request_t& request)
+{
+    for (const auto& entry : request.entries) {
+        if (entry->index <= m_log.base_index()) {
+            continue;
+        }
+        const auto own_term = m_log.term_at(entry->index);
+        if (own_term && *own_term == entry->term) {
+            continue;
+        }
+        if (own_term) {
+            m_log.truncate_from(entry->index);
+            m_persisted_index = std::min(m_persisted_index, entry->index - 1);
+            recompute_members();
+        }
+        if (m_unsaved_from == 0 || entry->index < m_unsaved_from) {
+            m_unsaved_from = entry->index;
+        }
+        m_log.append(*entry);
+        if (entry->kind == wire::entry_kind::members) {
+            recompute_members();
+        }
+    }
+}
+
+void raft_node::handle(const wire::append_reply_t& reply, core::time_point now)
+{
+    if (!addressed_to_us(reply.cluster, reply.to)) {
+        return;
+    }
+    if (reply.term > m_hard.term) {
+        become_follower(reply.term, 0);
+        return;
+    }
+    const auto found = m_progress.find(reply.from);
+    if (m_role != role::leader || reply.term != m_hard.term || found == m_progress.end()) {
+        return;
+    }
+    auto& peer = found->second;
+    peer.last_ack = now;
+    peer.acked_round = std::max(peer.acked_round, reply.round);
+    if (reply.success) {
+        if (reply.match_index > peer.match || peer.next <= reply.match_index) {
+            peer.match = std::max(peer.match, reply.match_index);
+            peer.next = std::max(peer.next, reply.match_index + 1);
+            peer.paused = false;
+        }
+        advance_commit();
+    }
+    else if (m_log.term_at(peer.next - 1)) {
+        peer.next = std::max(peer.match + 1, std::min(peer.next - 1, reply.match_index + 1));
+        peer.paused = false;
+    }
+    advance_confirmed_round();
+}
+
+void raft_node::handle(const wire::snapshot_request_t& request, core::time_point now)
+{
+    if (request.to != m_self || request.cluster == 0) {
+        return;
+    }
+    if (m_hard.cluster == 0) {
+        m_hard.cluster = request.cluster;
+    }
+    if (request.cluster != m_hard.cluster || request.term < m_hard.term) {
+        return;
+    }
+    accept_leader(request.term, request.leader, now);
+    wire::snapshot_reply_t reply;
+    reply.from = m_self;
+    reply.term = m_hard.term;
+    reply.last_index = request.last_index;
+    reply.round = request.round;
+    if (request.offset == 0) {
+        m_incoming = snapshot{request.last_index, request.last_term, {}, {}};
+    }
+    const bool expected = m_incoming.last_index == request.last_index &&
+                          m_incoming.state.size() == request.offset;
+    if (expected) {
+        m_incoming.state.append(request.data.begin(), request.data.end());
+        if (request.done) {
+            for (const auto& info : request.members) {
+                m_incoming.members.push_back(*info);
+            }
+            install(std::exchange(m_incoming, {}));
+        }
+    }
+    const bool whole = m_log.base_index() >= request.last_index || m_commit >= request.last_index;
+    reply.next_offset = whole ? request.offset + request.data.size() : m_incoming.state.size();
+    if (whole) {
+        reply.next_offset = UINT64_MAX;
+    }
+    answer(request.leader, request.address, reply);
+}
+
+void raft_node::install(snapshot received)
+{
+    if (received.last_index <= m_commit) {
+        return;
+    }
+    const bool extends = m_log.term_at(received.last_index) == received.last_term;
+    if (extends) {
+        m_log.compact_to(received.last_index);
+    }
+    else {
+        m_log.reset(received.last_index, received.last_term);
+        m_unsaved_from = 0;
+    }
+    m_snapshot_members = received.members;
+    m_commit = m_handed_out = received.last_index;
+    m_snapshot = std::make_shared<const snapshot>(std::move(received));
+    m_unsaved_snapshot = m_snapshot;
+    if (m_log.last_index() > m_log.base_index()) {
+        m_unsaved_from = m_log.base_index() + 1;
+    }
+    recompute_members();
+}
+
+void raft_node::handle(const wire::snapshot_reply_t& reply, core::time_point now)
+{
+    if (!addressed_to_us(reply.cluster, reply.to)) {
+        return;
+    }
+    if (reply.term > m_hard.term) {
+        become_follower(reply.term, 0);
+        return;
+    }
+    const auto found = m_progress.find(reply.from);
+    if (m_role != role::leader || reply.term != m_hard.term || found == m_progress.end()) {
+        return;
+    }
+    auto& peer = found->second;
+    peer.last_ack = now;
+    peer.acked_round = std::max(peer.acked_round, reply.round);
+    peer.paused = false;
+    peer.snapshot_offset = reply.next_offset;
+    if (reply.next_offset == UINT64_MAX) {
+        peer.match = std::max(peer.match, reply.last_index);
+        peer.next = std::max(peer.next, reply.last_index + 1);
+        peer.snapshot_offset = 0;
+        advance_commit();
+    }
+    else if (!m_snapshot || reply.last_index != m_snapshot->last_index) {
+        peer.snapshot_offset = 0;
+    }
+    advance_confirmed_round();
+}
+
+void raft_node::advance_commit()
+{
+    std::vector<std::uint64_t> matches;
+    for (const auto& peer : m_members) {
+        if (peer.voter) {
+            matches.push_back(match_index(peer.id));
+        }
+    }
+    if (matches.empty()) {
+        return;
+    }
+    std::sort(matches.begin(), matches.end(), std::greater<>{});
+    const auto candidate = matches[matches.size() / 2];
+    if (candidate <= m_commit || m_log.term_at(candidate) != m_hard.term) {
+        return;
+    }
+    m_commit = candidate;
+    if (m_members_index <= m_commit && !is_voter()) {
+        become_follower(m_hard.term, 0); // a removed leader stops once its removal is committed
+    }
+}
+
+void raft_node::advance_confirmed_round()
+{
+    if (!leads_committed()) {
+        return;
+    }
+    std::vector<std::uint64_t> rounds;
+    for (const auto& peer : m_members) {
+        if (peer.voter) {
+            rounds.push_back(peer.id == m_self ? m_round : m_progress[peer.id].acked_round);
+        }
+    }
+    std::sort(rounds.begin(), rounds.end(), std::greater<>{});
+    m_confirmed_round = std::max(m_confirmed_round, rounds[rounds.size() / 2]);
+}
+
+std::shared_ptr<const snapshot> raft_node::compact(std::uint64_t index, std::string state)
+{
+    const auto term = m_log.term_at(index);
+    if (!term || index > m_handed_out || index <= m_log.base_index()) {
+        return nullptr;
+    }
+    auto made = std::make_shared<snapshot>();
+    made->last_index = index;
+    made->last_term = *term;
+    made->members = m_snapshot_members;
+    for (auto i = m_log.base_index() + 1; i <= index; ++i) {
+        if (m_log.at(i).kind == wire::entry_kind::members) {
+            made->members = decode_members(m_log.at(i));
+        }
+    }
+    made->state = std::move(state);
+    m_snapshot_members = made->members;
+    m_log.compact_to(index);
+    m_snapshot = std::move(made);
+    return m_snapshot;
+}
+
+} // namespace siskindrift::consensus
--- /dev/null
+++ b/src/control/control_core.cpp
@@ -0,0 +1,414 @@
+#include "siskindrift/control/control_core.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "siskindrift/config/catalog.h"
+#include "siskindrift/wire/frame.h"
+
+namespace siskindrift::control {
+namespace {
+
+using wire::control_outcome;
+
+bool is_logged(const wire::control_request_t& request)
+{
+    switch (request.body.type) {
+    case wire::control_body::apply_change:
+    case wire::control_body::register_vm:
+    case wire::control_body::expire_vm: // a VM that stops ends its own session
+    case wire::control_body::acquire_upstream:
+    case wire::control_body::release_upstream:
+    case wire::control_body::take_claim:
+    case wire::control_body::finish_claim:
+        return true;
+    default:
+        return false;
+    }
+}
+
+} // namespace
+
+control_core::control_core(core::replica_id self, consensus::recovered_state recovered,
+                           control_options options, std::uint64_t seed, const core::clock& time,
+                           const change_checker* checker)
+    : m_clock(time), m_options(options), m_checker(checker),
+      m_raft(self, recovered, options.raft, seed, time.now()), m_state(options.limits),
+      m_sessions(options.sessions), m_permits(options.budget), m_seed(seed)
+{
+    if (recovered.base) {
+        m_state.restore(recovered.base->state);
+        m_applied = recovered.base->last_index;
+    }
+}
+
+void control_core::on_peer(const wire::envelope_t& message)
+{
+    m_raft.step(message, m_clock.now());
+}
+
+void control_core::tick()
+{
+    m_raft.tick(m_clock.now());
+    note_leadership();
+    finish_reads();
+    if (m_led_term != 0) {
+        run_sessions();
+        run_permits();
+    }
+}
+
+void control_core::prepare_stop()
+{
+    m_raft.transfer_leadership(m_clock.now());
+}
+
+void control_core::on_request(client_id client, const wire::control_request_t& request)
+{
+    if (request.body.type == wire::control_body::query_status) {
+        answer_status(client, request.id);
+        return;
+    }
+    if (request.body.type == wire::control_body::form_cluster) {
+        answer_form(client, request);
+        return;
+    }
+    if (!m_raft.is_leader()) {
+        refuse_not_leader(client, request.id);
+        return;
+    }
+    if (is_logged(request)) {
+        propose(client, request);
+        return;
+    }
+    if (request.body.type == wire::control_body::change_member) {
+        answer_change_member(client, request);
+        return;
+    }
+    if (request.body.type == wire::control_body::transfer_leadership) {
+        m_raft.transfer_leadership(m_clock.now());
+        reply(client, request.id, control_outcome::ok);
+        return;
+    }
+    if (const auto* returned = request.body.Asreturn_permit()) {
+        m_permits.give_back(returned->permit);
+        reply(client, request.id, control_outcome::ok);
+        return;
+    }
+    m_reads.push_back({client, request, m_raft.request_read()});
+}
+
+void control_core::propose(client_id client, const wire::control_request_t& request)
+{
+    if (const auto* change = request.body.Asapply_change(); change != nullptr && m_checker) {
+        if (auto error = m_checker->check(m_state.config(), *change)) {
+            reply(client, request.id, control_outcome::refused, std::move(*error));
+            return;
+        }
+    }
+    const auto index = m_raft.propose(wire::encode_table(request), m_clock.wall_ms());
+    m_writes.emplace(*index, pending_write{client, request.id, m_raft.term()});
+}
+
+void control_core::answer_form(client_id client, const wire::control_request_t& request)
+{
+    const auto* form = request.body.Asform_cluster();
+    const auto cluster = m_seed | 1U;
+    const bool formed = m_raft.form(cluster, form->vm, form->address);
+    reply(client, request.id, formed ? control_outcome::ok : control_outcome::refused,
+          formed ? "" : "this replica already belongs to a cluster");
+}
+
+void control_core::answer_change_member(client_id client, const wire::control_request_t& request)
+{
+    const auto* order = request.body.Aschange_member();
+    auto members = m_raft.members();
+    std::erase_if(members, [&](const auto& info) { return info.id == order->id; });
+    if (order->add) {
+        wire::replica_info_t info;
+        info.id = order->id;
+        info.vm = order->vm;
+        info.address = order->address;
+        info.voter = order->voter;
+        const auto lag = m_raft.last_index() - m_raft.match_index(order->id);
+        constexpr std::uint64_t caught_up_entries = 64; // a few heartbeats' worth of changes
+        if (order->voter && lag > caught_up_entries) {
+            reply(client, request.id, control_outcome::unavailable, "the learner is behind");
+            return;
+        }
+        members.push_back(std::move(info));
+    }
+    const auto index = m_raft.propose_members(std::move(members));
+    if (!index) {
+        reply(client, request.id, control_outcome::unavailable, "another change is open");
+        return;
+    }
+    m_writes.emplace(*index, pending_write{client, request.id, m_raft.term()});
+}
+
+void control_core::answer_status(client_id client, std::uint64_t request)
+{
+    wire::status_page_t page;
+    page.replica = m_raft.self().value();
+    page.cluster = m_raft.cluster();
+    page.leader = m_raft.leader();
+    page.term = m_raft.term();
+    page.commit = m_raft.commit_index();
+    page.applied = m_applied;
+    page.revision = m_state.revision();
+    page.digest = m_state.digest();
+    page.state_digest_index = m_applied;
+    page.claims = m_state.claim_count();
+    page.damaged = m_raft.damaged() ? "the log is damaged; replace this replica" : "";
+    for (const auto& info : m_raft.members()) {
+        wire::append(page.members, info);
+        page.match_indexes.push_back(m_raft.match_index(info.id));
+    }
+    for (auto [name, vm] : m_state.vms()) {
+        vm.config_revision = m_sessions.revision_at(name);
+        wire::append(page.vms, vm);
+    }
+    for (const auto& [name, owned] : m_state.ownerships()) {
+        wire::append(page.ownerships, owned);
+    }
+    constexpr std::size_t shown_history = 200;
+    const auto& history = m_state.history();
+    const auto first = history.size() > shown_history ? history.size() - shown_history : 0;
+    for (auto i = first; i < history.size(); ++i) {
+        wire::append(page.history, history[i]);
+    }
+    wire::control_reply_t answer;
+    answer.leader_address = m_raft.leader_address();
+    answer.body.Set(std::move(page));
+    send(client, request, std::move(answer));
+}
+
+void control_core::finish_reads()
+{
+    if (!m_raft.is_leader()) {
+        for (const auto& read : std::exchange(m_reads, {})) {
+            refuse_not_leader(read.client, read.request.id);
+        }
+        return;
+    }
+    // The state must hold everything that was committed when the round began.
+    if (!m_raft.leads_committed() || m_led_term != m_raft.term()) {
+        return;
+    }
+    const auto confirmed = m_raft.confirmed_round();
+    auto reads = std::exchange(m_reads, {});
+    for (auto& read : reads) {
+        if (read.round <= confirmed) {
+            answer_confirmed(read);
+        }
+        else {
+            m_reads.push_back(std::move(read));
+        }
+    }
+}
+
+void control_core::answer_confirmed(const pending_read& read)
+{
+    const auto& body = read.request.body;
+    if (const auto* renewal = body.Asrenew_session()) {
+        answer_renewal(read, *renewal);
+        return;
+    }
+    if (const auto* query = body.Asread_config()) {
+        wire::control_reply_t answer;
+        answer.body.Set(m_state.config_since(query->since_revision));
+        send(read.client, read.request.id, std::move(answer));
+        return;
+    }
+    if (const auto* wish = body.Asrequest_permit()) {
+        const auto ticket = m_next_ticket++;
+        m_permit_tickets[ticket] = {read.client, read.request.id};
+        m_permits.ask(ticket, wish->benefit, m_clock.now());
+        return;
+    }
+    reply(read.client, read.request.id, control_outcome::refused, "unknown request");
+}
+
+void control_core::answer_renewal(const pending_read& read, const wire::renew_session_t& renewal)
+{
+    if (!m_sessions.renew(renewal.vm, renewal.incarnation, m_clock.now())) {
+        reply(read.client, read.request.id, control_outcome::refused, "no such session");
+        return;
+    }
+    m_sessions.note_revision(renewal.vm, renewal.config_revision);
+    wire::session_grant_t grant;
+    grant.ttl_ms = static_cast<std::uint32_t>(core::to_ms(m_options.sessions.ttl));
+    grant.config_revision = m_state.revision();
+    grant.ownership_version = m_state.ownership_version();
+    grant.ownership_included = renewal.ownership_version != grant.ownership_version;
+    if (grant.ownership_included) {
+        for (const auto& [name, vm] : m_state.vms()) {
+            wire::append(grant.vms, vm);
+        }
+        for (const auto& [name, owned] : m_state.ownerships()) {
+            wire::append(grant.ownerships, owned);
+        }
+    }
+    wire::control_reply_t answer;
+    answer.body.Set(std::move(grant));
+    send(read.client, read.request.id, std::move(answer));
+}
+
+void control_core::run_sessions()
+{
+    for (auto& order : m_sessions.take_expired(m_clock.now())) {
+        const auto request = wire::make_control_request(std::move(order));
+        m_raft.propose(wire::encode_table(request), m_clock.wall_ms());
+    }
+}
+
+void control_core::run_permits()
+{
+    const auto now = m_clock.now();
+    for (const auto& granted : m_permits.grant(now)) {
+        const auto ticket = m_permit_tickets.extract(granted.ticket).mapped();
+        wire::permit_grant_t grant;
+        grant.permit = granted.permit;
+        grant.lifetime_ms = static_cast<std::uint32_t>(core::to_ms(m_permits.budget().lifetime));
+        wire::control_reply_t answer;
+        answer.body.Set(std::move(grant));
+        send(ticket.client, ticket.request, std::move(answer));
+    }
+    for (const auto number : m_permits.take_impatient(now, m_options.permit_patience)) {
+        const auto ticket = m_permit_tickets.extract(number).mapped();
+        reply(ticket.client, ticket.request, control_outcome::unavailable, "no permit yet");
+    }
+}
+
+void control_core::note_leadership()
+{
+    const bool leading = m_raft.leads_committed() && m_applied >= m_raft.commit_index();
+    if (leading && m_led_term != m_raft.term()) {
+        m_led_term = m_raft.term();
+        m_sessions.begin(m_state.vms(), m_clock.now());
+        read_budget();
+        m_permits.begin(m_clock.now());
+        m_permit_tickets.clear();
+    }
+    if (!m_raft.is_leader() && m_led_term != 0) {
+        m_led_term = 0;
+        for (const auto& [number, ticket] : std::exchange(m_permit_tickets, {})) {
+            refuse_not_leader(ticket.client, ticket.request);
+        }
+    }
+    if (!m_raft.is_leader()) {
+        // The writes may or may not survive; the caller resends under the same id.
+        for (const auto& [index, write] : std::exchange(m_writes, {})) {
+            reply(write.client, write.request, control_outcome::unavailable, "leadership lost");
+        }
+    }
+}
+
+consensus::ready control_core::take_ready()
+{
+    return m_raft.take_ready();
+}
+
+std::shared_ptr<const consensus::snapshot>
+control_core::complete(const consensus::ready& work)
+{
+    m_raft.persisted(m_clock.now());
+    if (work.installed) {
+        m_state.restore(work.installed->state);
+        m_applied = work.installed->last_index;
+    }
+    for (const auto& entry : work.committed) {
+        apply(entry);
+    }
+    note_leadership();
+    finish_reads();
+    if (m_applied >= m_raft.log().base_index() + m_options.compact_after) {
+        return m_raft.compact(m_applied, m_state.save());
+    }
+    return nullptr;
+}
+
+void control_core::apply(const wire::log_entry_t& entry)
+{
+    auto answer = m_state.apply(entry);
+    m_applied = entry.index;
+    note_applied(entry);
+    const auto [begin, end] = m_writes.equal_range(entry.index);
+    for (auto write = begin; write != end; ++write) {
+        if (write->second.term == entry.term) {
+            send(write->second.client, write->second.request, answer);
+        }
+        else {
+            reply(write->second.client, write->second.request, control_outcome::unavailable,
+                  "leadership changed");
+        }
+    }
+    m_writes.erase(begin, end);
+}
+
+void control_core::note_applied(const wire::log_entry_t& entry)
+{
+    if (entry.kind != wire::entry_kind::command) {
+        return;
+    }
+    const std::string_view bytes{reinterpret_cast<const char*>(entry.data.data()),
+                                 entry.data.size()};
+    const auto command = wire::decode_table<wire::control_request_t>(bytes);
+    if (!command) {
+        return;
+    }
+    if (const auto* vm = command->body.Asregister_vm()) {
+        const auto known = m_state.vms().find(vm->vm);
+        if (known != m_state.vms().end() && known->second.incarnation == vm->incarnation) {
+            m_sessions.start(vm->vm, vm->incarnation, m_clock.now());
+        }
+    }
+    else if (const auto* expired = command->body.Asexpire_vm()) {
+        if (!m_state.vms().contains(expired->vm)) {
+            m_sessions.end(expired->vm);
+        }
+    }
+    else if (command->body.type == wire::control_body::apply_change) {
+        read_budget();
+    }
+}
+
+void control_core::read_budget()
+{
+    const auto rate = config::loads_per_second(m_state.config());
+    if (rate && *rate != m_permits.budget().loads_per_second) {
+        auto budget = m_permits.budget();
+        budget.loads_per_second = *rate;
+        m_permits.set_budget(budget);
+    }
+}
+
+std::vector<client_reply> control_core::take_replies()
+{
+    return std::exchange(m_replies, {});
+}
+
+void control_core::reply(client_id client, std::uint64_t request, control_outcome outcome,
+                         std::string detail)
+{
+    wire::control_reply_t answer;
+    answer.outcome = outcome;
+    answer.detail = std::move(detail);
+    send(client, request, std::move(answer));
+}
+
+void control_core::send(client_id client, std::uint64_t request, wire::control_reply_t answer)
+{
+    answer.id = request;
+    m_replies.push_back({client, std::move(answer)});
+}
+
+void control_core::refuse_not_leader(client_id client, std::uint64_t request)
+{
+    wire::control_reply_t answer;
+    answer.outcome = control_outcome::not_leader;
+    answer.leader_address = m_raft.leader_address();
+    send(client, request, std::move(answer));
+}
+
+} // namespace siskindrift::control
--- /dev/null
+++ b/src/engines/policy.cpp
@@ -0,0 +1,76 @@
+#include "siskindrift/engines/policy.h"
+
+#include <algorithm>
+
+namespace siskindrift::engines {
+
+std::size_t naive_residency::choose_load(const std::vector<load_wish>& wishes,
+                                         core::time_point) const
+{
+    const auto oldest =
+        std::min_element(wishes.begin(), wishes.end(),
+                         [](const auto& a, const auto& b) { return a.oldest < b.oldest; });
+    return static_cast<std::size_t>(oldest - wishes.begin());
+}
+
+std::optional<core::adapter_version>
+naive_residency::choose_victim(const residency_table& table, const engine_queue&,
+                               core::time_point) const
+{
+    std::optional<core::adapter_version> victim;
+    core::time_point oldest = core::time_point::max();
+    for (const auto& [adapter, entry] : table.entries()) {
+        if (table.evictable(adapter) && entry.last_used < oldest) {
+            victim = adapter;
+            oldest = entry.last_used;
+        }
+    }
+    return victim;
+}
+
+std::size_t cost_residency::choose_load(const std::vector<load_wish>& wishes,
+                                        core::time_point now) const
+{
+    // Each waiting request gains the stall that the load ends; age keeps rare ones from starving.
+    const auto worth = [&](const load_wish& wish) {
+        const std::chrono::duration<double> age = now - wish.oldest;
+        return (wish.priority + 1.0) * (wish.waiting + age.count());
+    };
+    const auto best =
+        std::max_element(wishes.begin(), wishes.end(),
+                         [&](const auto& a, const auto& b) { return worth(a) < worth(b); });
+    return static_cast<std::size_t>(best - wishes.begin());
+}
+
+std::optional<core::adapter_version>
+cost_residency::choose_victim(const residency_table& table, const engine_queue& queue,
+                              core::time_point now) const
+{
+    std::optional<core::adapter_version> victim;
+    double least = 0.0;
+    core::time_point least_used{};
+    for (const auto& [adapter, entry] : table.entries()) {
+        if (!table.evictable(adapter) || queue.waiting_for(adapter) > 0) {
+            continue;
+        }
+        const double wanted = table.demand(adapter, now);
+        const bool better = !victim || wanted < least ||
+                            (wanted == least && entry.last_used < least_used);
+        if (better) {
+            victim = adapter;
+            least = wanted;
+            least_used = entry.last_used;
+        }
+    }
+    return victim;
+}
+
+std::unique_ptr<residency_policy> make_residency_policy(const std::string& name)
+{
+    if (name == "naive") {
+        return std::make_unique<naive_residency>();
+    }
+    return std::make_unique<cost_residency>();
+}
+
+} // namespace siskindrift::engines
--- /dev/null
+++ b/src/http/client.cpp
@@ -0,0 +1,352 @@
+#include "siskindrift/http/client.h"
+
+#include <boost/asio/strand.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <sys/socket.h>
+#include <vector>
+
+#include "siskindrift/net/mesh.h"
+
+namespace siskindrift::http {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using asio::ip::tcp;
+using beast::error_code;
+
+namespace {
+
+constexpr std::size_t idle_per_address = 64;
+constexpr std::size_t read_piece_bytes = 16 * 1024;
+constexpr auto idle_life = std::chrono::seconds{10};
+
+} // namespace
+
+std::string client_head::header(const std::string& name) const
+{
+    for (const auto& [key, value] : headers) {
+        if (beast::iequals(key, name)) {
+            return value;
+        }
+    }
+    return {};
+}
+
+class client_exchange;
+
+class client::implementation : public std::enable_shared_from_this<client::implementation> {
+public:
+    implementation(asio::io_context& context, client_handler& handler)
+        : m_context(context), m_handler(handler)
+    {
+    }
+
+    void start(client_call call);
+    void cancel(std::uint64_t call);
+
+    [[nodiscard]] std::size_t open_calls() const
+    {
+        const std::lock_guard lock{m_mutex};
+        return m_open.size();
+    }
+
+    void forget(std::uint64_t call)
+    {
+        const std::lock_guard lock{m_mutex};
+        m_open.erase(call);
+    }
+
+    std::unique_ptr<beast::tcp_stream> take_idle(const std::string& address)
+    {
+        const std::lock_guard lock{m_mutex};
+        auto& idle = m_idle[address];
+        const auto now = asio::steady_timer::clock_type::now();
+        while (!idle.empty()) {
+            auto last = std::move(idle.back());
+            idle.pop_back();
+            if (now - last.since < idle_life && still_open(*last.stream)) {
+                return std::move(last.stream);
+            }
+        }
+        return nullptr;
+    }
+
+    void give_idle(const std::string& address, std::unique_ptr<beast::tcp_stream> stream)
+    {
+        const std::lock_guard lock{m_mutex};
+        auto& idle = m_idle[address];
+        if (idle.size() < idle_per_address) {
+            idle.push_back({std::move(stream), asio::steady_timer::clock_type::now()});
+        }
+    }
+
+    // A silent connection makes every idle one to that address suspect.
+    void drop_idle(const std::string& address)
+    {
+        const std::lock_guard lock{m_mutex};
+        m_idle.erase(address);
+    }
+
+    [[nodiscard]] client_handler& handler() { return m_handler; }
+    [[nodiscard]] asio::io_context& context() { return m_context; }
+
+private:
+    struct idle_stream {
+        std::unique_ptr<beast::tcp_stream> stream;
+        core::time_point since;
+    };
+
+    static bool still_open(beast::tcp_stream& stream)
+    {
+        char byte = 0;
+        const auto got =
+            ::recv(stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        return got < 0 && errno == EAGAIN;
+    }
+
+    asio::io_context& m_context;
+    client_handler& m_handler;
+    mutable std::mutex m_mutex;
+    std::map<std::uint64_t, std::weak_ptr<client_exchange>> m_open;
+    std::map<std::string, std::vector<idle_stream>> m_idle;
+};
+
+/// One call on its own strand.
+class client_exchange final : public std::enable_shared_from_this<client_exchange> {
+public:
+    client_exchange(std::shared_ptr<client::implementation> owner, client_call call)
+        : m_owner(std::move(owner)), m_call(std::move(call))
+    {
+    }
+
+    // Chooses the connection; before anyone else can reach this exchange.
+    void prepare()
+    {
+        if (m_call.repeatable) {
+            m_stream = m_owner->take_idle(m_call.address);
+        }
+        m_reused = m_stream != nullptr;
+        if (!m_reused) {
+            m_stream = std::make_unique<beast::tcp_stream>(asio::make_strand(m_owner->context()));
+        }
+        m_executor = m_stream->get_executor();
+    }
+
+    void begin()
+    {
+        asio::post(m_executor, [self = shared_from_this()] { self->open(); });
+    }
+
+    void cancel()
+    {
+        asio::post(m_executor, [self = shared_from_this()] {
+            self->m_cancelled = true;
+            if (self->m_stream) {
+                self->m_stream->close();
+            }
+        });
+    }
+
+private:
+    void open()
+    {
+        if (m_reused) {
+            send();
+            return;
+        }
+        const auto endpoint = net::parse_address(m_call.address);
+        if (!endpoint) {
+            end(client_end::not_sent);
+            return;
+        }
+        m_stream->expires_after(m_call.connect_limit);
+        m_stream->async_connect(*endpoint, [self = shared_from_this()](error_code error) {
+            if (error) {
+                self->end(client_end::not_sent);
+                return;
+            }
+            error_code ignored;
+            self->m_stream->socket().set_option(tcp::no_delay{true}, ignored);
+            self->send();
+        });
+    }
+
+    void send()
+    {
+        if (m_cancelled) {
+            end(client_end::not_sent);
+            return;
+        }
+        m_request.method_string(m_call.method);
+        m_request.target(m_call.path);
+        m_request.set(beast::http::field::host, m_call.address);
+        for (const auto& [name, value] : m_call.headers) {
+            m_request.set(name, value);
+        }
+        m_request.body() = std::move(m_call.body);
+        m_request.prepare_payload();
+        m_stream->expires_after(m_call.head_limit);
+        beast::http::async_write(*m_stream, m_request,
+                                 [self = shared_from_this()](error_code error, std::size_t) {
+                                     if (error) {
+                                         self->fail(error);
+                                         return;
+                                     }
+                                     self->read_head();
+                                 });
+    }
+
+    void read_head()
+    {
+        m_parser.body_limit(boost::none);
+        beast::http::async_read_header(*m_stream, m_buffer, m_parser,
+                                       [self = shared_from_this()](error_code error, std::size_t) {
+                                           if (error) {
+                                               self->fail(error);
+                                               return;
+                                           }
+                                           self->on_head();
+                                       });
+    }
+
+    void on_head()
+    {
+        client_head head;
+        head.status = static_cast<std::uint16_t>(m_parser.get().result_int());
+        for (const auto& field : m_parser.get()) {
+            head.headers.emplace_back(field.name_string(), field.value());
+        }
+        if (!m_cancelled) {
+            m_owner->handler().on_head(m_call.id, head);
+        }
+        m_piece.resize(read_piece_bytes);
+        read_body();
+    }
+
+    void read_body()
+    {
+        if (m_parser.is_done()) {
+            end(client_end::complete);
+            return;
+        }
+        m_parser.get().body().data = m_piece.data();
+        m_parser.get().body().size = m_piece.size();
+        m_parser.get().body().more = true;
+        m_stream->expires_after(m_call.progress_limit);
+        beast::http::async_read_some(*m_stream, m_buffer, m_parser,
+                                     [self = shared_from_this()](error_code error, std::size_t) {
+                                         self->on_body(error);
+                                     });
+    }
+
+    void on_body(error_code error)
+    {
+        const auto got = m_piece.size() - m_parser.get().body().size;
+        if (got > 0 && !m_cancelled) {
+            m_owner->handler().on_data(m_call.id, m_piece.substr(0, got));
+        }
+        if (error && error != beast::http::error::need_buffer) {
+            fail(error);
+            return;
+        }
+        read_body();
+    }
+
+    void fail(error_code error)
+    {
+        if (error == beast::error::timeout) {
+            m_owner->drop_idle(m_call.address);
+            end(client_end::silent);
+            return;
+        }
+        end(client_end::lost);
+    }
+
+    void end(client_end how)
+    {
+        if (std::exchange(m_ended, true)) {
+            return;
+        }
+        m_owner->forget(m_call.id);
+        const bool reusable = how == client_end::complete && m_parser.get().keep_alive() &&
+                              m_buffer.size() == 0 && !m_cancelled;
+        if (reusable) {
+            m_stream->expires_never();
+            m_owner->give_idle(m_call.address, std::move(m_stream));
+        }
+        else {
+            m_stream->close();
+        }
+        if (!m_cancelled) {
+            m_owner->handler().on_end(m_call.id, how);
+        }
+    }
+
+    std::shared_ptr<client::implementation> m_owner;
+    client_call m_call;
+    std::unique_ptr<beast::tcp_stream> m_stream;
+    asio::any_io_executor m_executor;
+    bool m_reused = false;
+    beast::http::request<beast::http::string_body> m_request;
+    beast::http::response_parser<beast::http::buffer_body> m_parser;
+    beast::flat_buffer m_buffer;
+    std::string m_piece;
+    bool m_cancelled = false;
+    bool m_ended = false;
+};
+
+void client::implementation::start(client_call call)
+{
+    const auto id = call.id;
+    auto exchange = std::make_shared<client_exchange>(shared_from_this(), std::move(call));
+    exchange->prepare();
+    {
+        const std::lock_guard lock{m_mutex};
+        m_open[id] = exchange;
+    }
+    exchange->begin();
+}
+
+void client::implementation::cancel(std::uint64_t call)
+{
+    std::shared_ptr<client_exchange> exchange;
+    {
+        const std::lock_guard lock{m_mutex};
+        const auto found = m_open.find(call);
+        if (found != m_open.end()) {
+            exchange = found->second.lock();
+            m_open.erase(found);
+        }
+    }
+    if (exchange) {
+        exchange->cancel();
+    }
+}
+
+client::client(asio::io_context& context, client_handler& handler)
+    : m_implementation(std::make_shared<implementation>(context, handler))
+{
+}
+
+client::~client() = default;
+
+void client::start(client_call call)
+{
+    m_implementation->start(std::move(call));
+}
+
+void client::cancel(std::uint64_t call)
+{
+    m_implementation->cancel(call);
+}
+
+std::size_t client::open_calls() const
+{
+    return m_implementation->open_calls();
+}
+
+} // namespace siskindrift::http
--- /dev/null
+++ b/src/http/server.cpp
@@ -0,0 +1,451 @@
+#include "siskindrift/http/server.h"
+
+#include <atomic>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <deque>
+#include <optional>
+#include <sys/socket.h>
+
+#include "siskindrift/net/mesh.h"
+
+namespace siskindrift::http {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using asio::ip::tcp;
+using beast::error_code;
+
+namespace {
+
+std::string status_line(std::uint16_t status)
+{
+    const auto known = beast::http::int_to_status(status);
+    return "HTTP/1.1 " + std::to_string(status) + " " +
+           std::string{beast::http::obsolete_reason(known)} + "\r\n";
+}
+
+std::string render_head(std::uint16_t status, const header_list& headers)
+{
+    auto head = status_line(status);
+    for (const auto& [name, value] : headers) {
+        head += name + ": " + value + "\r\n";
+    }
+    return head;
+}
+
+std::string render_chunk(const std::string& data)
+{
+    std::array<char, 20> size{};
+    std::snprintf(size.data(), size.size(), "%zx\r\n", data.size());
+    return size.data() + data + "\r\n";
+}
+
+} // namespace
+
+std::string server_request::header(const std::string& name) const
+{
+    for (const auto& [key, value] : headers) {
+        if (beast::iequals(key, name)) {
+            return value;
+        }
+    }
+    return {};
+}
+
+/// State shared by the server and its connections.
+struct server_shared {
+    server_limits limits;
+    server_handler& handler;
+    std::atomic<std::size_t> connections{0};
+    std::atomic<std::uint64_t> next_exchange{1};
+};
+
+/// One connection; its members are used on its strand, but for the backlog.
+class server_connection final : public std::enable_shared_from_this<server_connection> {
+public:
+    server_connection(tcp::socket socket, std::shared_ptr<server_shared> shared)
+        : m_stream(std::move(socket)), m_shared(std::move(shared))
+    {
+        ++m_shared->connections;
+    }
+    server_connection(const server_connection&) = delete;
+    server_connection& operator=(const server_connection&) = delete;
+    ~server_connection() { --m_shared->connections; }
+
+    void begin()
+    {
+        error_code ignored;
+        m_stream.socket().set_option(tcp::no_delay{true}, ignored);
+        m_remote = m_stream.socket().remote_endpoint(ignored).address().to_string(ignored);
+        asio::dispatch(m_stream.get_executor(),
+                       [self = shared_from_this()] { self->await_request(true); });
+    }
+
+    // Called by responders from any thread.
+    void write(std::uint64_t exchange, std::string bytes, bool last)
+    {
+        m_backlog += bytes.size();
+        asio::post(m_stream.get_executor(),
+                   [self = shared_from_this(), exchange, bytes = std::move(bytes), last]() mutable {
+                       self->queue(exchange, std::move(bytes), last);
+                   });
+    }
+
+    void abort(std::uint64_t exchange)
+    {
+        asio::post(m_stream.get_executor(), [self = shared_from_this(), exchange] {
+            if (exchange == self->m_exchange) {
+                self->close();
+            }
+        });
+    }
+
+    [[nodiscard]] std::size_t backlog() const { return m_backlog; }
+    [[nodiscard]] const server_limits& limits() const { return m_shared->limits; }
+
+private:
+    void await_request(bool first)
+    {
+        m_parser.emplace();
+        m_parser->header_limit(static_cast<std::uint32_t>(m_shared->limits.max_header_bytes));
+        m_parser->body_limit(m_shared->limits.max_body_bytes);
+        m_stream.expires_after(first ? m_shared->limits.header_timeout
+                                     : m_shared->limits.idle_timeout);
+        beast::http::async_read_header(m_stream, m_buffer, *m_parser,
+                                       [self = shared_from_this()](error_code error, std::size_t) {
+                                           self->on_header(error);
+                                       });
+    }
+
+    void on_header(error_code error)
+    {
+        if (error) {
+            refuse(error);
+            return;
+        }
+        if (beast::iequals(m_parser->get()[beast::http::field::expect], "100-continue")) {
+            static const std::string go_on = "HTTP/1.1 100 Continue\r\n\r\n";
+            error_code ignored;
+            asio::write(m_stream.socket(), asio::buffer(go_on), ignored);
+        }
+        m_stream.expires_after(m_shared->limits.body_timeout);
+        beast::http::async_read(m_stream, m_buffer, *m_parser,
+                                [self = shared_from_this()](error_code failed, std::size_t) {
+                                    self->on_body(failed);
+                                });
+    }
+
+    void refuse(error_code error)
+    {
+        const bool quiet = error == beast::http::error::end_of_stream ||
+                           error == asio::error::operation_aborted ||
+                           error == asio::error::connection_reset ||
+                           error == asio::error::eof ||
+                           (error == beast::error::timeout && m_buffer.size() == 0);
+        if (quiet) {
+            close();
+            return;
+        }
+        const bool large = error == beast::http::error::body_limit;
+        const bool header = error == beast::http::error::header_limit;
+        const auto why = large ? core::reason::body_too_large : core::reason::bad_request;
+        m_shared->handler.on_refused(why);
+        const std::uint16_t status = large ? 413 : header ? 431 : error == beast::error::timeout ? 408 : 400;
+        const std::string body = R"({"error":{"message":")" + error.message() +
+                                 R"(","type":"invalid_request_error","code":")" +
+                                 std::string{core::to_string(why)} + R"(","verdict":"not_run","reason":")" +
+                                 std::string{core::to_string(why)} + "\"}}";
+        m_close_after = true;
+        m_exchange = m_shared->next_exchange++;
+        queue(m_exchange,
+              render_head(status, {{"Content-Type", "application/json"},
+                                   {"Siskindrift-Verdict", "not_run"},
+                                   {"Siskindrift-Reason", std::string{core::to_string(why)}},
+                                   {"Connection", "close"},
+                                   {"Content-Length", std::to_string(body.size())}}) +
+                  "\r\n" + body,
+              true);
+    }
+
+    void on_body(error_code error);
+
+    // A caller that leaves while its answer is being made shows as an end of its stream.
+    void watch_caller()
+    {
+        m_stream.socket().async_wait(
+            tcp::socket::wait_read, [self = shared_from_this(), exchange = m_exchange](error_code error) {
+                if (error || exchange != self->m_exchange || !self->m_answering) {
+                    return;
+                }
+                char byte = 0;
+                const auto got = ::recv(self->m_stream.socket().native_handle(), &byte, 1,
+                                        MSG_PEEK | MSG_DONTWAIT);
+                if (got == 0 || (got < 0 && errno != EAGAIN && errno != EINTR)) {
+                    self->close();
+                }
+                // Otherwise it sent its next request early; that is read after this answer.
+            });
+    }
+
+    void queue(std::uint64_t exchange, std::string bytes, bool last)
+    {
+        if (m_closed || exchange != m_exchange) {
+            m_backlog -= std::min<std::size_t>(m_backlog, bytes.size());
+            return;
+        }
+        if (m_backlog > m_shared->limits.max_backlog_bytes + m_shared->limits.max_body_bytes) {
+            m_shared->handler.on_refused(core::reason::caller_too_slow);
+            close();
+            return;
+        }
+        m_queue.push_back(std::move(bytes));
+        m_last_queued = m_last_queued || last;
+        if (!m_writing) {
+            write_next();
+        }
+    }
+
+    void write_next()
+    {
+        if (m_queue.empty()) {
+            if (m_last_queued) {
+                finish_answer();
+            }
+            return;
+        }
+        m_writing = true;
+        // Pieces that gathered meanwhile leave in one write.
+        m_out.clear();
+        for (const auto& part : m_queue) {
+            m_out += part;
+        }
+        m_queue.clear();
+        m_stream.expires_after(m_shared->limits.write_timeout);
+        asio::async_write(m_stream, asio::buffer(m_out),
+                          [self = shared_from_this()](error_code error, std::size_t) {
+                              self->m_writing = false;
+                              self->m_backlog -= std::min<std::size_t>(self->m_backlog, self->m_out.size());
+                              if (error) {
+                                  if (error == beast::error::timeout) {
+                                      self->m_shared->handler.on_refused(core::reason::caller_too_slow);
+                                  }
+                                  self->close();
+                                  return;
+                              }
+                              self->m_stream.expires_never();
+                              self->write_next();
+                          });
+    }
+
+    void finish_answer()
+    {
+        m_answering = false;
+        m_last_queued = false;
+        m_exchange = 0;
+        if (m_close_after) {
+            error_code ignored;
+            m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+            close();
+            return;
+        }
+        error_code ignored;
+        m_stream.socket().cancel(ignored); // the watch on the caller
+        await_request(false);
+    }
+
+    void close()
+    {
+        if (m_closed) {
+            return;
+        }
+        m_closed = true;
+        error_code ignored;
+        m_stream.socket().close(ignored);
+        if (m_answering) {
+            m_answering = false;
+            m_shared->handler.on_left(m_exchange);
+        }
+    }
+
+    beast::tcp_stream m_stream;
+    std::shared_ptr<server_shared> m_shared;
+    beast::flat_buffer m_buffer;
+    std::optional<beast::http::request_parser<beast::http::string_body>> m_parser;
+    std::string m_remote;
+    std::deque<std::string> m_queue;
+    std::string m_out;
+    std::atomic<std::size_t> m_backlog{0};
+    std::uint64_t m_exchange = 0;
+    bool m_answering = false;
+    bool m_writing = false;
+    bool m_last_queued = false;
+    bool m_close_after = false;
+    bool m_closed = false;
+};
+
+namespace {
+
+class connection_responder final : public responder {
+public:
+    connection_responder(std::shared_ptr<server_connection> connection, std::uint64_t exchange,
+                         bool close_after)
+        : m_connection(std::move(connection)), m_exchange(exchange), m_close_after(close_after)
+    {
+    }
+
+    void respond(std::uint16_t status, header_list headers, std::string body) override
+    {
+        headers.emplace_back("Content-Length", std::to_string(body.size()));
+        add_connection(headers);
+        m_connection->write(m_exchange, render_head(status, headers) + "\r\n" + body, true);
+    }
+
+    void begin(std::uint16_t status, header_list headers) override
+    {
+        headers.emplace_back("Transfer-Encoding", "chunked");
+        add_connection(headers);
+        m_connection->write(m_exchange, render_head(status, headers) + "\r\n", false);
+    }
+
+    void piece(std::string data) override
+    {
+        if (!data.empty()) {
+            m_connection->write(m_exchange, render_chunk(data), false);
+        }
+    }
+
+    void end() override { m_connection->write(m_exchange, "0\r\n\r\n", true); }
+    void abort() override { m_connection->abort(m_exchange); }
+    [[nodiscard]] std::size_t backlog() const override { return m_connection->backlog(); }
+
+private:
+    void add_connection(header_list& headers) const
+    {
+        if (m_close_after) {
+            headers.emplace_back("Connection", "close");
+        }
+    }
+
+    std::shared_ptr<server_connection> m_connection;
+    std::uint64_t m_exchange;
+    bool m_close_after;
+};
+
+} // namespace
+
+void server_connection::on_body(error_code error)
+{
+    if (error) {
+        refuse(error);
+        return;
+    }
+    m_stream.expires_never();
+    auto message = m_parser->release();
+    server_request request;
+    request.method = std::string{message.method_string()};
+    request.target = std::string{message.target()};
+    request.remote_address = m_remote;
+    for (const auto& field : message) {
+        request.headers.emplace_back(field.name_string(), field.value());
+    }
+    m_close_after = !message.keep_alive();
+    request.body = std::move(message.body());
+    m_exchange = m_shared->next_exchange++;
+    m_answering = true;
+    watch_caller();
+    m_shared->handler.on_request(
+        m_exchange, std::move(request),
+        std::make_shared<connection_responder>(shared_from_this(), m_exchange, m_close_after));
+}
+
+class server::implementation : public std::enable_shared_from_this<server::implementation> {
+public:
+    implementation(asio::io_context& context, server_limits limits, server_handler& handler)
+        : m_context(context), m_acceptor(context),
+          m_shared(new server_shared{limits, handler, {}, {1}})
+    {
+    }
+
+    bool listen(const std::string& address, std::string& error)
+    {
+        const auto endpoint = net::parse_address(address);
+        if (!endpoint) {
+            error = "not an IP:port address: " + address;
+            return false;
+        }
+        error_code code;
+        m_acceptor.open(endpoint->protocol(), code);
+        m_acceptor.set_option(tcp::acceptor::reuse_address{true}, code);
+        m_acceptor.bind(*endpoint, code);
+        if (!code) {
+            m_acceptor.listen(4096, code);
+        }
+        if (code) {
+            error = address + ": " + code.message();
+            return false;
+        }
+        accept();
+        return true;
+    }
+
+    void stop()
+    {
+        asio::post(m_acceptor.get_executor(), [self = shared_from_this()] {
+            error_code ignored;
+            self->m_acceptor.close(ignored);
+        });
+    }
+
+    [[nodiscard]] std::size_t connections() const { return m_shared->connections; }
+
+private:
+    void accept()
+    {
+        m_acceptor.async_accept(
+            asio::make_strand(m_context),
+            [self = shared_from_this()](error_code error, tcp::socket socket) {
+                if (error == asio::error::operation_aborted || !self->m_acceptor.is_open()) {
+                    return;
+                }
+                const auto open = self->m_shared->connections.load();
+                if (!error && open < self->m_shared->limits.max_connections) {
+                    std::make_shared<server_connection>(std::move(socket), self->m_shared)->begin();
+                }
+                else if (!error) {
+                    self->m_shared->handler.on_refused(core::reason::queue_full);
+                }
+                self->accept();
+            });
+    }
+
+    asio::io_context& m_context;
+    tcp::acceptor m_acceptor;
+    std::shared_ptr<server_shared> m_shared;
+};
+
+server::server(asio::io_context& context, server_limits limits, server_handler& handler)
+    : m_implementation(std::make_shared<implementation>(context, limits, handler))
+{
+}
+
+server::~server() = default;
+
+bool server::listen(const std::string& address, std::string& error)
+{
+    return m_implementation->listen(address, error);
+}
+
+void server::stop_accepting()
+{
+    m_implementation->stop();
+}
+
+std::size_t server::connections() const
+{
+    return m_implementation->connections();
+}
+
+} // namespace siskindrift::http
--- /dev/null
+++ b/src/log/data_folder.cpp
@@ -0,0 +1,148 @@
+#include "siskindrift/log/data_folder.h"
+
+#include <cerrno>
+#include <cstring>
+#include <fcntl.h>
+#include <fstream>
+#include <sys/file.h>
+#include <unistd.h>
+#include <utility>
+
+namespace siskindrift::log {
+namespace {
+
+namespace fs = std::filesystem;
+
+constexpr std::string_view format_text = "siskindrift-data 1\n";
+constexpr mode_t file_mode = 0640;
+
+std::string failed(const fs::path& path, std::string_view what)
+{
+    return path.string() + ": " + std::string{what} + ": " + std::strerror(errno);
+}
+
+std::string read_whole(const fs::path& path)
+{
+    std::ifstream file{path, std::ios::binary};
+    return {std::istreambuf_iterator<char>{file}, {}};
+}
+
+bool holds_only_new_files(const fs::path& folder)
+{
+    for (const auto& item : fs::directory_iterator{folder}) {
+        const auto name = item.path().filename().string();
+        if (name != "LOCK" && name != "IDENTITY" && !name.ends_with(".tmp")) {
+            return false;
+        }
+    }
+    return true;
+}
+
+bool write_all(int file, std::string_view bytes)
+{
+    while (!bytes.empty()) {
+        const auto written = ::write(file, bytes.data(), bytes.size());
+        if (written < 0) {
+            return false;
+        }
+        bytes.remove_prefix(static_cast<std::size_t>(written));
+    }
+    return true;
+}
+
+} // namespace
+
+bool sync_folder(const fs::path& path, core::last_reason& why)
+{
+    const int folder = ::open(path.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+    const bool synced = folder >= 0 && ::fsync(folder) == 0;
+    if (!synced) {
+        why.set(failed(path, "can't sync the folder"));
+    }
+    if (folder >= 0) {
+        ::close(folder);
+    }
+    return synced;
+}
+
+bool replace_file(const fs::path& path, std::string_view content, core::last_reason& why)
+{
+    const auto temporary = path.string() + ".tmp";
+    const int file =
+        ::open(temporary.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, file_mode);
+    if (file < 0) {
+        why.set(failed(temporary, "can't create"));
+        return false;
+    }
+    const bool written = write_all(file, content) && ::fsync(file) == 0;
+    if (!written) {
+        why.set(failed(temporary, "can't write"));
+    }
+    ::close(file);
+    if (!written) {
+        return false;
+    }
+    if (::rename(temporary.c_str(), path.c_str()) != 0) {
+        why.set(failed(path, "can't rename into place"));
+        return false;
+    }
+    return sync_folder(path.parent_path(), why);
+}
+
+std::optional<data_folder> data_folder::open(const fs::path& path, std::uint64_t fresh_identity,
+                                             core::last_reason& why)
+{
+    std::error_code error;
+    fs::create_directories(path, error);
+    const auto lock_path = path / "LOCK";
+    const int lock = ::open(lock_path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, file_mode);
+    if (lock < 0) {
+        why.set(failed(lock_path, "can't open"));
+        return std::nullopt;
+    }
+    data_folder folder{path, lock};
+    if (::flock(lock, LOCK_EX | LOCK_NB) != 0) {
+        why.set(path.string() + ": another process uses this data folder");
+        return std::nullopt;
+    }
+    const auto format = read_whole(path / "FORMAT");
+    if (format.empty()) {
+        if (!holds_only_new_files(path)) {
+            why.set(path.string() + ": holds files but no FORMAT; not a data folder");
+            return std::nullopt;
+        }
+        const bool written =
+            replace_file(path / "IDENTITY", std::to_string(fresh_identity) + "\n", why) &&
+            replace_file(path / "FORMAT", format_text, why);
+        if (!written) {
+            return std::nullopt;
+        }
+        folder.m_created = true;
+    }
+    else if (format != format_text) {
+        why.set(path.string() + ": unknown format version: " + format);
+        return std::nullopt;
+    }
+    const auto identity = read_whole(path / "IDENTITY");
+    folder.m_identity = core::replica_id{std::strtoull(identity.c_str(), nullptr, 10)};
+    if (folder.m_identity.value() == 0) {
+        why.set((path / "IDENTITY").string() + ": no identity");
+        return std::nullopt;
+    }
+    return folder;
+}
+
+data_folder::data_folder(data_folder&& other) noexcept
+    : m_path(std::move(other.m_path)), m_lock(std::exchange(other.m_lock, -1)),
+      m_identity(other.m_identity), m_created(other.m_created)
+{
+}
+
+data_folder::~data_folder()
+{
+    if (m_lock >= 0) {
+        ::close(m_lock);
+    }
+}
+
+} // namespace siskindrift::log
--- /dev/null
+++ b/src/log/replica_store.cpp
@@ -0,0 +1,411 @@
+#include "siskindrift/log/replica_store.h"
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <cstdio>
+#include <cstring>
+#include <fcntl.h>
+#include <fstream>
+#include <unistd.h>
+#include <xxhash.h>
+
+#include "siskindrift/log/data_folder.h"
+#include "siskindrift/wire/frame.h"
+
+namespace siskindrift::log {
+namespace {
+
+namespace fs = std::filesystem;
+
+constexpr std::string_view segment_magic = "siskindrift-log1";
+constexpr std::size_t record_header_bytes = 12; // length, checksum
+constexpr std::size_t max_record_bytes = 256 * 1024 * 1024;
+constexpr mode_t file_mode = 0640;
+
+struct numbered_file {
+    std::uint64_t number = 0;
+    fs::path path;
+};
+
+std::string numbered_name(std::string_view prefix, std::uint64_t number, std::string_view suffix)
+{
+    std::array<char, 24> digits{};
+    std::snprintf(digits.data(), digits.size(), "%016llx", static_cast<unsigned long long>(number));
+    return std::string{prefix} + digits.data() + std::string{suffix};
+}
+
+std::vector<numbered_file> numbered_files(const fs::path& folder, std::string_view prefix,
+                                          std::string_view suffix)
+{
+    std::vector<numbered_file> files;
+    for (const auto& item : fs::directory_iterator{folder}) {
+        const auto name = item.path().filename().string();
+        if (name.starts_with(prefix) && name.ends_with(suffix) && !name.ends_with(".tmp")) {
+            const auto digits = name.substr(prefix.size());
+            files.push_back({std::strtoull(digits.c_str(), nullptr, 16), item.path()});
+        }
+    }
+    std::sort(files.begin(), files.end(),
+              [](const auto& a, const auto& b) { return a.number < b.number; });
+    return files;
+}
+
+std::vector<numbered_file> segments_of(const fs::path& folder)
+{
+    return numbered_files(folder, "log-", ".seg");
+}
+
+std::vector<numbered_file> snapshots_of(const fs::path& folder)
+{
+    return numbered_files(folder, "snapshot-", "");
+}
+
+std::string read_whole(const fs::path& path)
+{
+    std::ifstream file{path, std::ios::binary};
+    return {std::istreambuf_iterator<char>{file}, {}};
+}
+
+std::string seal(std::string_view payload)
+{
+    const auto length = static_cast<std::uint32_t>(payload.size());
+    const std::uint64_t checksum = XXH3_64bits_withSeed(payload.data(), payload.size(), length);
+    std::string record(record_header_bytes, '\0');
+    std::memcpy(record.data(), &length, sizeof length);
+    std::memcpy(record.data() + sizeof length, &checksum, sizeof checksum);
+    record += payload;
+    return record;
+}
+
+// Returns the payload of the whole, undamaged record at the front of `bytes`.
+std::optional<std::string_view> unseal(std::string_view bytes)
+{
+    if (bytes.size() < record_header_bytes) {
+        return std::nullopt;
+    }
+    std::uint32_t length = 0;
+    std::uint64_t checksum = 0;
+    std::memcpy(&length, bytes.data(), sizeof length);
+    std::memcpy(&checksum, bytes.data() + sizeof length, sizeof checksum);
+    const auto rest = bytes.substr(record_header_bytes);
+    if (length == 0 || length > max_record_bytes || length > rest.size()) {
+        return std::nullopt;
+    }
+    const auto payload = rest.substr(0, length);
+    if (XXH3_64bits_withSeed(payload.data(), payload.size(), length) != checksum) {
+        return std::nullopt;
+    }
+    return payload;
+}
+
+// Each sync covers one record, so only the last record of the log can be torn. A whole
+// record behind a broken one therefore means damage.
+bool whole_record_follows(std::string_view bytes)
+{
+    for (std::size_t offset = 1; offset + record_header_bytes < bytes.size(); ++offset) {
+        if (unseal(bytes.substr(offset))) {
+            return true;
+        }
+    }
+    return false;
+}
+
+class replayer {
+public:
+    replayer(consensus::recovered_state& state, recovery_report& report)
+        : m_state(state), m_report(report)
+    {
+    }
+
+    void replay_segment(const numbered_file& file, bool last)
+    {
+        const auto bytes = read_whole(file.path);
+        std::string_view rest{bytes};
+        if (!rest.starts_with(segment_magic)) {
+            // Only a segment that was never synced may lack its magic.
+            if (!last || rest.size() >= segment_magic.size()) {
+                damage(file, 0);
+            }
+            m_report.cut_bytes += rest.size();
+            return;
+        }
+        rest.remove_prefix(segment_magic.size());
+        while (!rest.empty() && m_report.damage.empty()) {
+            const auto payload = unseal(rest);
+            if (!payload) {
+                if (!last || whole_record_follows(rest)) {
+                    damage(file, bytes.size() - rest.size());
+                }
+                m_report.cut_bytes += rest.size();
+                return;
+            }
+            rest.remove_prefix(record_header_bytes + payload->size());
+            const auto record = wire::decode_table<wire::log_record_t>(std::string{*payload});
+            if (!record || !apply(*record)) {
+                damage(file, bytes.size() - rest.size());
+            }
+            ++m_report.records;
+        }
+    }
+
+    [[nodiscard]] std::uint64_t base_index() const { return m_base_index; }
+
+private:
+    void damage(const numbered_file& file, std::size_t offset)
+    {
+        m_report.damage = file.path.string() + ": damaged at byte " + std::to_string(offset);
+    }
+
+    bool apply(const wire::log_record_t& record)
+    {
+        m_state.hard = {record.cluster, record.term, record.voted_for};
+        if (record.reset) {
+            m_state.entries.clear();
+            m_base_index = record.base_index;
+        }
+        for (const auto& entry : record.entries) {
+            const auto next = m_base_index + m_state.entries.size() + 1;
+            if (entry->index <= m_base_index || entry->index > next) {
+                return false;
+            }
+            m_state.entries.resize(entry->index - m_base_index - 1);
+            m_state.entries.push_back(*entry);
+        }
+        return true;
+    }
+
+    consensus::recovered_state& m_state;
+    recovery_report& m_report;
+    std::uint64_t m_base_index = 0;
+};
+
+void read_snapshot(const fs::path& folder, consensus::recovered_state& state,
+                   recovery_report& report)
+{
+    const auto files = snapshots_of(folder);
+    if (files.empty()) {
+        return;
+    }
+    const auto bytes = read_whole(files.back().path);
+    const auto payload = unseal(bytes);
+    const auto image = payload ? wire::decode_table<wire::snapshot_file_t>(std::string{*payload})
+                               : std::nullopt;
+    if (!image) {
+        report.damage = files.back().path.string() + ": damaged snapshot";
+        return;
+    }
+    consensus::snapshot base;
+    base.last_index = image->last_index;
+    base.last_term = image->last_term;
+    for (const auto& info : image->members) {
+        base.members.push_back(*info);
+    }
+    base.state.assign(image->state.begin(), image->state.end());
+    state.base = std::move(base);
+}
+
+// Drops the entries that the snapshot covers; a gap behind it is damage.
+void join_snapshot_and_log(consensus::recovered_state& state, std::uint64_t log_base,
+                           recovery_report& report)
+{
+    const auto covered = state.base ? state.base->last_index : 0;
+    if (log_base > covered) {
+        report.damage = "the log begins after entry " + std::to_string(log_base) +
+                        " but the snapshot ends at " + std::to_string(covered);
+        return;
+    }
+    const auto drop = std::min<std::size_t>(covered - log_base, state.entries.size());
+    state.entries.erase(state.entries.begin(),
+                        state.entries.begin() + static_cast<std::ptrdiff_t>(drop));
+}
+
+class system_append_file final : public append_file {
+public:
+    explicit system_append_file(int file) : m_file(file) {}
+    ~system_append_file() override { ::close(m_file); }
+
+    bool write(std::string_view bytes, core::last_reason& why) override
+    {
+        while (!bytes.empty()) {
+            const auto written = ::write(m_file, bytes.data(), bytes.size());
+            if (written < 0) {
+                why.set(std::string{"can't write the log: "} + std::strerror(errno));
+                return false;
+            }
+            bytes.remove_prefix(static_cast<std::size_t>(written));
+        }
+        return true;
+    }
+
+    bool sync(core::last_reason& why) override
+    {
+        if (::fdatasync(m_file) != 0) {
+            why.set(std::string{"can't sync the log: "} + std::strerror(errno));
+            return false;
+        }
+        return true;
+    }
+
+private:
+    int m_file;
+};
+
+wire::log_record_t record_of(const consensus::hard_state& hard)
+{
+    wire::log_record_t record;
+    record.cluster = hard.cluster;
+    record.term = hard.term;
+    record.voted_for = hard.voted_for;
+    return record;
+}
+
+} // namespace
+
+std::unique_ptr<append_file> system_file_opener::open(const fs::path& path,
+                                                      core::last_reason& why)
+{
+    const int file = ::open(path.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, file_mode);
+    if (file < 0) {
+        why.set(path.string() + ": " + std::strerror(errno));
+        return nullptr;
+    }
+    return std::make_unique<system_append_file>(file);
+}
+
+consensus::recovered_state read_replica(const fs::path& folder, recovery_report& report)
+{
+    consensus::recovered_state state;
+    read_snapshot(folder, state, report);
+    replayer reader{state, report};
+    const auto segments = segments_of(folder);
+    for (const auto& segment : segments) {
+        if (report.damage.empty()) {
+            reader.replay_segment(segment, &segment == &segments.back());
+        }
+    }
+    if (report.damage.empty()) {
+        join_snapshot_and_log(state, reader.base_index(), report);
+    }
+    state.damaged = !report.damage.empty();
+    return state;
+}
+
+std::optional<consensus::recovered_state> replica_store::open(recovery_report& report,
+                                                              core::last_reason& why)
+{
+    auto state = read_replica(m_folder, report);
+    m_hard = state.hard;
+    if (state.damaged) {
+        return state; // nothing is written, so that the folder can be examined
+    }
+    const auto segments = segments_of(m_folder);
+    m_segment = segments.empty() ? 0 : segments.back().number;
+    auto record = record_of(m_hard);
+    record.reset = true;
+    record.base_index = state.base ? state.base->last_index : 0;
+    record.base_term = state.base ? state.base->last_term : 0;
+    for (const auto& entry : state.entries) {
+        wire::append(record.entries, entry);
+    }
+    // A fresh segment leaves the torn tail, if any, behind.
+    if (!start_segment(record, why)) {
+        return std::nullopt;
+    }
+    remove_older(m_segment, record.base_index);
+    return state;
+}
+
+bool replica_store::start_segment(const wire::log_record_t& first, core::last_reason& why)
+{
+    ++m_segment;
+    const auto path = m_folder / numbered_name("log-", m_segment, ".seg");
+    m_file = m_opener.open(path, why);
+    if (!m_file || !m_file->write(segment_magic, why)) {
+        return false;
+    }
+    return write_record(first, why) && sync_folder(m_folder, why);
+}
+
+bool replica_store::write_record(const wire::log_record_t& record, core::last_reason& why)
+{
+    const auto sealed = seal(wire::encode_table(record));
+    if (!m_file->write(sealed, why) || !m_file->sync(why)) {
+        return false;
+    }
+    ++m_syncs;
+    m_written_bytes += sealed.size();
+    return true;
+}
+
+bool replica_store::persist(const consensus::ready& work, const consensus::raft_node& node,
+                            core::last_reason& why)
+{
+    if (work.hard) {
+        m_hard = *work.hard;
+    }
+    if (work.installed) {
+        return store_snapshot(*work.installed, node, why);
+    }
+    if (!work.must_write()) {
+        return true;
+    }
+    auto record = record_of(m_hard);
+    for (const auto& entry : work.entries) {
+        wire::append(record.entries, entry);
+    }
+    return write_record(record, why);
+}
+
+bool replica_store::store_snapshot(const consensus::snapshot& made,
+                                   const consensus::raft_node& node, core::last_reason& why)
+{
+    if (!write_snapshot_file(made, m_hard.cluster, why)) {
+        return false;
+    }
+    auto record = record_of(m_hard);
+    record.reset = true;
+    record.base_index = made.last_index;
+    record.base_term = made.last_term;
+    for (auto index = made.last_index + 1; index <= node.log().last_index(); ++index) {
+        wire::append(record.entries, node.log().at(index));
+    }
+    if (!start_segment(record, why)) {
+        return false;
+    }
+    remove_older(m_segment, made.last_index);
+    return true;
+}
+
+bool replica_store::write_snapshot_file(const consensus::snapshot& made, std::uint64_t cluster,
+                                        core::last_reason& why)
+{
+    wire::snapshot_file_t image;
+    image.cluster = cluster;
+    image.last_index = made.last_index;
+    image.last_term = made.last_term;
+    for (const auto& info : made.members) {
+        wire::append(image.members, info);
+    }
+    image.state.assign(made.state.begin(), made.state.end());
+    const auto path = m_folder / numbered_name("snapshot-", made.last_index, "");
+    ++m_syncs;
+    return replace_file(path, seal(wire::encode_table(image)), why);
+}
+
+void replica_store::remove_older(std::uint64_t segment, std::uint64_t snapshot_index)
+{
+    std::error_code ignored;
+    for (const auto& file : segments_of(m_folder)) {
+        if (file.number < segment) {
+            fs::remove(file.path, ignored);
+        }
+    }
+    for (const auto& file : snapshots_of(m_folder)) {
+        if (file.number < snapshot_index) {
+            fs::remove(file.path, ignored);
+        }
+    }
+}
+
+} // namespace siskindrift::log
--- /dev/null
+++ b/src/membership/upstream_registry.cpp
@@ -0,0 +1,51 @@
+#include "siskindrift/membership/upstream_registry.h"
+
+namespace siskindrift::membership {
+
+announcement_effect upstream_registry::take(const wire::announcement_t& said, core::time_point now)
+{
+    const core::upstream_id id{said.upstream};
+    const auto heard = now - core::milliseconds{said.age_ms};
+    const auto [found, inserted] = m_records.try_emplace(id);
+    auto& known = found->second;
+    if (!inserted) {
+        const bool older = said.incarnation < known.last.incarnation ||
+                           (said.incarnation == known.last.incarnation &&
+                            said.sequence <= known.last.sequence);
+        if (older) {
+            return announcement_effect::stale;
+        }
+    }
+    const bool restarted = inserted || said.incarnation != known.last.incarnation;
+    known.last = said;
+    known.heard = heard;
+    return restarted ? announcement_effect::restarted : announcement_effect::refreshed;
+}
+
+const upstream_record* upstream_registry::find(const core::upstream_id& id) const
+{
+    const auto found = m_records.find(id);
+    return found == m_records.end() ? nullptr : &found->second;
+}
+
+bool upstream_registry::fresh(const core::upstream_id& id, core::time_point now) const
+{
+    const auto* known = find(id);
+    return known != nullptr && now - known->heard <= m_options.admission_age;
+}
+
+bool upstream_registry::admissible(const core::upstream_id& id, core::time_point now) const
+{
+    const auto* known = find(id);
+    return known != nullptr && known->last.state == wire::upstream_state::serving &&
+           now - known->heard <= m_options.admission_age;
+}
+
+void upstream_registry::forget_silent(core::time_point now)
+{
+    std::erase_if(m_records, [&](const auto& item) {
+        return now - item.second.heard > m_options.forget_age;
+    });
+}
+
+} // namespace siskindrift::membership
--- /dev/null
+++ b/src/state/control_state_snapshot.cpp
@@ -0,0 +1,113 @@
+#include "siskindrift/state/control_state.h"
+#include "siskindrift/wire/frame.h"
+
+namespace siskindrift::state {
+namespace {
+
+wire::stored_claim_t stored(const claim_key& key, const claim& held)
+{
+    wire::stored_claim_t item;
+    item.team = key.first;
+    item.key = key.second;
+    item.key_time_ms = held.key_time_ms;
+    item.body_hash = held.body_hash;
+    item.request_id = held.request_id;
+    item.finished = held.finished;
+    item.ran = held.ran;
+    item.status = held.status;
+    item.content_type = held.content_type;
+    item.response = held.response;
+    return item;
+}
+
+claim loaded(const wire::stored_claim_t& item)
+{
+    claim held;
+    held.key_time_ms = item.key_time_ms;
+    held.body_hash = item.body_hash;
+    held.request_id = item.request_id;
+    held.finished = item.finished;
+    held.ran = item.ran;
+    held.status = item.status;
+    held.content_type = item.content_type;
+    held.response = item.response;
+    return held;
+}
+
+} // namespace
+
+std::string control_state::save() const
+{
+    wire::state_snapshot_t image;
+    image.revision = m_revision;
+    image.time_ms = m_time_ms;
+    image.ownership_version = m_ownership_version;
+    image.digest = m_digest;
+    for (const auto& [key, value] : m_config) {
+        wire::config_operation_t item;
+        item.key = key;
+        item.value = value;
+        wire::append(image.config, item);
+    }
+    for (const auto& change_id : m_answer_order) {
+        const auto& answer = m_answers.at(change_id);
+        wire::stored_change_t item;
+        item.change_id = change_id;
+        item.outcome = answer.outcome;
+        item.revision = answer.revision;
+        item.winner_change_id = answer.winner_change_id;
+        item.winner_operator = answer.winner_operator;
+        wire::append(image.changes, item);
+    }
+    for (const auto& item : m_history) {
+        wire::append(image.history, item);
+    }
+    for (const auto& [name, vm] : m_vms) {
+        wire::append(image.vms, vm);
+    }
+    for (const auto& [name, owned] : m_ownerships) {
+        wire::append(image.ownerships, owned);
+    }
+    for (const auto& [key, held] : m_claims) {
+        wire::append(image.claims, stored(key, held));
+    }
+    return wire::encode_table(image);
+}
+
+bool control_state::restore(const std::string& bytes)
+{
+    const auto image = wire::decode_table<wire::state_snapshot_t>(bytes);
+    if (!image) {
+        return false;
+    }
+    control_state fresh{m_limits};
+    fresh.m_revision = image->revision;
+    fresh.m_time_ms = image->time_ms;
+    fresh.m_ownership_version = image->ownership_version;
+    fresh.m_digest = image->digest;
+    for (const auto& item : image->config) {
+        fresh.m_config[item->key] = item->value;
+    }
+    for (const auto& item : image->changes) {
+        fresh.remember_answer(item->change_id, {item->outcome, item->revision,
+                                                item->winner_change_id, item->winner_operator});
+    }
+    for (const auto& item : image->history) {
+        fresh.m_history.push_back(*item);
+    }
+    for (const auto& item : image->vms) {
+        fresh.m_vms[item->vm] = *item;
+    }
+    for (const auto& item : image->ownerships) {
+        fresh.m_ownerships[item->upstream] = *item;
+    }
+    for (const auto& item : image->claims) {
+        const claim_key key{item->team, item->key};
+        fresh.m_claims.emplace(key, loaded(*item));
+        fresh.m_claims_by_time.emplace(item->key_time_ms, key);
+    }
+    *this = std::move(fresh);
+    return true;
+}
+
+} // namespace siskindrift::state
--- /dev/null
+++ b/src/state/session_book.cpp
@@ -0,0 +1,63 @@
+#include "siskindrift/state/session_book.h"
+
+namespace siskindrift::state {
+
+void session_book::begin(const std::map<std::string, wire::vm_info_t>& vms, core::time_point now)
+{
+    m_sessions.clear();
+    for (const auto& [name, vm] : vms) {
+        start(name, vm.incarnation, now);
+    }
+}
+
+void session_book::start(const std::string& vm, std::uint64_t incarnation, core::time_point now)
+{
+    auto& entry = m_sessions[vm];
+    if (entry.incarnation != incarnation) {
+        entry = session{};
+        entry.incarnation = incarnation;
+    }
+    entry.until = now + m_terms.granter_wait();
+}
+
+bool session_book::renew(const std::string& vm, std::uint64_t incarnation, core::time_point now)
+{
+    const auto found = m_sessions.find(vm);
+    if (found == m_sessions.end() || found->second.incarnation != incarnation ||
+        found->second.ending) {
+        return false;
+    }
+    found->second.until = now + m_terms.granter_wait();
+    return true;
+}
+
+std::vector<wire::expire_vm_t> session_book::take_expired(core::time_point now)
+{
+    std::vector<wire::expire_vm_t> expired;
+    for (auto& [vm, entry] : m_sessions) {
+        if (entry.ending || now <= entry.until) {
+            continue;
+        }
+        entry.ending = true;
+        wire::expire_vm_t order;
+        order.vm = vm;
+        order.incarnation = entry.incarnation;
+        expired.push_back(std::move(order));
+    }
+    return expired;
+}
+
+void session_book::note_revision(const std::string& vm, std::uint64_t revision)
+{
+    if (const auto found = m_sessions.find(vm); found != m_sessions.end()) {
+        found->second.revision = revision;
+    }
+}
+
+std::uint64_t session_book::revision_at(const std::string& vm) const
+{
+    const auto found = m_sessions.find(vm);
+    return found == m_sessions.end() ? 0 : found->second.revision;
+}
+
+} // namespace siskindrift::state
