--- a/include/siskindrift/engines/engine_owner.h
+++ b/include/siskindrift/engines/engine_owner.h
@@ -51,7 +51,8 @@
     /// Removes work that has not started. Returns false when it has, or is unknown.
     bool cancel_waiting(work_id id);
     /// Ends work that had started.
-    void finish(work_id id, core::time_point now);
+    /// @param certain whether the engine is known to have stopped working on it.
+    void finish(work_id id, bool certain, core::time_point now);
 
     /// Takes an announcement of the same incarnation in.
     void on_report(const wire::announcement_t& said, core::time_point now);
--- a/include/siskindrift/engines/residency_table.h
+++ b/include/siskindrift/engines/residency_table.h
@@ -67,6 +67,9 @@
     bool acquire(const core::adapter_version& adapter, core::time_point now);
     /// Ends a request's use.
     void release(const core::adapter_version& adapter, core::time_point now);
+    /// Ends a request's use while the engine may still run it: the adapter stays pinned
+    /// until a report that was made later shows it idle.
+    void release_unsure(const core::adapter_version& adapter, core::time_point now);
 
     /// Notes demand for an adapter, resident or not.
     void note_demand(const core::adapter_version& adapter, core::time_point now);
--- a/include/siskindrift/requests/context.h
+++ b/include/siskindrift/requests/context.h
@@ -82,6 +82,7 @@
     core::time_point confirmed_at{};    ///< When the configuration was last known to be current.
     bool confirmed_once = false;
     bool draining = false;
+    bool left = false; ///< The session was given up; nothing may be served.
     request_trace trace;
     call_id next_call = 1;
 
--- a/include/siskindrift/requests/entry_core.h
+++ b/include/siskindrift/requests/entry_core.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "siskindrift/membership/message_age.h"
 #include "siskindrift/requests/context.h"
 #include "siskindrift/requests/ingress.h"
 #include "siskindrift/requests/owner.h"
@@ -101,6 +102,8 @@
     void release(const core::upstream_id& upstream);
     void send_digest();
     void forward_announcements();
+    void take_announcement(const wire::announcement_t& said);
+    void begin_event();
     void deliver_local();
     void handle(const std::string& from, wire::envelope_t& message);
     [[nodiscard]] bool busy(purpose what, const std::string& subject) const;
@@ -116,6 +119,8 @@
     std::uint64_t m_next_control_id = 1;
     bool m_registered = false;
     std::uint64_t m_ownership_version = 0;
+    membership::pause_detector m_pauses;
+    membership::message_age m_ages;
     std::map<std::string, bool> m_links; ///< By address: whether the path works.
     std::set<std::string> m_kept;
     std::vector<wire::envelope_t> m_local; ///< Messages to this VM itself.
@@ -126,7 +131,6 @@
     core::time_point m_rebalance_at{};
     core::time_point m_drain_since{};
     std::uint64_t m_next_request = 1;
-    bool m_left = false;
 };
 
 } // namespace siskindrift::requests
--- a/include/siskindrift/requests/owner.h
+++ b/include/siskindrift/requests/owner.h
@@ -75,6 +75,7 @@
         core::time_point arrived{};
         core::time_point deadline{};
         call_id call = 0; ///< 0 until it started.
+        bool engine_done = false; ///< The engine is known to have stopped working on it.
         bool head_ok = false;
         bool finished_marker = false;
         bool model_checked = false;
--- a/src/engines/engine_owner.cpp
+++ b/src/engines/engine_owner.cpp
@@ -80,7 +80,7 @@
     return m_queue.remove(id).has_value();
 }
 
-void engine_owner::finish(work_id id, core::time_point now)
+void engine_owner::finish(work_id id, bool certain, core::time_point now)
 {
     const auto found = m_running.find(id);
     if (found == m_running.end()) {
@@ -89,9 +89,12 @@
     const std::chrono::duration<double, std::milli> took = now - found->second.started;
     constexpr double smoothing = 0.1;
     m_service_ms += smoothing * (took.count() - m_service_ms);
-    if (has_engine_adapters()) {
+    if (has_engine_adapters() && certain) {
         m_table.release(found->second.adapter, now);
     }
+    else if (has_engine_adapters()) {
+        m_table.release_unsure(found->second.adapter, now);
+    }
     m_running.erase(found);
 }
 
--- a/src/engines/residency_table.cpp
+++ b/src/engines/residency_table.cpp
@@ -147,6 +147,16 @@
     }
 }
 
+void residency_table::release_unsure(const core::adapter_version& adapter, core::time_point now)
+{
+    release(adapter, now);
+    const auto found = m_entries.find(adapter);
+    if (found != m_entries.end()) {
+        found->second.pinned_unknown = true;
+        found->second.settled_after = now + m_options.report_lag + m_options.order_delay;
+    }
+}
+
 double residency_table::decayed(const rate& known, core::time_point now) const
 {
     const std::chrono::duration<double> age = now - known.at;
--- /dev/null
+++ b/src/membership/message_age.cpp
@@ -0,0 +1,34 @@
+#include "siskindrift/membership/message_age.h"
+
+#include <algorithm>
+
+namespace siskindrift::membership {
+
+void pause_detector::note(core::time_point now)
+{
+    const bool begun = m_last != core::time_point{};
+    if (begun && now - m_last > m_options.pause) {
+        m_distrust_until = now + m_options.distrust;
+    }
+    m_last = now;
+}
+
+core::duration message_age::of(const std::string& peer, std::uint64_t incarnation,
+                               std::uint64_t sent_ms, core::time_point now)
+{
+    const auto offset = core::to_ms(now.time_since_epoch()) - static_cast<std::int64_t>(sent_ms);
+    const auto [found, inserted] = m_baselines.try_emplace(peer);
+    auto& known = found->second;
+    if (inserted || known.incarnation != incarnation) {
+        known = {incarnation, offset, offset, now};
+    }
+    else if (now - known.rotated > m_options.window) {
+        known.previous = known.current;
+        known.current = offset;
+        known.rotated = now;
+    }
+    known.current = std::min(known.current, offset);
+    return core::milliseconds{offset - std::min(known.current, known.previous)};
+}
+
+} // namespace siskindrift::membership
--- a/src/requests/body_mapping.cpp
+++ b/src/requests/body_mapping.cpp
@@ -290,7 +290,7 @@
         document["prompt"] = std::string{document["prompt"].as_string()} + std::string{delivered};
     }
     const auto asked = document["max_tokens"].to_number<std::uint32_t>();
-    document["max_tokens"] = asked > tokens ? asked - tokens : 1;
+    document["max_tokens"] = asked - std::min(asked, tokens);
     return json::serialize(document);
 }
 
--- a/src/requests/entry_core.cpp
+++ b/src/requests/entry_core.cpp
@@ -86,24 +86,40 @@
 
 // --- upstreams ---
 
+void entry_core::begin_event()
+{
+    m_pauses.note(m_context.now());
+}
+
 void entry_core::on_announcement(const wire::announcement_t& said)
 {
-    const auto effect = m_context.registry.take(said, m_context.now());
-    if (effect == membership::announcement_effect::stale) {
+    begin_event();
+    // After a pause this may have waited in a socket; only that it leaves can be believed.
+    const bool leaving = said.state == wire::upstream_state::leaving;
+    if (m_pauses.distrusts(m_context.now()) && !leaving) {
         return;
     }
-    m_owner.on_announcement(core::upstream_id{said.upstream}, effect);
+    take_announcement(said);
     m_to_forward.push_back(said);
     forward_announcements();
     deliver_local();
 }
 
+void entry_core::take_announcement(const wire::announcement_t& said)
+{
+    const auto effect = m_context.registry.take(said, m_context.now());
+    if (effect != membership::announcement_effect::stale) {
+        m_owner.on_announcement(core::upstream_id{said.upstream}, effect);
+    }
+}
+
 void entry_core::forward_announcements()
 {
     if (m_to_forward.empty()) {
         return;
     }
     wire::announcement_batch_t batch;
+    batch.sent_ms = static_cast<std::uint64_t>(core::to_ms(m_context.now().time_since_epoch()));
     for (auto& said : std::exchange(m_to_forward, {})) {
         wire::append(batch.announcements, std::move(said));
     }
@@ -204,6 +220,7 @@
 
 void entry_core::on_peer(wire::envelope_t message)
 {
+    begin_event();
     if (!message.dest_vm.empty() && message.dest_vm != m_context.self.vm) {
         // We are the way around a dead path; only a direct hop follows.
         const auto target = m_context.vms.find(message.dest_vm);
@@ -246,11 +263,14 @@
         m_ingress.on_digest(from, *digest);
     }
     else if (const auto* batch = body.Asannouncement_batch()) {
+        const auto age = m_ages.of(from, message.from_incarnation, batch->sent_ms, m_context.now());
         for (const auto& said : batch->announcements) {
-            const auto effect = m_context.registry.take(*said, m_context.now());
-            if (effect != membership::announcement_effect::stale) {
-                m_owner.on_announcement(core::upstream_id{said->upstream}, effect);
+            const bool leaving = said->state == wire::upstream_state::leaving;
+            if (m_pauses.distrusts(m_context.now()) && !leaving) {
+                continue;
             }
+            said->age_ms += static_cast<std::uint32_t>(core::to_ms(age));
+            take_announcement(*said);
         }
     }
 }
@@ -631,9 +651,10 @@
 
 void entry_core::tick()
 {
+    begin_event();
     const auto now = m_context.now();
     resend_control();
-    if (!m_left && now >= m_renew_at) {
+    if (!m_context.left && now >= m_renew_at) {
         m_renew_at = now + m_context.options.renew_every;
         if (m_registered || m_context.confirmed_once) {
             renew();
@@ -682,7 +703,7 @@
 
 void entry_core::leave()
 {
-    m_left = true;
+    m_context.left = true;
     m_context.lease_until = {};
     wire::expire_vm_t order;
     order.vm = m_context.self.vm;
--- a/src/requests/ingress.cpp
+++ b/src/requests/ingress.cpp
@@ -48,6 +48,9 @@
 
 std::optional<refusal> ingress::check(const caller_request& request) const
 {
+    if (m_context.left) {
+        return refused(reason::vm_draining, "this VM has stopped; use another");
+    }
     if (!m_context.config_confirmed()) {
         return refused(reason::config_unconfirmed,
                        "this VM has not confirmed its configuration lately; use another");
--- a/src/requests/ingress_attempts.cpp
+++ b/src/requests/ingress_attempts.cpp
@@ -246,6 +246,13 @@
     if (lost_answer) {
         entry.delivered.clear(); // a service's answer can't be resumed
     }
+    const bool all_delivered = entry.request.kind != route::service && entry.request.idempotent &&
+                               entry.pieces >= entry.request.max_tokens;
+    if (all_delivered) {
+        // Only the end marker is missing; every token that was asked for has arrived.
+        complete(entry, {verdict::ran, reason::none}, 200, "", text_of(entry), "");
+        return;
+    }
     const bool allowed = core::may_retry(result, entry.request.idempotent) &&
                          !is_final_refusal(result.why) && now < entry.deadline;
     if (!allowed) {
--- a/src/requests/owner.cpp
+++ b/src/requests/owner.cpp
@@ -305,6 +305,7 @@
                                             : refused_before_running(head.status);
     if (refused && (echoed || head.request_id.empty())) {
         m_context.out.cancel_call(call);
+        entry->engine_done = true;
         const auto why = head.status == 409 ? reason::not_owner : reason::upstream_refused;
         fail(*entry, {verdict::not_run, why});
     }
@@ -396,6 +397,7 @@
     if (entry == nullptr) {
         return;
     }
+    entry->engine_done = how == call_end::complete || how == call_end::not_sent;
     switch (how) {
     case call_end::not_sent:
         fail(*entry, {verdict::not_run, reason::upstream_unreachable});
@@ -477,7 +479,7 @@
     const auto id = entry.id;
     if (const auto engine = m_engines.find(upstream);
         engine != m_engines.end() && engine->second->incarnation() == entry.upstream_incarnation) {
-        engine->second->finish(id, now);
+        engine->second->finish(id, entry.engine_done, now);
     }
     m_by_call.erase(entry.call);
     m_by_attempt.erase(key);
--- /dev/null
+++ b/tests/control_world.cpp
@@ -0,0 +1,659 @@
+#include "control_world.h"
+
+#include <algorithm>
+#include <array>
+
+#include "siskindrift/wire/frame.h"
+
+namespace siskindrift::tests {
+
+namespace {
+
+constexpr core::milliseconds tick{10};
+constexpr double permit_rate = 2.0;
+constexpr double permit_burst = 2.0;
+
+std::string address_of(std::size_t at)
+{
+    return "replica-" + std::to_string(at);
+}
+
+std::string vm_name(std::size_t at)
+{
+    return "vm-" + std::to_string(at);
+}
+
+std::string key_name(std::uint8_t number)
+{
+    return "key-" + std::to_string(number % 6);
+}
+
+const std::array<const char*, static_cast<std::size_t>(fault_kind::count)> names{
+    "run", "kill", "restart", "wipe", "tear_write", "freeze", "thaw", "cut_one_way",
+    "cut_both_ways", "heal", "change", "resend_change", "race_change", "read", "add_learner",
+    "promote", "remove_lost", "register_vm", "renew", "acquire", "release", "claim", "finish",
+    "permit", "transfer"};
+
+} // namespace
+
+std::ostream& operator<<(std::ostream& out, const step& value)
+{
+    return out << names[static_cast<std::size_t>(value.what)] << "(" << int{value.a} << ","
+               << int{value.b} << ")";
+}
+
+control_world::control_world(std::uint64_t seed) : m_random(seed)
+{
+    constexpr std::array rates{1.0, 1.02, 0.98};
+    m_replicas.resize(replica_count);
+    for (std::size_t i = 0; i < replica_count; ++i) {
+        auto& one = m_replicas[i];
+        one.id = m_next_replica_id++;
+        one.rate = rates[i];
+        one.clock = std::make_unique<core::manual_clock>();
+        start(one, i);
+    }
+    m_vms.resize(vm_count);
+    for (std::size_t i = 0; i < vm_count; ++i) {
+        m_vms[i].rate = rates[replica_count - 1 - i];
+        m_vms[i].clock = std::make_unique<core::manual_clock>();
+    }
+    wire::form_cluster_t form;
+    form.vm = vm_name(0);
+    form.address = address_of(0);
+    m_replicas[0].core->on_request(0, wire::make_control_request(form));
+    run_for(core::milliseconds{1500});
+    for (std::size_t i = 1; i < replica_count; ++i) {
+        for (const bool voter : {false, true}) {
+            wire::change_member_t order;
+            order.id = m_replicas[i].id;
+            order.vm = vm_name(i);
+            order.address = address_of(i);
+            order.add = true;
+            order.voter = voter;
+            m_replicas[0].core->on_request(0, wire::make_control_request(order));
+            run_for(core::milliseconds{400});
+        }
+    }
+}
+
+void control_world::start(replica& one, std::size_t)
+{
+    consensus::recovered_state recovered;
+    recovered.hard = one.stored.hard;
+    recovered.base = one.stored.base;
+    recovered.entries = one.stored.entries;
+    control::control_options options;
+    options.compact_after = 40; // so that snapshots and their transfer happen often
+    options.raft.snapshot_chunk_bytes = 512;
+    options.raft.max_entries_per_message = 8;
+    one.core = std::make_unique<control::control_core>(core::replica_id{one.id}, recovered,
+                                                       options, m_random(), *one.clock, nullptr);
+    one.frozen = false;
+    one.tear = false;
+    one.frozen_mail.clear();
+    one.frozen_requests.clear();
+}
+
+void control_world::fail(const std::string& text)
+{
+    if (m_fault.empty()) {
+        m_fault = "at " + std::to_string(m_now_ms) + " ms: " + text;
+    }
+}
+
+void control_world::write(replica& one, const consensus::ready& work)
+{
+    auto& stored = one.stored;
+    if (work.hard) {
+        stored.hard = *work.hard;
+    }
+    if (work.installed) {
+        stored.base = *work.installed;
+        std::erase_if(stored.entries, [&](const auto& entry) {
+            return entry.index <= stored.base->last_index;
+        });
+        if (!stored.entries.empty() && stored.entries.front().index != stored.base->last_index + 1) {
+            stored.entries.clear();
+        }
+    }
+    if (!work.entries.empty()) {
+        std::erase_if(stored.entries, [&](const auto& entry) {
+            return entry.index >= work.entries.front().index;
+        });
+        stored.entries.insert(stored.entries.end(), work.entries.begin(), work.entries.end());
+    }
+}
+
+void control_world::check_commits(const replica& one, const consensus::ready& work)
+{
+    for (const auto& entry : work.committed) {
+        const auto bytes = wire::encode_table(entry);
+        const auto [known, inserted] = m_committed.emplace(entry.index, bytes);
+        if (!inserted && known->second != bytes) {
+            fail("committed entry " + std::to_string(entry.index) + " differs");
+        }
+    }
+    const auto digest = one.core->state().digest();
+    const auto [known, inserted] = m_digests.emplace(one.core->applied(), digest);
+    if (!inserted && known->second != digest) {
+        fail("states differ at index " + std::to_string(one.core->applied()));
+    }
+    if (one.core->raft().is_leader()) {
+        const auto [term, fresh] = m_leader_of_term.emplace(one.core->raft().term(), one.id);
+        if (!fresh && term->second != one.id) {
+            fail("two leaders in term " + std::to_string(term->first));
+        }
+    }
+}
+
+void control_world::cycle(std::size_t at)
+{
+    auto& one = m_replicas[at];
+    if (!one.core || one.frozen) {
+        return;
+    }
+    one.core->tick();
+    const auto work = one.core->take_ready();
+    post(at, work.early);
+    if (one.tear && work.must_write()) {
+        one.core.reset(); // died in the middle of the write; nothing of it lasts
+        return;
+    }
+    write(one, work);
+    post(at, work.messages);
+    if (const auto made = one.core->complete(work)) {
+        one.stored.base = *made;
+        std::erase_if(one.stored.entries, [&](const auto& entry) {
+            return entry.index <= made->last_index;
+        });
+    }
+    check_commits(one, work);
+    for (const auto& reply : one.core->take_replies()) {
+        take_reply(reply);
+    }
+}
+
+void control_world::post(std::size_t from,
+                         const std::vector<consensus::outgoing_message>& messages)
+{
+    for (const auto& item : messages) {
+        for (std::size_t to = 0; to < m_replicas.size(); ++to) {
+            if (item.address != address_of(to) || m_cuts.contains({from, to})) {
+                continue;
+            }
+            const auto fate = core::uniform_below(m_random, 100);
+            if (fate < 3) {
+                continue; // lost
+            }
+            const int copies = fate < 6 ? 2 : 1;
+            for (int copy = 0; copy < copies; ++copy) {
+                const auto delay = fate < 15 ? core::uniform_below(m_random, 120)
+                                             : core::uniform_below(m_random, 8);
+                m_mail.emplace(m_now_ms + delay, parcel{from, to, item.message});
+            }
+        }
+    }
+}
+
+void control_world::deliver()
+{
+    while (!m_mail.empty() && m_mail.begin()->first <= m_now_ms) {
+        const auto item = std::move(m_mail.begin()->second);
+        m_mail.erase(m_mail.begin());
+        auto& target = m_replicas[item.to];
+        if (!target.core || m_cuts.contains({item.from, item.to})) {
+            continue;
+        }
+        if (target.frozen) {
+            target.frozen_mail.push_back(item.message);
+            continue;
+        }
+        target.core->on_peer(item.message);
+    }
+}
+
+void control_world::run_for(core::milliseconds length)
+{
+    const auto end = m_now_ms + static_cast<std::uint64_t>(length.count());
+    while (m_now_ms < end && m_fault.empty()) {
+        m_now_ms += static_cast<std::uint64_t>(tick.count());
+        const auto advance = [](core::manual_clock& clock, double rate) {
+            clock.advance(std::chrono::duration_cast<core::duration>(tick * rate));
+        };
+        for (auto& one : m_replicas) {
+            advance(*one.clock, one.rate);
+        }
+        for (auto& one : m_vms) {
+            advance(*one.clock, one.rate);
+        }
+        deliver();
+        for (std::size_t i = 0; i < m_replicas.size(); ++i) {
+            cycle(i);
+        }
+        check_owners();
+    }
+}
+
+std::optional<std::size_t> control_world::leader_at() const
+{
+    for (std::size_t i = 0; i < m_replicas.size(); ++i) {
+        const auto& one = m_replicas[i];
+        if (one.core && !one.frozen && one.core->raft().leads_committed()) {
+            return i;
+        }
+    }
+    return std::nullopt;
+}
+
+bool control_world::has_leader() const
+{
+    return leader_at().has_value();
+}
+
+bool control_world::all_voters_intact() const
+{
+    const auto leader = leader_at();
+    if (!leader) {
+        return false;
+    }
+    const auto& raft = m_replicas[*leader].core->raft();
+    std::size_t voters = 0;
+    for (const auto& info : raft.members()) {
+        const auto held = std::find_if(m_replicas.begin(), m_replicas.end(), [&](const auto& one) {
+            return one.id == info.id;
+        });
+        const bool caught_up = held != m_replicas.end() &&
+                               raft.match_index(info.id) >= raft.commit_index();
+        if (info.voter && !caught_up) {
+            return false;
+        }
+        voters += info.voter ? 1 : 0;
+    }
+    return voters >= replica_count;
+}
+
+void control_world::ask(std::size_t at, wire::control_request_t request, asked about)
+{
+    auto& target = m_replicas[at % m_replicas.size()];
+    request.id = m_next_request++;
+    m_asked[request.id] = std::move(about);
+    if (!target.core) {
+        return;
+    }
+    if (target.frozen) {
+        target.frozen_requests.emplace_back(1, request);
+        return;
+    }
+    target.core->on_request(1, request);
+}
+
+void control_world::take_reply(const control::client_reply& reply)
+{
+    const auto found = m_asked.find(reply.reply.id);
+    if (found == m_asked.end()) {
+        return;
+    }
+    const auto about = found->second;
+    const auto& answer = reply.reply;
+    const bool known = answer.outcome == wire::control_outcome::ok ||
+                       answer.outcome == wire::control_outcome::conflict;
+    if (!known) {
+        return;
+    }
+    if (about.what == fault_kind::change) {
+        check_change(about, answer);
+    }
+    else if (about.what == fault_kind::claim) {
+        check_claim(about, answer);
+    }
+    else if (const auto* page = answer.body.Asconfig_page()) {
+        if (page->revision < about.floor) {
+            fail("a read returned revision " + std::to_string(page->revision) + " after " +
+                 std::to_string(about.floor) + " was accepted");
+        }
+    }
+    else if (const auto* grant = answer.body.Assession_grant()) {
+        take_grant(about, *grant);
+    }
+    else if (answer.body.type == wire::reply_body::permit_grant) {
+        check_permit();
+    }
+}
+
+void control_world::check_change(const asked& about, const wire::control_reply_t& reply)
+{
+    const auto text = wire::encode_table(*reply.body.Aschange_result()) +
+                      std::to_string(static_cast<int>(reply.outcome));
+    const auto [known, inserted] = m_change_answers.emplace(about.subject, text);
+    if (!inserted && known->second != text) {
+        fail("change " + about.subject + " got two different answers");
+    }
+    if (reply.outcome != wire::control_outcome::ok) {
+        return;
+    }
+    const auto revision = reply.body.Aschange_result()->revision;
+    const auto [winner, first] = m_accepted_by_revision.emplace(revision, about.subject);
+    if (!first && winner->second != about.subject) {
+        fail("two changes were accepted as revision " + std::to_string(revision));
+    }
+    m_known_revision = std::max(m_known_revision, revision);
+}
+
+void control_world::check_claim(const asked& about, const wire::control_reply_t& reply)
+{
+    const auto* result = reply.body.Asclaim_result();
+    if (result == nullptr || result->state != wire::claim_state::granted) {
+        return;
+    }
+    const auto [holder, first] = m_claim_holders.emplace(about.subject, about.request_id);
+    if (!first && holder->second != about.request_id) {
+        if (!m_released_claims.contains(about.subject + holder->second)) {
+            fail(about.subject + " was granted to " + holder->second + " and " + about.request_id);
+        }
+        holder->second = about.request_id;
+    }
+}
+
+void control_world::take_grant(const asked& about, const wire::session_grant_t& grant)
+{
+    auto& holder = m_vms[about.vm];
+    holder.lease_until =
+        std::max(holder.lease_until, about.vm_time + core::milliseconds{grant.ttl_ms});
+    if (!grant.ownership_included) {
+        return;
+    }
+    if (grant.ownership_version < holder.version) {
+        return;
+    }
+    holder.version = grant.ownership_version;
+    holder.owned.clear();
+    for (const auto& owned : grant.ownerships) {
+        if (owned->vm == vm_name(about.vm)) {
+            holder.owned[owned->upstream] = owned->fencing;
+        }
+    }
+}
+
+void control_world::check_owners()
+{
+    std::map<std::string, std::size_t> owners;
+    for (std::size_t i = 0; i < m_vms.size(); ++i) {
+        if (m_vms[i].clock->now() >= m_vms[i].lease_until) {
+            continue;
+        }
+        for (const auto& [upstream, fencing] : m_vms[i].owned) {
+            const auto [other, first] = owners.emplace(upstream, i);
+            if (!first) {
+                fail(upstream + " has two owners under leases: " + vm_name(other->second) +
+                     " and " + vm_name(i));
+            }
+        }
+    }
+}
+
+void control_world::check_permit()
+{
+    const double now_s = static_cast<double>(m_now_ms) / 1000.0;
+    m_permit_times.push_back(now_s);
+    constexpr double clock_slack = 1.03; // the granter's clock may run fast within its bound
+    for (std::size_t i = 0; i < m_permit_times.size(); ++i) {
+        const double window = now_s - m_permit_times[i];
+        const auto granted = static_cast<double>(m_permit_times.size() - i);
+        if (granted > permit_burst + permit_rate * window * clock_slack + 1.0) {
+            fail("the store budget was overrun: " + std::to_string(granted) + " permits in " +
+                 std::to_string(window) + " s");
+            return;
+        }
+    }
+    while (m_permit_times.size() > 200) {
+        m_permit_times.pop_front();
+    }
+}
+
+void control_world::change(const std::string& id, std::uint64_t expected, std::size_t at)
+{
+    wire::apply_change_t order;
+    order.change_id = id;
+    order.operator_name = "operator";
+    order.expected_revision = expected;
+    wire::config_operation_t operation;
+    operation.key = "adapter/" + std::to_string(core::uniform_below(m_random, 20));
+    operation.value = id;
+    wire::append(order.operations, operation);
+    asked about;
+    about.what = fault_kind::change;
+    about.subject = id;
+    ask(at, wire::make_control_request(order), about);
+}
+
+void control_world::member_step(const step& next)
+{
+    const auto leader = leader_at();
+    if (!leader) {
+        return;
+    }
+    const auto& raft = m_replicas[*leader].core->raft();
+    wire::change_member_t order;
+    if (next.what == fault_kind::remove_lost) {
+        for (const auto& info : raft.members()) {
+            order.id = m_lost_ids.contains(info.id) ? info.id : order.id;
+        }
+        const bool replaced = std::count_if(raft.members().begin(), raft.members().end(),
+                                            [](const auto& info) { return info.voter; }) >
+                              static_cast<std::ptrdiff_t>(replica_count);
+        if (order.id == 0 || !replaced) {
+            return;
+        }
+    }
+    else {
+        const std::size_t at = next.a % m_replicas.size();
+        order.id = m_replicas[at].id;
+        order.vm = vm_name(at);
+        order.address = address_of(at);
+        order.add = true;
+        order.voter = next.what == fault_kind::promote;
+        const bool known = std::any_of(raft.members().begin(), raft.members().end(), [&](const auto& info) {
+            return info.id == order.id && (info.voter || !order.voter);
+        });
+        if (known) {
+            return;
+        }
+    }
+    ask(*leader, wire::make_control_request(order), {});
+}
+
+void control_world::vm_step(const step& next)
+{
+    const std::size_t at = next.a % m_vms.size();
+    const auto upstream = "upstream-" + std::to_string(next.b % 3);
+    asked about;
+    about.what = next.what;
+    about.vm = at;
+    about.vm_time = m_vms[at].clock->now();
+    const auto target = leader_at().value_or(next.b);
+    if (next.what == fault_kind::register_vm) {
+        wire::register_vm_t order;
+        order.vm = vm_name(at);
+        order.incarnation = 1;
+        ask(target, wire::make_control_request(order), about);
+    }
+    else if (next.what == fault_kind::renew) {
+        wire::renew_session_t order;
+        order.vm = vm_name(at);
+        order.incarnation = 1;
+        order.ownership_version = 0;
+        // Also to replicas that may only believe that they lead.
+        ask(next.b % 2 == 0 ? target : next.b, wire::make_control_request(order), about);
+    }
+    else if (next.what == fault_kind::acquire) {
+        wire::acquire_upstream_t order;
+        order.upstream = upstream;
+        order.vm = vm_name(at);
+        order.incarnation = 1;
+        ask(target, wire::make_control_request(order), about);
+    }
+    else if (const auto owned = m_vms[at].owned.find(upstream); owned != m_vms[at].owned.end()) {
+        wire::release_upstream_t order;
+        order.upstream = upstream;
+        order.vm = vm_name(at);
+        order.incarnation = 1;
+        order.fencing = owned->second;
+        m_vms[at].owned.erase(owned); // the holder stops before it says so
+        m_vms[at].version = UINT64_MAX; // and believes no older list until it renews afresh
+        m_vms[at].lease_until = {};
+        m_vms[at].version = 0;
+        ask(target, wire::make_control_request(order), about);
+    }
+}
+
+void control_world::claim_step(const step& next)
+{
+    asked about;
+    about.what = next.what;
+    about.subject = key_name(next.a);
+    about.request_id = "request-" + std::to_string(next.b % 8);
+    const auto target = leader_at().value_or(next.b);
+    if (next.what == fault_kind::claim) {
+        wire::take_claim_t order;
+        order.team = "team";
+        order.key = about.subject;
+        order.key_time_ms = m_replicas[0].clock->wall_ms();
+        order.body_hash = 7;
+        order.request_id = about.request_id;
+        ask(target, wire::make_control_request(order), about);
+        return;
+    }
+    wire::finish_claim_t order;
+    order.team = "team";
+    order.key = about.subject;
+    const auto holder = m_claim_holders.find(about.subject);
+    if (holder == m_claim_holders.end()) {
+        return;
+    }
+    order.request_id = holder->second;
+    order.release = next.b % 4 == 0;
+    order.ran = !order.release;
+    if (order.release) {
+        m_released_claims.insert(about.subject + holder->second);
+    }
+    ask(target, wire::make_control_request(order), about);
+}
+
+void control_world::take(const step& next)
+{
+    const std::size_t at = next.a % m_replicas.size();
+    const std::size_t other = next.b % m_replicas.size();
+    auto& one = m_replicas[at];
+    switch (next.what) {
+    case fault_kind::kill:
+        one.core.reset();
+        break;
+    case fault_kind::restart:
+        if (!one.core) {
+            start(one, at);
+        }
+        break;
+    case fault_kind::wipe:
+        if (all_voters_intact()) {
+            m_lost_ids.insert(one.id);
+            one.id = m_next_replica_id++;
+            one.stored = {};
+            start(one, at);
+        }
+        break;
+    case fault_kind::tear_write:
+        one.tear = true;
+        break;
+    case fault_kind::freeze:
+        one.frozen = true;
+        break;
+    case fault_kind::thaw:
+        if (one.frozen && one.core) {
+            one.frozen = false;
+            for (const auto& message : std::exchange(one.frozen_mail, {})) {
+                one.core->on_peer(message);
+            }
+            for (const auto& [client, request] : std::exchange(one.frozen_requests, {})) {
+                one.core->on_request(client, request);
+            }
+        }
+        break;
+    case fault_kind::cut_one_way:
+        m_cuts.insert({at, other});
+        break;
+    case fault_kind::cut_both_ways:
+        m_cuts.insert({at, other});
+        m_cuts.insert({other, at});
+        break;
+    case fault_kind::heal:
+        m_cuts.clear();
+        break;
+    case fault_kind::change:
+        change("change-" + std::to_string(m_next_change++), m_known_revision, leader_at().value_or(at));
+        break;
+    case fault_kind::resend_change:
+        if (m_next_change > 1) {
+            const auto number = m_next_change - 1 - next.b % std::min<std::uint64_t>(m_next_change - 1, 8);
+            change("change-" + std::to_string(number), m_known_revision, leader_at().value_or(at));
+        }
+        break;
+    case fault_kind::race_change:
+        for (int i = 0; i < 2; ++i) {
+            change("change-" + std::to_string(m_next_change++), m_known_revision, leader_at().value_or(at));
+        }
+        break;
+    case fault_kind::read: {
+        asked about;
+        about.what = fault_kind::read;
+        about.floor = m_known_revision;
+        ask(at, wire::make_control_request(wire::read_config_t{}), about);
+        break;
+    }
+    case fault_kind::add_learner:
+    case fault_kind::promote:
+    case fault_kind::remove_lost:
+        member_step(next);
+        break;
+    case fault_kind::register_vm:
+    case fault_kind::renew:
+    case fault_kind::acquire:
+    case fault_kind::release:
+        vm_step(next);
+        break;
+    case fault_kind::claim:
+    case fault_kind::finish:
+        claim_step(next);
+        break;
+    case fault_kind::permit: {
+        asked about;
+        about.what = fault_kind::permit;
+        ask(leader_at().value_or(at), wire::make_control_request(wire::request_permit_t{}), about);
+        break;
+    }
+    case fault_kind::transfer:
+        if (one.core && !one.frozen) {
+            one.core->prepare_stop();
+        }
+        break;
+    case fault_kind::run:
+    case fault_kind::count:
+        run_for(core::milliseconds{100 + 20 * next.a});
+        break;
+    }
+    run_for(core::milliseconds{20});
+}
+
+void control_world::settle()
+{
+    m_cuts.clear();
+    for (std::size_t i = 0; i < m_replicas.size(); ++i) {
+        take({fault_kind::thaw, static_cast<std::uint8_t>(i), 0});
+        take({fault_kind::restart, static_cast<std::uint8_t>(i), 0});
+        m_replicas[i].tear = false;
+        take({fault_kind::restart, static_cast<std::uint8_t>(i), 0});
+    }
+    run_for(core::milliseconds{4000});
+}
+
+} // namespace siskindrift::tests
--- /dev/null
+++ b/tests/entry_world.cpp
@@ -0,0 +1,814 @@
+#include "entry_world.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/json.hpp>
+#include <functional>
+
+#include "siskindrift/core/idempotency_key.h"
+#include "siskindrift/standins/token_model.h"
+
+namespace siskindrift::tests {
+
+namespace json = boost::json;
+using core::verdict;
+using requests::call_end;
+
+namespace {
+
+constexpr std::uint64_t tick_ms = 10;
+constexpr std::uint64_t token_ms = 20;
+constexpr std::uint64_t load_ms = 250;
+constexpr std::uint64_t config_bound_ms = 5000;
+constexpr std::uint64_t leaving_bound_ms = 2000;
+constexpr std::size_t adapter_count = 12;
+constexpr const char* team_key = "team-key-of-the-fuzz";
+
+const std::array<const char*, static_cast<std::size_t>(event_kind::count)> names{
+    "run", "kill_vm", "restart_vm", "freeze_vm", "thaw_vm", "cut", "heal", "cut_control",
+    "model_request", "service_request", "resend_key", "caller_leaves", "restart_engine",
+    "silent_engine", "lose_answer", "cross_answer", "wrong_adapter", "refuse", "fail_load",
+    "leave", "serve", "retire_version", "create_version", "drain_vm"};
+
+std::string vm_name(std::size_t at)
+{
+    return "vm-" + std::to_string(at);
+}
+
+std::string adapter_name(std::size_t at)
+{
+    return "adapter-" + std::to_string(at % adapter_count);
+}
+
+std::string base_of(const std::string& request_id)
+{
+    return request_id.substr(0, request_id.rfind('.'));
+}
+
+std::string text_at(const json::object& object, const char* name)
+{
+    const auto* value = object.if_contains(name);
+    return value != nullptr && value->is_string() ? std::string{value->as_string()} : "";
+}
+
+std::string header(const requests::upstream_call& call, const std::string& name)
+{
+    for (const auto& [key, value] : call.headers) {
+        if (key == name) {
+            return value;
+        }
+    }
+    return {};
+}
+
+wire::config_operation_t put(const std::string& key, const json::value& value)
+{
+    wire::config_operation_t operation;
+    operation.key = key;
+    operation.value = json::serialize(value);
+    return operation;
+}
+
+json::value adapter_entry(bool with_second)
+{
+    json::array versions{"1"};
+    if (with_second) {
+        versions.emplace_back("2");
+    }
+    return {{"team", "team"}, {"base_model", "base"}, {"versions", versions}};
+}
+
+} // namespace
+
+std::ostream& operator<<(std::ostream& out, const event& value)
+{
+    return out << names[static_cast<std::size_t>(value.what)] << "(" << int{value.a} << ","
+               << int{value.b} << ")";
+}
+
+/// Carries what one VM asks for into the world.
+class world_outputs final : public requests::entry_outputs {
+public:
+    world_outputs(entry_world& world, std::size_t at) : m_world(world), m_at(at) {}
+
+    void send_peer(const std::string& address, wire::envelope_t message) override
+    {
+        const auto to = m_world.vm_of(address);
+        const auto fate = core::uniform_below(m_world.m_random, 400);
+        if (m_world.m_cuts.contains({m_at, to}) || fate < 1) {
+            return;
+        }
+        const auto delay = fate < 8 ? core::uniform_below(m_world.m_random, 400)
+                                    : core::uniform_below(m_world.m_random, 4);
+        for (int copy = 0; copy < (fate >= 398 ? 2 : 1); ++copy) {
+            m_world.to_vm(to, delay, [message](requests::entry_core& core) { core.on_peer(message); });
+        }
+    }
+
+    void send_control(const std::string&, wire::control_request_t request) override
+    {
+        if (m_world.m_control_cuts.contains(m_at)) {
+            return;
+        }
+        const control::client_id client = m_at << 32 | m_world.m_vms[m_at].generation;
+        m_world.m_clients[client] = {m_at, m_world.m_vms[m_at].generation};
+        m_world.later(1, [&world = m_world, client, request] {
+            world.m_control->on_request(client, request);
+        });
+    }
+
+    void start_call(requests::upstream_call call) override { m_world.on_call(m_at, std::move(call)); }
+
+    void cancel_call(requests::call_id call) override
+    {
+        for (auto& one : m_world.m_runs) {
+            if (one.call == call && one.vm == m_at && one.generation == m_world.m_vms[m_at].generation) {
+                one.open = false;
+            }
+        }
+    }
+
+    void stream_piece(requests::caller_id caller, const requests::caller_request& request,
+                      const std::string& text) override
+    {
+        if (m_world.m_by_caller.contains(caller)) {
+            m_world.m_asked.at(request.id.value()).text += text;
+        }
+    }
+
+    void finish(requests::caller_id caller, const requests::caller_request&,
+                requests::final_answer answer) override
+    {
+        m_world.on_finish(caller, answer);
+    }
+
+    void keep_peer(const std::string&, bool) override {}
+    void store_config(const wire::config_page_t&) override {}
+    void count(core::reason) override {}
+    void count_event(const char*) override {}
+    void observe_ms(const char*, double) override {}
+
+private:
+    entry_world& m_world;
+    std::size_t m_at;
+};
+
+entry_world::entry_world(std::uint64_t seed, const std::string& policy) : m_random(seed)
+{
+    m_control = std::make_unique<control::control_core>(
+        core::replica_id{1}, consensus::recovered_state{}, control::control_options{}, seed,
+        m_control_clock, nullptr);
+    wire::form_cluster_t form;
+    form.vm = "control";
+    form.address = "control";
+    m_control->on_request(0, wire::make_control_request(form));
+    wire::apply_change_t change;
+    change.change_id = "first";
+    wire::append(change.operations, put("deployment", {{"policy", policy}, {"loads_per_second", 20.0}}));
+    wire::append(change.operations, put("team/team", {{"key_hashes", {config::sha256_hex(team_key)}},
+                                                      {"requests_per_second", 10000.0},
+                                                      {"max_concurrent", 1000}, {"max_queued", 1000}}));
+    wire::append(change.operations, put("service/filing", {{"teams", {"team"}}, {"repeatable", false}}));
+    for (std::size_t i = 0; i < adapter_count; ++i) {
+        wire::append(change.operations, put("adapter/" + adapter_name(i), adapter_entry(true)));
+    }
+    m_vms.resize(vm_count);
+    for (std::size_t i = 0; i < vm_count; ++i) {
+        start_vm(i);
+    }
+    m_engines.resize(engine_count + 1);
+    for (std::size_t i = 0; i < m_engines.size(); ++i) {
+        m_engines[i].id = i < engine_count ? "engine-" + std::to_string(i) : "filing-0";
+        m_engines[i].service = i == engine_count;
+        m_engines[i].checks_fencing = i % 2 == 0;
+        announce(i);
+    }
+    run_for(2000);
+    m_control->on_request(0, wire::make_control_request(std::move(change)));
+    run_for(7000); // leadership, permits' first wait, registration, ownership
+}
+
+entry_world::~entry_world() = default;
+
+void entry_world::fail(const std::string& text)
+{
+    if (m_fault.empty()) {
+        m_fault = "at " + std::to_string(m_now_ms) + " ms: " + text;
+    }
+}
+
+std::string entry_world::trace_of(std::size_t at, const std::string& id) const
+{
+    std::string text;
+    if (m_vms[at].core) {
+        for (const auto& line : m_vms[at].core->context().trace.lines_of(id)) {
+            text += "\n  " + line;
+        }
+    }
+    return text;
+}
+
+std::size_t entry_world::vm_of(const std::string& address) const
+{
+    return std::stoul(address.substr(address.find('-') + 1));
+}
+
+void entry_world::start_vm(std::size_t at)
+{
+    auto& one = m_vms[at];
+    ++one.generation;
+    one.outputs = std::make_unique<world_outputs>(*this, at);
+    one.clock = one.clock ? std::move(one.clock) : std::make_unique<core::manual_clock>();
+    requests::entry_identity self{vm_name(at), at * 1000 + one.generation, vm_name(at), vm_name(at), "domain"};
+    requests::entry_options options;
+    options.endpoints_ttl = core::milliseconds{1000};
+    one.core = std::make_unique<requests::entry_core>(*one.clock, *one.outputs, options, self,
+                                                      std::vector<std::string>{"control"}, m_random());
+    one.frozen = one.draining = one.leaving = false;
+    one.mail.clear();
+}
+
+void entry_world::later(std::uint64_t ms, std::function<void()> action)
+{
+    m_events.emplace(m_now_ms + ms, std::move(action));
+}
+
+void entry_world::to_vm(std::size_t at, std::uint64_t delay,
+                        std::function<void(requests::entry_core&)> action)
+{
+    const auto generation = m_vms[at].generation;
+    later(delay, [this, at, generation, action = std::move(action)] {
+        auto& target = m_vms[at];
+        if (!target.core || target.generation != generation) {
+            return;
+        }
+        if (target.frozen) {
+            target.mail.push_back([this, at, generation, action] {
+                if (m_vms[at].core && m_vms[at].generation == generation) {
+                    action(*m_vms[at].core);
+                }
+            });
+            return;
+        }
+        action(*target.core);
+    });
+}
+
+void entry_world::drive_control()
+{
+    m_control->tick();
+    const auto work = m_control->take_ready();
+    m_control->complete(work);
+    for (const auto& reply : m_control->take_replies()) {
+        const auto client = m_clients.find(reply.client);
+        if (client == m_clients.end()) {
+            continue;
+        }
+        const auto [at, generation] = client->second;
+        if (m_control_cuts.contains(at) || m_vms[at].generation != generation) {
+            continue;
+        }
+        to_vm(at, 1, [answer = reply.reply](requests::entry_core& core) {
+            core.on_control_reply(answer);
+        });
+    }
+}
+
+void entry_world::tick()
+{
+    m_now_ms += tick_ms;
+    const core::milliseconds step{tick_ms};
+    m_control_clock.advance(step);
+    for (auto& one : m_vms) {
+        one.clock->advance(step);
+    }
+    while (!m_events.empty() && m_events.begin()->first <= m_now_ms) {
+        const auto action = std::move(m_events.begin()->second);
+        m_events.erase(m_events.begin());
+        action();
+    }
+    drive_control();
+    for (std::size_t i = 0; i < m_vms.size(); ++i) {
+        auto& one = m_vms[i];
+        if (!one.core || one.frozen) {
+            continue;
+        }
+        one.core->tick();
+        if (one.draining && !one.leaving && one.core->drained()) {
+            one.core->leave();
+            one.leaving = true;
+            one.leave_at = m_now_ms + 100;
+        }
+        else if (one.leaving && m_now_ms >= one.leave_at) {
+            if (one.core->callers().open_requests() + one.core->owned().open_works() > 0) {
+                fail("a graceful stop of " + vm_name(i) + " cut off requests");
+            }
+            kill(i);
+        }
+    }
+}
+
+void entry_world::run_for(std::uint64_t ms)
+{
+    const auto end = m_now_ms + ms;
+    while (m_now_ms < end && m_fault.empty()) {
+        tick();
+    }
+}
+
+void entry_world::announce(std::size_t at)
+{
+    auto& one = m_engines[at];
+    ++one.sequence;
+    wire::announcement_t said;
+    said.upstream = one.id;
+    said.incarnation = one.incarnation;
+    said.address = std::to_string(at);
+    said.failure_domain = "domain";
+    said.kind = one.service ? wire::upstream_kind::service : wire::upstream_kind::engine;
+    said.service = one.service ? "filing" : "";
+    said.base_model = "base";
+    said.slots = 3;
+    said.batch = 4;
+    said.sequence = one.sequence;
+    said.state = one.leaving_since ? wire::upstream_state::leaving : wire::upstream_state::serving;
+    for (const auto& adapter : one.adapters) {
+        wire::resident_info_t info;
+        info.adapter = adapter;
+        info.running = static_cast<std::uint32_t>(
+            std::count_if(m_runs.begin(), m_runs.end(), [&](const auto& run) {
+                return run.open && run.engine == at && run.adapter == adapter;
+            }));
+        wire::append(said.residents, info);
+    }
+    // An upstream that gets no answer from one VM tells the next.
+    for (std::size_t tries = 0; tries < vm_count; ++tries) {
+        const auto to = core::uniform_below(m_random, vm_count);
+        if (m_vms[to].core && !m_vms[to].frozen) {
+            to_vm(to, 1 + core::uniform_below(m_random, 60),
+                  [said](requests::entry_core& core) { core.on_announcement(said); });
+            break;
+        }
+    }
+    later(900, [this, at] { announce(at); });
+}
+
+void entry_world::submit(std::size_t at, asked wanted)
+{
+    auto& target = m_vms[at];
+    if (!target.core || target.frozen) {
+        return;
+    }
+    requests::raw_request raw;
+    raw.method = "POST";
+    raw.deadline_ms = "15000";
+    if (wanted.service) {
+        raw.target = "/v1/services/filing/submit";
+        raw.body = wanted.key;
+        raw.idempotency_key = wanted.key;
+    }
+    else {
+        raw.target = "/v1/completions";
+        raw.body = json::serialize(json::value{{"model", wanted.adapter}, {"prompt", wanted.prompt},
+                                               {"max_tokens", wanted.tokens}, {"stream", true}});
+    }
+    requests::refusal why;
+    auto request = requests::map_request(raw, why);
+    if (!request) {
+        fail("a well-formed request was refused: " + why.message);
+        return;
+    }
+    request->id = target.core->new_request_id();
+    request->team = core::team_id{"team"};
+    wanted.vm = at;
+    wanted.at_ms = m_now_ms;
+    const auto caller = m_next_caller++;
+    m_by_caller[caller] = request->id.value();
+    m_asked[request->id.value()] = std::move(wanted);
+    target.core->on_request(caller, std::move(*request));
+}
+
+void entry_world::on_finish(requests::caller_id caller, const requests::final_answer& answer)
+{
+    const auto found = m_by_caller.find(caller);
+    if (found == m_by_caller.end()) {
+        return;
+    }
+    const auto id = found->second;
+    m_by_caller.erase(found);
+    auto& wanted = m_asked.at(id);
+    wanted.verdict = answer.result.result;
+    switch (answer.result.result) {
+    case verdict::ran: {
+        ++m_totals.ran;
+        const bool whole = wanted.service
+                               ? answer.body == "done " + wanted.key
+                               : wanted.text == standins::expected_text(wanted.adapter, wanted.prompt,
+                                                                        wanted.tokens);
+        if (!whole) {
+            fail(id + " got an answer that is not the whole of its own" + trace_of(wanted.vm, id));
+        }
+        const auto retired = m_retired_at.find(wanted.adapter);
+        if (retired != m_retired_at.end() && wanted.at_ms > retired->second + config_bound_ms) {
+            fail(id + " was served with a configuration superseded more than 5 s before");
+        }
+        break;
+    }
+    case verdict::not_run:
+        ++m_totals.not_run;
+        if (m_runs_of_request[id] > 0) {
+            fail(id + " was called not_run but ran");
+        }
+        break;
+    case verdict::may_have_run:
+        ++m_totals.may_have_run;
+        break;
+    }
+}
+
+bool entry_world::take_armed(engine& target, event_kind what)
+{
+    auto& left = target.armed[what];
+    if (left == 0) {
+        return false;
+    }
+    --left;
+    return true;
+}
+
+void entry_world::on_call(std::size_t from, requests::upstream_call call)
+{
+    const auto generation = m_vms[from].generation;
+    later(1 + core::uniform_below(m_random, 5), [this, from, generation, call] {
+        if (m_vms[from].generation != generation) {
+            return; // the connection died with its process before the request left
+        }
+        const auto at = std::stoul(call.address);
+        auto& target = m_engines[at];
+        const std::uint64_t fencing = std::stoull(header(call, "Siskindrift-Fencing"));
+        if (target.checks_fencing && fencing < target.fencing) {
+            to_vm(from, 1, [id = call.id, echo = header(call, "X-Request-Id")](requests::entry_core& core) {
+                core.on_call_head(id, {409, "", echo, false});
+                core.on_call_end(id, call_end::complete);
+            });
+            return;
+        }
+        target.fencing = std::max(target.fencing, fencing);
+        if (call.path.ends_with("lora_adapter")) {
+            on_order(from, call, target);
+        }
+        else {
+            begin_run(from, call, at);
+        }
+    });
+}
+
+void entry_world::on_order(std::size_t from, const requests::upstream_call& call, engine& target)
+{
+    const auto adapter = text_at(json::parse(call.body).as_object(), "lora_name");
+    const bool load = call.path.starts_with("/v1/load");
+    if (!load) {
+        for (const auto& run : m_runs) {
+            if (run.open && m_engines[run.engine].id == target.id && run.adapter == adapter) {
+                fail(vm_name(from) + " evicted " + adapter + " from " + target.id +
+                     " while a request of " + vm_name(run.vm) + " ran on it");
+            }
+        }
+        target.adapters.erase(adapter);
+    }
+    const bool fails = load && take_armed(target, event_kind::fail_load);
+    const auto incarnation = target.incarnation;
+    const auto name = target.id;
+    later(load ? load_ms : 1, [this, from, id = call.id, adapter, load, fails, incarnation, name] {
+        auto& now = *std::find_if(m_engines.begin(), m_engines.end(),
+                                  [&](const auto& one) { return one.id == name; });
+        if (now.incarnation != incarnation) {
+            to_vm(from, 1, [id](requests::entry_core& core) { core.on_call_end(id, call_end::lost); });
+            return;
+        }
+        if (load && !fails && now.adapters.size() < 3) {
+            now.adapters.insert(adapter);
+        }
+        const std::uint16_t status = fails ? 500 : 200;
+        to_vm(from, 1, [id, status](requests::entry_core& core) {
+            core.on_call_head(id, {status, "", "", false});
+            core.on_call_end(id, call_end::complete);
+        });
+    });
+}
+
+void entry_world::note_run(const engine& target, const requests::upstream_call& call,
+                           const std::string& adapter)
+{
+    ++m_totals.runs;
+    const auto request = base_of(header(call, "X-Request-Id"));
+    ++m_runs_of_request[request];
+    const auto found = m_asked.find(request);
+    if (found == m_asked.end()) {
+        fail("an engine ran an unknown request " + request);
+        return;
+    }
+    if (found->second.verdict == verdict::not_run) {
+        fail(request + " ran after it was called not_run");
+    }
+    if (!target.service && adapter != found->second.adapter) {
+        fail(request + " ran on " + adapter + " instead of " + found->second.adapter);
+    }
+    if (target.service && ++m_runs_of_key[found->second.key] > 1) {
+        fail("the non-idempotent key " + found->second.key + " ran twice");
+    }
+    if (target.leaving_since && m_now_ms > *target.leaving_since + leaving_bound_ms) {
+        fail(target.id + " got new work " + std::to_string(m_now_ms - *target.leaving_since) +
+             " ms after it said it leaves");
+    }
+}
+
+void entry_world::begin_run(std::size_t from, const requests::upstream_call& call, std::size_t at)
+{
+    auto& target = m_engines[at];
+    const auto echo = header(call, "X-Request-Id");
+    run_state one;
+    one.vm = from;
+    one.generation = m_vms[from].generation;
+    one.call = call.id;
+    one.engine = at;
+    one.incarnation = target.incarnation;
+    one.shown_id = echo;
+    const bool refuses = take_armed(target, event_kind::refuse);
+    if (!target.service) {
+        const auto body = json::parse(call.body).as_object();
+        one.adapter = one.shown_adapter = text_at(body, "model");
+        if (refuses || !target.adapters.contains(one.adapter)) {
+            to_vm(from, 1, [id = call.id, echo](requests::entry_core& core) {
+                core.on_call_head(id, {404, "", echo, false});
+                core.on_call_end(id, call_end::complete);
+            });
+            return;
+        }
+        standins::token_model model{one.adapter, text_at(body, "prompt")};
+        const auto tokens = body.at("max_tokens").to_number<int>();
+        for (int i = 0; i < tokens; ++i) {
+            one.pieces.push_back(model.next());
+        }
+    }
+    else if (refuses) {
+        to_vm(from, 1, [id = call.id, echo](requests::entry_core& core) {
+            core.on_call_head(id, {503, "", echo, true});
+        });
+        return;
+    }
+    else {
+        one.pieces = {"done " + header(call, "Idempotency-Key")};
+    }
+    note_run(target, call, one.adapter);
+    one.lost = take_armed(target, event_kind::lose_answer);
+    if (!target.previous_id.empty() && take_armed(target, event_kind::cross_answer)) {
+        one.shown_id = target.previous_id;
+    }
+    if (take_armed(target, event_kind::wrong_adapter)) {
+        one.shown_adapter = "another@1";
+    }
+    target.previous_id = echo;
+    m_runs.push_back(std::move(one));
+    const auto run = m_runs.size() - 1;
+    to_vm(from, 1, [id = call.id, shown = m_runs[run].shown_id](requests::entry_core& core) {
+        core.on_call_head(id, {200, "text/plain", shown, false});
+    });
+    later(token_ms, [this, run] { step_run(run); });
+}
+
+void entry_world::end_call(const run_state& one, call_end how, std::uint64_t delay)
+{
+    if (m_vms[one.vm].generation != one.generation) {
+        return;
+    }
+    to_vm(one.vm, delay, [id = one.call, how](requests::entry_core& core) { core.on_call_end(id, how); });
+}
+
+void entry_world::step_run(std::size_t run)
+{
+    auto& one = m_runs[run];
+    const bool gone = m_vms[one.vm].generation != one.generation;
+    if (!one.open || gone) {
+        one.open = false; // the engine notices that its caller is gone
+        return;
+    }
+    const auto& target = m_engines[one.engine];
+    if (target.incarnation != one.incarnation) {
+        one.open = false;
+        end_call(one, call_end::lost, 1);
+        return;
+    }
+    const auto piece = one.pieces[one.next++];
+    if (one.silent) {
+        if (one.next == one.pieces.size()) {
+            one.open = false;
+            end_call(one, call_end::silent, 1500);
+        }
+    }
+    else {
+        std::string bytes = piece;
+        if (!target.service) {
+            bytes = "data: " + json::serialize(json::value{{"model", one.shown_adapter},
+                                                           {"choices", {{{"text", piece}}}}}) + "\n\n";
+        }
+        const bool last = one.next == one.pieces.size();
+        if (last && !target.service) {
+            bytes += "data: [DONE]\n\n";
+        }
+        if (!(last && one.lost)) {
+            to_vm(one.vm, 1, [id = one.call, bytes](requests::entry_core& core) { core.on_call_data(id, bytes); });
+        }
+        if (last) {
+            one.open = false;
+            end_call(one, one.lost ? call_end::lost : call_end::complete, 2);
+        }
+    }
+    if (one.open) {
+        later(token_ms, [this, run] { step_run(run); });
+    }
+}
+
+void entry_world::kill(std::size_t at)
+{
+    auto& one = m_vms[at];
+    one.core.reset();
+    ++one.generation;
+    for (std::size_t other = 0; other < m_vms.size(); ++other) {
+        to_vm(other, 5, [address = vm_name(at)](requests::entry_core& core) { core.on_link(address, false); });
+    }
+    for (auto caller = m_by_caller.begin(); caller != m_by_caller.end();) {
+        const bool lost = m_asked.at(caller->second).vm == at;
+        m_totals.lost_callers += lost ? 1 : 0;
+        caller = lost ? m_by_caller.erase(caller) : std::next(caller);
+    }
+}
+
+void entry_world::config_change(const event& next)
+{
+    const bool retire = next.what == event_kind::retire_version;
+    const auto name = adapter_name(next.a);
+    wire::apply_change_t change;
+    change.change_id = "change-" + std::to_string(m_next_change++);
+    change.expected_revision = m_control->state().revision();
+    wire::append(change.operations, put("adapter/" + name, adapter_entry(!retire)));
+    m_control->on_request(0, wire::make_control_request(std::move(change)));
+    drive_control();
+    drive_control();
+    if (retire) {
+        m_retired_at.try_emplace(name + "@2", m_now_ms);
+    }
+    else {
+        m_retired_at.erase(name + "@2");
+    }
+}
+
+void entry_world::take(const event& next)
+{
+    const std::size_t at = next.a % m_vms.size();
+    const std::size_t other = next.b % m_vms.size();
+    auto& one = m_vms[at];
+    auto& target = m_engines[next.a % m_engines.size()];
+    switch (next.what) {
+    case event_kind::run:
+    case event_kind::count:
+        run_for(50 + 20ULL * next.a);
+        break;
+    case event_kind::kill_vm:
+        if (one.core) {
+            kill(at);
+        }
+        break;
+    case event_kind::restart_vm:
+        if (!one.core) {
+            start_vm(at);
+            for (std::size_t peer = 0; peer < m_vms.size(); ++peer) {
+                to_vm(peer, 100, [address = vm_name(at)](requests::entry_core& core) { core.on_link(address, true); });
+            }
+        }
+        break;
+    case event_kind::freeze_vm:
+        if (one.core && !one.frozen) {
+            one.frozen = true;
+            for (std::size_t peer = 0; peer < m_vms.size(); ++peer) {
+                to_vm(peer, 1300, [address = vm_name(at)](requests::entry_core& core) { core.on_link(address, false); });
+            }
+        }
+        break;
+    case event_kind::thaw_vm:
+        if (one.core && one.frozen) {
+            one.frozen = false;
+            for (const auto& action : std::exchange(one.mail, {})) {
+                action();
+            }
+            for (std::size_t peer = 0; peer < m_vms.size(); ++peer) {
+                to_vm(peer, 200, [address = vm_name(at)](requests::entry_core& core) { core.on_link(address, true); });
+            }
+        }
+        break;
+    case event_kind::cut:
+        if (at != other) {
+            m_cuts.insert({at, other});
+            to_vm(at, 1300, [address = vm_name(other)](requests::entry_core& core) { core.on_link(address, false); });
+            to_vm(other, 1300, [address = vm_name(at)](requests::entry_core& core) { core.on_link(address, false); });
+        }
+        break;
+    case event_kind::heal:
+        for (const auto& [from, to] : std::exchange(m_cuts, {})) {
+            to_vm(from, 200, [address = vm_name(to)](requests::entry_core& core) { core.on_link(address, true); });
+            to_vm(to, 200, [address = vm_name(from)](requests::entry_core& core) { core.on_link(address, true); });
+        }
+        m_control_cuts.clear();
+        break;
+    case event_kind::cut_control:
+        m_control_cuts.insert(at);
+        break;
+    case event_kind::model_request: {
+        asked wanted;
+        wanted.adapter = adapter_name(next.b) + (next.b % 3 == 0 ? "@2" : "@1");
+        wanted.number = m_next_number++;
+        wanted.prompt = "prompt " + std::to_string(wanted.number);
+        wanted.tokens = 3 + next.b % 20;
+        submit(at, std::move(wanted));
+        break;
+    }
+    case event_kind::service_request:
+    case event_kind::resend_key: {
+        asked wanted;
+        wanted.service = true;
+        const bool resend = next.what == event_kind::resend_key && !m_keys.empty();
+        if (resend) {
+            wanted.key = m_keys[m_keys.size() - 1 - next.b % std::min<std::size_t>(m_keys.size(), 5)];
+        }
+        else {
+            wanted.key = core::make_key(m_control_clock.wall_ms(), m_random(), m_random());
+            m_keys.push_back(wanted.key);
+        }
+        submit(at, std::move(wanted));
+        break;
+    }
+    case event_kind::caller_leaves:
+        if (!m_by_caller.empty()) {
+            auto caller = m_by_caller.begin();
+            std::advance(caller, next.b % m_by_caller.size());
+            const auto number = caller->first;
+            const auto at_vm = m_asked.at(caller->second).vm;
+            m_by_caller.erase(caller);
+            to_vm(at_vm, 1, [number](requests::entry_core& core) { core.on_caller_left(number); });
+        }
+        break;
+    case event_kind::restart_engine:
+        ++target.incarnation;
+        target.sequence = 0;
+        target.fencing = 0;
+        target.adapters.clear();
+        target.leaving_since.reset();
+        break;
+    case event_kind::silent_engine:
+        for (auto& run : m_runs) {
+            run.silent = run.silent || (run.open && run.engine == next.a % m_engines.size());
+        }
+        break;
+    case event_kind::lose_answer:
+    case event_kind::cross_answer:
+    case event_kind::wrong_adapter:
+    case event_kind::refuse:
+    case event_kind::fail_load:
+        ++target.armed[next.what];
+        break;
+    case event_kind::leave:
+        if (!target.leaving_since) {
+            target.leaving_since = m_now_ms;
+        }
+        break;
+    case event_kind::serve:
+        target.leaving_since.reset();
+        break;
+    case event_kind::retire_version:
+    case event_kind::create_version:
+        config_change(next);
+        break;
+    case event_kind::drain_vm:
+        if (one.core && !one.frozen) {
+            one.draining = true;
+            one.core->drain();
+        }
+        break;
+    }
+    run_for(20);
+}
+
+void entry_world::settle()
+{
+    take({event_kind::heal, 0, 0});
+    for (std::uint8_t i = 0; i < vm_count; ++i) {
+        take({event_kind::thaw_vm, i, 0});
+        take({event_kind::restart_vm, i, 0});
+    }
+    run_for(22'000); // above the deadline of every request
+    for (const auto& [caller, id] : m_by_caller) {
+        fail(id + " never got a final answer");
+    }
+}
+
+} // namespace siskindrift::tests
--- /dev/null
+++ b/tools/mutate.py
@@ -0,0 +1,73 @@
+"""Shows that the tests notice when a guarding line is gone.
+
+Each entry of tools/mutations.json names a file, the text to replace (it stands there once),
+its replacement and the test that must then fail. Works on a copy; the tree stays as it is.
+Usage: python3 tools/mutate.py [NAME ...]
+"""
+
+import json
+import os
+import pathlib
+import re
+import shutil
+import subprocess
+import sys
+import tempfile
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+
+
+def copy_tree(target):
+    listed = subprocess.run(["git", "ls-files", "-co", "--exclude-standard"], cwd=ROOT,
+                            capture_output=True, text=True, check=True).stdout.split("\n")
+    for name in filter(None, listed):
+        if (ROOT / name).exists():
+            (target / name).parent.mkdir(parents=True, exist_ok=True)
+            shutil.copy2(ROOT / name, target / name)
+
+
+def try_mutation(tree, mutation):
+    path = tree / mutation["file"]
+    text = path.read_text()
+    if text.count(mutation["from"]) != 1:
+        return False, "the text to replace does not stand there once"
+    path.write_text(text.replace(mutation["from"], mutation["to"]))
+    try:
+        test = mutation["test"]
+        built = subprocess.run(["ninja", "-C", str(tree / "build"), test], capture_output=True, text=True)
+        if built.returncode != 0:
+            return False, "the mutant does not build: " + built.stdout[-400:]
+        environment = dict(os.environ)
+        environment.setdefault("RC_PARAMS", "seed=20261203 max_success=500")
+        run = subprocess.run([str(tree / "build" / "bin" / test)], capture_output=True, text=True,
+                             env=environment, timeout=900)
+        if run.returncode == 0:
+            return False, "NOT NOTICED by " + test
+        seen = re.search(r"^.*(at \d+ ms:|Failure in TEST|error: ).*$", run.stdout, re.MULTILINE)
+        return True, (seen.group(0).strip() if seen else f"exit {run.returncode}")[:150]
+    finally:
+        path.write_text(text)
+
+
+def main():
+    wanted = set(sys.argv[1:])
+    mutations = json.loads((ROOT / "tools" / "mutations.json").read_text())
+    passed = failed = 0
+    with tempfile.TemporaryDirectory() as folder:
+        tree = pathlib.Path(folder)
+        copy_tree(tree)
+        subprocess.run(["cmake", "-S", str(tree), "-B", str(tree / "build"), "-G", "Ninja",
+                        "-DCMAKE_BUILD_TYPE=RelWithDebInfo"], check=True, capture_output=True)
+        for mutation in mutations:
+            if wanted and mutation["name"] not in wanted:
+                continue
+            noticed, seen = try_mutation(tree, mutation)
+            passed += noticed
+            failed += not noticed
+            print(f"{mutation['name']}: {'noticed: ' if noticed else ''}{seen}", flush=True)
+    print(f"{passed} passed, {failed} failed")
+    return 0 if failed == 0 else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
