Policy bench on the virtual clock; answers reach a VM whose session ended

Cause: prove.sh configuration saw may_have_run at a VM cut off from control: owners dropped their answers to it once its session had ended. Change: the last known address of a VM outlives its session.

--- a/include/siskindrift/engines/policy.h
+++ b/include/siskindrift/engines/policy.h
@@ -71,6 +71,8 @@
 
 /// Returns the policy of a deployment's configuration.
 /// @param name "naive" or "siskindrift".
-[[nodiscard]] std::unique_ptr<residency_policy> make_residency_policy(const std::string& name);
+/// @param stall_weight share of load stalls against batch efficiency, 0 to 1.
+[[nodiscard]] std::unique_ptr<residency_policy> make_residency_policy(const std::string& name,
+                                                                      double stall_weight);
 
 } // namespace siskindrift::engines
--- /dev/null
+++ b/src/bench/policy_main.cpp
@@ -0,0 +1,86 @@
+// Prints one JSON line per deployment, workload and policy.
+#include <boost/json.hpp>
+#include <boost/program_options.hpp>
+#include <iostream>
+
+#include "policy_sim.h"
+
+namespace {
+
+namespace json = boost::json;
+using namespace siskindrift::bench;
+
+std::vector<deployment_shape> shapes()
+{
+    deployment_shape magnolia;
+    magnolia.name = "magnolia";
+    deployment_shape sangat;
+    sangat.name = "sangat-austral";
+    sangat.engines = 12;
+    sangat.loads_per_second = 3.0;
+    sangat.stall_weight = 0.2;
+    sangat.requests_per_second = 30.0;
+    deployment_shape slice; // a twentieth of the target's workers and adapters
+    slice.name = "target-slice";
+    slice.engines = 60;
+    slice.adapters = 1800;
+    slice.loads_per_second = 6.0;
+    slice.stall_weight = 0.5;
+    slice.requests_per_second = 110.0;
+    return {magnolia, sangat, slice};
+}
+
+void print(const deployment_shape& shape, workload kind, const std::string& policy, const sim_result& result)
+{
+    std::cout << json::serialize(json::value{{"deployment", shape.name},
+                                             {"workload", name_of(kind)},
+                                             {"policy", policy},
+                                             {"stall_p50_ms", result.stall_p50_ms},
+                                             {"stall_p95_ms", result.stall_p95_ms},
+                                             {"stall_p99_ms", result.stall_p99_ms},
+                                             {"stall_total_s", result.stall_total_s},
+                                             {"stall_share", result.stall_share},
+                                             {"batch_fill", result.batch_fill},
+                                             {"first_token_p95_ms", result.first_token_p95_ms},
+                                             {"recovery_s", result.recovery_s},
+                                             {"deadline_misses", result.deadline_misses},
+                                             {"goodput", result.goodput},
+                                             {"loads", result.loads},
+                                             {"evictions", result.evictions},
+                                             {"fairness", result.fairness}})
+              << "\n";
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    namespace po = boost::program_options;
+    double seconds = 120;
+    std::uint64_t seed = 1;
+    std::string only;
+    po::options_description known{"siskindrift-policy-bench: the policy against naive and clairvoyant"};
+    known.add_options()("seconds", po::value(&seconds), "virtual seconds of each run")(
+        "seed", po::value(&seed), "seed of the workloads")("deployment", po::value(&only), "only this one")("help", "show this text");
+    po::variables_map values;
+    po::store(po::parse_command_line(argc, argv, known), values);
+    po::notify(values);
+    if (values.contains("help")) {
+        std::cout << known;
+        return 0;
+    }
+    for (const auto& shape : shapes()) {
+        if (!only.empty() && only != shape.name) {
+            continue;
+        }
+        for (int number = 0; number <= static_cast<int>(workload::idle_and_wake); ++number) {
+            const auto kind = static_cast<workload>(number);
+            const auto arrivals = make_arrivals(kind, shape, seconds, seed);
+            for (const auto* policy : {"naive", "siskindrift"}) {
+                print(shape, kind, policy, simulate(policy, shape, kind, arrivals, seconds, seed));
+            }
+            print(shape, kind, "clairvoyant", clairvoyant(shape, arrivals));
+        }
+    }
+    return 0;
+}
--- a/src/engines/policy.cpp
+++ b/src/engines/policy.cpp
@@ -65,7 +65,7 @@
     return victim;
 }
 
-std::unique_ptr<residency_policy> make_residency_policy(const std::string& name)
+std::unique_ptr<residency_policy> make_residency_policy(const std::string& name, double)
 {
     if (name == "naive") {
         return std::make_unique<naive_residency>();
--- a/src/requests/entry_core.cpp
+++ b/src/requests/entry_core.cpp
@@ -159,16 +159,17 @@
         m_local.push_back(std::move(message));
         return;
     }
-    const auto known = m_context.vms.find(vm);
-    if (known == m_context.vms.end()) {
+    // A VM whose session ended may still wait for answers to what it sent before.
+    const auto known = m_addresses.find(vm);
+    if (known == m_addresses.end()) {
         return;
     }
     const auto relay = relay_for(vm);
-    const auto& through = relay.empty() ? known->second : m_context.vms.at(relay);
     if (!relay.empty()) {
         m_context.out.count_event("siskindrift_relayed_messages_total");
     }
-    m_context.out.send_peer(through.inner_address, std::move(message));
+    m_context.out.send_peer(relay.empty() ? known->second : m_addresses.at(relay),
+                            std::move(message));
 }
 
 // Returns a third VM when the direct path is known to be dead, else nothing.
@@ -444,6 +445,7 @@
     m_context.vms.clear();
     for (const auto& vm : grant.vms) {
         m_context.vms[vm->vm] = *vm;
+        m_addresses[vm->vm] = vm->inner_address;
     }
     m_context.owners.clear();
     for (const auto& owned : grant.ownerships) {
--- a/tests/control_fuzz_test.cpp
+++ b/tests/control_fuzz_test.cpp
@@ -39,7 +39,8 @@
                                                  {2, fault_kind::finish},
                                                  {5, fault_kind::permit},
                                                  {1, fault_kind::transfer},
-                                                 {2, fault_kind::depose}});
+                                                 {2, fault_kind::depose},
+                                                 {1, fault_kind::steal}});
 }
 
 rc::Gen<step> any_step()
--- a/tests/control_world.cpp
+++ b/tests/control_world.cpp
@@ -32,7 +32,7 @@
     "run", "kill", "restart", "wipe", "tear_write", "freeze", "thaw", "cut_one_way",
     "cut_both_ways", "heal", "change", "resend_change", "race_change", "read", "add_learner",
     "promote", "remove_lost", "register_vm", "renew", "acquire", "release", "claim", "finish",
-    "permit", "transfer", "depose"};
+    "permit", "transfer", "depose", "steal"};
 
 } // namespace
 
@@ -404,7 +404,7 @@
     for (std::size_t i = 0; i < m_permit_times.size(); ++i) {
         const double window = now_s - m_permit_times[i];
         const auto granted = static_cast<double>(m_permit_times.size() - i);
-        if (granted > permit_burst + permit_rate * window * clock_slack + 1.0) {
+        if (granted > permit_burst + permit_rate * window * clock_slack + 0.1) {
             fail("the store budget was overrun: " + std::to_string(granted) + " permits in " +
                  std::to_string(window) + " s");
             return;
@@ -578,6 +578,26 @@
     }
 }
 
+// One VM takes an upstream and falls silent; another tries to take it all the while.
+void control_world::steal_step(const step& next)
+{
+    const auto holder = static_cast<std::uint8_t>(next.a % m_vms.size());
+    const auto thief = static_cast<std::uint8_t>((next.a + 1) % m_vms.size());
+    for (const auto vm : {holder, thief}) {
+        take({fault_kind::register_vm, vm, 0});
+    }
+    take({fault_kind::acquire, holder, 0});
+    take({fault_kind::renew, holder, 0});
+    if (next.b % 2 == 0) {
+        take({fault_kind::transfer, static_cast<std::uint8_t>(leader_at().value_or(0)), 0});
+    }
+    constexpr int tries = 120; // beyond a lease, its drift and an election
+    for (int i = 0; i < tries && m_fault.empty(); ++i) {
+        take({fault_kind::acquire, thief, 0});
+        take({fault_kind::renew, thief, 0});
+    }
+}
+
 void control_world::take(const step& next)
 {
     const std::size_t at = next.a % m_replicas.size();
@@ -667,7 +687,9 @@
     case fault_kind::permit: {
         asked about;
         about.what = fault_kind::permit;
-        ask(leader_at().value_or(at), wire::make_control_request(wire::request_permit_t{}), about);
+        for (int i = 0; i < 3; ++i) { // more than the burst
+            ask(leader_at().value_or(at), wire::make_control_request(wire::request_permit_t{}), about);
+        }
         break;
     }
     case fault_kind::transfer:
@@ -678,6 +700,9 @@
     case fault_kind::depose:
         depose_step(next);
         break;
+    case fault_kind::steal:
+        steal_step(next);
+        break;
     case fault_kind::run:
     case fault_kind::count:
         run_for(core::milliseconds{100 + 20 * next.a});
--- a/tests/control_world.h
+++ b/tests/control_world.h
@@ -19,7 +19,7 @@
 enum class fault_kind : std::uint8_t {
     run, kill, restart, wipe, tear_write, freeze, thaw, cut_one_way, cut_both_ways, heal,
     change, resend_change, race_change, read, add_learner, promote, remove_lost,
-    register_vm, renew, acquire, release, claim, finish, permit, transfer, depose, count
+    register_vm, renew, acquire, release, claim, finish, permit, transfer, depose, steal, count
 };
 
 /// One step of a run.
@@ -102,6 +102,7 @@
     void vm_step(const step& next);
     void claim_step(const step& next);
     void depose_step(const step& next);
+    void steal_step(const step& next);
     void fail(const std::string& text);
     [[nodiscard]] std::optional<std::size_t> leader_at() const;
     [[nodiscard]] bool all_voters_intact() const;
--- a/tools/prove.py
+++ b/tools/prove.py
@@ -72,7 +72,10 @@
         found = audit.audit(records, ledger, LEAVING_BOUND_S)
         print("   ", json.dumps({key: summary[key] for key in (
             "requests", "ran", "not_run", "may_have_run", "no_answer", "idempotent_failed_share",
-            "non_idempotent_unknown_share")}), json.dumps(found), flush=True)
+            "non_idempotent_unknown_share", "reasons")}), json.dumps(found), flush=True)
+        for record in [each for each in records if each["verdict"] == "ran" and not each["right"]][:3]:
+            print("    wrong:", json.dumps(record))
+            print(self.fleet.ctl("explain", record["request_id"], check=False).stdout)
         for name, count in found.items():
             expect(count == 0, f"{name}: {count}")
         expect(summary["ran"] > summary["requests"] * 0.5, "most requests failed, so little was tried")
