--- a/include/siskindrift/net/mesh.h
+++ b/include/siskindrift/net/mesh.h
@@ -78,6 +78,9 @@
     /// Closes everything.
     void stop();
 
+    [[nodiscard]] std::uint64_t sent_bytes() const { return m_sent_bytes; }
+    [[nodiscard]] std::uint64_t received_bytes() const { return m_received_bytes; }
+
 private:
     friend class mesh_connection;
 
@@ -98,6 +101,8 @@
     std::map<std::string, bool> m_kept;
     connection_id m_next_id = 1;
     bool m_stopped = false;
+    std::atomic<std::uint64_t> m_sent_bytes{0};
+    std::atomic<std::uint64_t> m_received_bytes{0};
 };
 
 } // namespace siskindrift::net
--- a/src/apps/entry_process.cpp
+++ b/src/apps/entry_process.cpp
@@ -552,6 +552,9 @@
 void entry_process::answer_metrics(http::responder& answer)
 {
     m_metrics.set("siskindrift_connections", static_cast<double>(m_server.connections()));
+    m_metrics.set("siskindrift_inner_sent_bytes", static_cast<double>(m_mesh->sent_bytes()));
+    m_metrics.set("siskindrift_inner_received_bytes",
+                  static_cast<double>(m_mesh->received_bytes()));
     m_metrics.set("siskindrift_upstream_calls", static_cast<double>(m_client.open_calls()));
     {
         const std::lock_guard lock{m_mutex};
--- /dev/null
+++ b/src/bench/capacity_bench.cpp
@@ -0,0 +1,288 @@
+// Slopes for docs/CAPACITY.md: what one more adapter, upstream, VM, request or token costs.
+#include <memory>
+#include <sstream>
+
+#include "measure.h"
+#include "siskindrift/config/catalog.h"
+#include "siskindrift/membership/upstream_registry.h"
+#include "siskindrift/requests/request.h"
+#include "siskindrift/requests/tombstones.h"
+#include "siskindrift/routing/placement.h"
+#include "siskindrift/state/control_state.h"
+#include "siskindrift/state/session_book.h"
+#include "siskindrift/wire/frame.h"
+
+namespace siskindrift::bench {
+namespace {
+
+constexpr core::time_point start{std::chrono::seconds{1000}};
+
+std::string adapter_key(std::size_t number)
+{
+    return "adapter/adapter-" + std::to_string(number);
+}
+
+wire::config_operation_t adapter_operation(std::size_t number)
+{
+    wire::config_operation_t operation;
+    operation.key = adapter_key(number);
+    operation.value = R"({"team":"team-17","base_model":"review-base","versions":["1","2"]})";
+    return operation;
+}
+
+wire::log_entry_t entry_of(std::uint64_t index, wire::control_request_t request)
+{
+    const auto bytes = wire::encode_table(request);
+    wire::log_entry_t entry;
+    entry.index = index;
+    entry.term = 1;
+    entry.kind = wire::entry_kind::command;
+    entry.stamp_ms = 1000 + index;
+    entry.data.assign(bytes.begin(), bytes.end());
+    return entry;
+}
+
+void adapters()
+{
+    for (const std::size_t count : {3'000, 12'000, 36'000}) {
+        wire::config_page_t page;
+        page.revision = 1;
+        page.full = true;
+        for (std::size_t i = 0; i < count; ++i) {
+            wire::append(page.operations, adapter_operation(i));
+        }
+        const double before = allocated_bytes();
+        auto catalog = std::make_unique<config::catalog>();
+        catalog->apply(page);
+        print("entry_bytes_per_adapter", count, (allocated_bytes() - before) / count, "bytes");
+        print("page_bytes_per_adapter", count, wire::encode_table(page).size() / static_cast<double>(count), "bytes");
+
+        const double empty = allocated_bytes();
+        auto state = std::make_unique<state::control_state>();
+        wire::apply_change_t change;
+        change.change_id = "all";
+        for (std::size_t i = 0; i < count; ++i) {
+            wire::append(change.operations, adapter_operation(i));
+        }
+        state->apply(entry_of(1, wire::make_control_request(std::move(change))));
+        print("control_bytes_per_adapter", count, (allocated_bytes() - empty) / count, "bytes");
+        print("snapshot_bytes_per_adapter", count, state->save().size() / static_cast<double>(count), "bytes");
+    }
+}
+
+wire::announcement_t announcement(std::size_t number, std::size_t residents)
+{
+    wire::announcement_t said;
+    said.upstream = "engine-" + std::to_string(number);
+    said.incarnation = 1;
+    said.address = "10.1.2.3:8000";
+    said.failure_domain = "south-central-a";
+    said.base_model = "review-base";
+    said.slots = 8;
+    said.batch = 16;
+    for (std::size_t i = 0; i < residents; ++i) {
+        wire::resident_info_t info;
+        info.adapter = "adapter-" + std::to_string(number * 31 + i) + "@1";
+        info.running = 1;
+        wire::append(said.residents, info);
+    }
+    return said;
+}
+
+void announcements()
+{
+    for (const std::size_t count : {12, 120, 1'200}) {
+        const double before = allocated_bytes();
+        auto registry = std::make_unique<membership::upstream_registry>();
+        for (std::size_t i = 0; i < count; ++i) {
+            registry->take(announcement(i, 8), start);
+        }
+        print("entry_bytes_per_upstream", count, (allocated_bytes() - before) / count, "bytes");
+        std::uint64_t sequence = 1;
+        const double us = cpu_us(20'000, [&](std::uint64_t i) {
+            wire::announcement_batch_t batch;
+            auto said = announcement(i % count, 8);
+            said.sequence = ++sequence;
+            wire::append(batch.announcements, said);
+            const auto frame = wire::encode_frame(wire::make_envelope(std::move(batch)));
+            const auto read = wire::decode_payload(std::string_view{frame}.substr(wire::frame_header_bytes));
+            registry->take(*read->body.Asannouncement_batch()->announcements.front(), start);
+        });
+        print("cpu_per_announcement", count, us, "us");
+    }
+    wire::announcement_batch_t batch;
+    wire::append(batch.announcements, announcement(1, 8));
+    print("bytes_per_announcement", 8, wire::encode_frame(wire::make_envelope(batch)).size(), "bytes");
+}
+
+void routing_decisions()
+{
+    for (const std::size_t count : {12, 120, 1'200}) {
+        std::vector<routing::engine_view> views(count);
+        std::vector<const routing::engine_view*> list;
+        for (std::size_t i = 0; i < count; ++i) {
+            views[i].id = core::upstream_id{"engine-" + std::to_string(i)};
+            views[i].slots = 32;
+            views[i].batch = 16;
+            views[i].running = static_cast<std::uint32_t>(i * 7 % 13);
+            for (std::size_t a = 0; a < 30; ++a) {
+                const auto name = "adapter-" + std::to_string((i * 30 + a) % 36'000) + "@1";
+                views[i].adapters[core::adapter_version{name}].state = routing::residency_belief::resident;
+            }
+            list.push_back(&views[i]);
+        }
+        const routing::cost_placement policy{routing::placement_options{}};
+        std::size_t chosen = 0;
+        const double us = cpu_us(count >= 1'200 ? 2'000 : 20'000, [&](std::uint64_t i) {
+            const core::adapter_version adapter{"adapter-" + std::to_string(i * 37 % 36'000) + "@1"};
+            chosen += policy.choose(adapter, list)->value().size();
+        });
+        print("cpu_per_routing_decision", count, us, "us");
+    }
+}
+
+void messages()
+{
+    const double heartbeat = cpu_us(200'000, [](std::uint64_t) {
+        const auto frame = wire::encode_frame(wire::make_envelope(wire::heartbeat_t{}));
+        (void)wire::decode_payload(std::string_view{frame}.substr(wire::frame_header_bytes));
+    });
+    print("cpu_per_heartbeat", 1, heartbeat, "us");
+    print("bytes_per_heartbeat", 1, wire::encode_frame(wire::make_envelope(wire::heartbeat_t{})).size(), "bytes");
+    for (const std::size_t size : {256, 1'024, 4'096}) {
+        wire::dispatch_t order;
+        order.request_id = "vm-1-1234567890123-42";
+        order.adapter = "adapter-12345@1";
+        order.body = std::string(size, 'x');
+        const double us = cpu_us(50'000, [&](std::uint64_t) {
+            const auto frame = wire::encode_frame(wire::make_envelope(order));
+            (void)wire::decode_payload(std::string_view{frame}.substr(wire::frame_header_bytes));
+        });
+        print("cpu_per_forwarded_request", size, us, "us");
+        print("bytes_per_forwarded_request", size, wire::encode_frame(wire::make_envelope(order)).size(), "bytes");
+    }
+    const std::string event = R"({"id":"x","model":"adapter-12345@1","choices":[{"index":0,"text":" t123","finish_reason":null}]})";
+    requests::caller_request request;
+    request.id = core::request_id{"vm-1-1234567890123-42"};
+    request.adapter = core::adapter_version{"adapter-12345@1"};
+    const double token = cpu_us(100'000, [&](std::uint64_t i) {
+        const auto read = requests::parse_model_event(event);
+        wire::dispatch_reply_t piece;
+        piece.request_id = request.id.value();
+        piece.event = wire::dispatch_event::piece;
+        piece.offset = static_cast<std::uint32_t>(i);
+        piece.data = read->text;
+        const auto frame = wire::encode_frame(wire::make_envelope(std::move(piece)));
+        const auto got = wire::decode_payload(std::string_view{frame}.substr(wire::frame_header_bytes));
+        (void)requests::stream_event(request, got->body.Asdispatch_reply()->data);
+    });
+    print("cpu_per_streamed_token", 1, token, "us");
+    const double parse = cpu_us(100'000, [&](std::uint64_t) { (void)requests::parse_model_event(event); });
+    print("cpu_per_token_parse", 1, parse, "us");
+}
+
+void renewals()
+{
+    for (const std::size_t vms : {7, 70, 340}) {
+        wire::session_grant_t grant;
+        for (std::size_t i = 0; i < vms; ++i) {
+            wire::vm_info_t vm;
+            vm.vm = "vm-" + std::to_string(i);
+            vm.inner_address = vm.caller_address = "10.1.2.3:7001";
+            vm.failure_domain = "south-central-a";
+            wire::append(grant.vms, vm);
+        }
+        print("bytes_per_membership_list", vms, wire::encode_table(grant).size(), "bytes");
+    }
+    state::session_book book{state::session_terms{}};
+    for (int i = 0; i < 340; ++i) {
+        book.start("vm-" + std::to_string(i), 1, start);
+    }
+    const double us = cpu_us(50'000, [&](std::uint64_t i) {
+        wire::renew_session_t ask;
+        ask.vm = "vm-" + std::to_string(i % 340);
+        ask.incarnation = 1;
+        const auto frame = wire::encode_frame(wire::make_envelope(wire::make_control_request(ask)));
+        const auto read = wire::decode_payload(std::string_view{frame}.substr(wire::frame_header_bytes));
+        book.renew(read->body.Ascontrol_request()->body.Asrenew_session()->vm, 1, start);
+        wire::control_reply_t reply;
+        reply.body.Set(wire::session_grant_t{});
+        const auto answer = wire::encode_frame(wire::make_envelope(std::move(reply)));
+        (void)wire::decode_payload(std::string_view{answer}.substr(wire::frame_header_bytes));
+    });
+    print("cpu_per_renewal_both_ends", 340, us, "us");
+    wire::renew_session_t ask;
+    ask.vm = "vm-123";
+    ask.incarnation = 1;
+    wire::control_reply_t reply;
+    reply.body.Set(wire::session_grant_t{});
+    print("bytes_per_renewal_both_ways", 1,
+          wire::encode_frame(wire::make_envelope(wire::make_control_request(ask))).size() +
+              wire::encode_frame(wire::make_envelope(std::move(reply))).size(),
+          "bytes");
+}
+
+void claims()
+{
+    for (const std::size_t count : {10'000, 30'000, 100'000}) {
+        const double before = allocated_bytes();
+        auto state = std::make_unique<state::control_state>();
+        std::uint64_t index = 0;
+        double record_bytes = 0.0;
+        const double us = cpu_us(count, [&](std::uint64_t i) {
+            wire::take_claim_t take;
+            take.team = "team-17";
+            take.key = "01938f2e-7b00-7000-8000-" + std::to_string(100'000'000'000 + i);
+            take.key_time_ms = 1'000'000'000;
+            take.request_id = "vm-1-1234567890123-" + std::to_string(i);
+            wire::finish_claim_t finish;
+            finish.team = take.team;
+            finish.key = take.key;
+            finish.request_id = take.request_id;
+            finish.ran = true;
+            finish.status = 200;
+            finish.response = R"({"done":true})";
+            const auto first = entry_of(++index, wire::make_control_request(std::move(take)));
+            const auto second = entry_of(++index, wire::make_control_request(std::move(finish)));
+            record_bytes = wire::encode_table(first).size() + wire::encode_table(second).size();
+            state->apply(first);
+            state->apply(second);
+        });
+        print("cpu_per_claim", count, us, "us");
+        print("control_bytes_per_claim", count, (allocated_bytes() - before) / count, "bytes");
+        print("log_bytes_per_claim", count, record_bytes, "bytes");
+    }
+}
+
+void changes()
+{
+    auto state = std::make_unique<state::control_state>();
+    double bytes = 0.0;
+    const double us = cpu_us(20'000, [&](std::uint64_t i) {
+        wire::apply_change_t change;
+        change.change_id = "01938f2e-7b00-7000-8000-" + std::to_string(100'000'000'000 + i);
+        change.operator_name = "operator";
+        change.expected_revision = i;
+        wire::append(change.operations, adapter_operation(i % 36'000));
+        const auto entry = entry_of(i + 1, wire::make_control_request(std::move(change)));
+        bytes = wire::encode_table(entry).size();
+        state->apply(entry);
+    });
+    print("cpu_per_change", 20'000, us, "us");
+    print("log_bytes_per_change", 1, bytes, "bytes");
+}
+
+} // namespace
+
+void run_capacity_bench()
+{
+    adapters();
+    announcements();
+    routing_decisions();
+    messages();
+    renewals();
+    claims();
+    changes();
+}
+
+} // namespace siskindrift::bench
--- a/src/net/mesh.cpp
+++ b/src/net/mesh.cpp
@@ -135,6 +135,7 @@
     void take_payload()
     {
         m_last_heard = asio::steady_timer::clock_type::now();
+        m_owner->m_received_bytes += m_payload.size() + wire::frame_header_bytes;
         auto message = wire::decode_payload(m_payload);
         if (!message) {
             m_owner->m_handler.on_bad_frame(core::reason::malformed_frame);
@@ -166,6 +167,7 @@
                                   self->close();
                                   return;
                               }
+                              self->m_owner->m_sent_bytes += self->m_queue.front()->size();
                               self->m_queued_bytes -= self->m_queue.front()->size();
                               self->m_queue.pop_front();
                               self->write_next();
--- a/tests/entry_fuzz_test.cpp
+++ b/tests/entry_fuzz_test.cpp
@@ -38,7 +38,8 @@
                                                  {2, event_kind::serve},
                                                  {1, event_kind::retire_version},
                                                  {1, event_kind::create_version},
-                                                 {1, event_kind::drain_vm}});
+                                                 {1, event_kind::drain_vm},
+                                                 {1, event_kind::bounce_vm}});
 }
 
 rc::Gen<event> any_event()
--- a/tests/entry_world.cpp
+++ b/tests/entry_world.cpp
@@ -28,7 +28,7 @@
     "run", "kill_vm", "restart_vm", "freeze_vm", "thaw_vm", "cut", "heal", "cut_control",
     "model_request", "service_request", "resend_key", "caller_leaves", "restart_engine",
     "silent_engine", "lose_answer", "cross_answer", "wrong_adapter", "refuse", "fail_load",
-    "leave", "serve", "retire_version", "create_version", "drain_vm"};
+    "leave", "serve", "retire_version", "create_version", "drain_vm", "bounce_vm"};
 
 std::string vm_name(std::size_t at)
 {
@@ -548,7 +548,10 @@
         if (take_armed(target, event_kind::wrong_adapter)) {
             one.shown_adapter = "another@1"; // it truly runs on another adapter
         }
-        standins::token_model model{one.shown_adapter, text_at(body, "prompt")};
+        const bool crossed = !target.previous_id.empty() && take_armed(target, event_kind::cross_answer);
+        one.shown_id = crossed ? target.previous_id : echo;
+        const auto prompt = crossed ? "the prompt of " + target.previous_id : text_at(body, "prompt");
+        standins::token_model model{one.shown_adapter, prompt};
         const auto tokens = body.at("max_tokens").to_number<int>();
         for (int i = 0; i < tokens; ++i) {
             one.pieces.push_back(model.next());
@@ -561,13 +564,12 @@
         return;
     }
     else {
-        one.pieces = {"done " + header(call, "Idempotency-Key")};
+        const bool crossed = !target.previous_id.empty() && take_armed(target, event_kind::cross_answer);
+        one.shown_id = crossed ? target.previous_id : echo;
+        one.pieces = {"done " + (crossed ? "for another" : header(call, "Idempotency-Key"))};
     }
     note_run(target, call, one.adapter);
     one.lost = take_armed(target, event_kind::lose_answer);
-    if (!target.previous_id.empty() && take_armed(target, event_kind::cross_answer)) {
-        one.shown_id = target.previous_id;
-    }
     target.previous_id = echo;
     m_runs.push_back(std::move(one));
     const auto run = m_runs.size() - 1;
@@ -687,6 +689,13 @@
             }
         }
         break;
+    case event_kind::bounce_vm:
+        if (one.core) {
+            kill(at);
+            run_for(100);
+            take({event_kind::restart_vm, next.a, 0});
+        }
+        break;
     case event_kind::freeze_vm:
         if (one.core && !one.frozen) {
             one.frozen = true;
--- a/tests/entry_world.h
+++ b/tests/entry_world.h
@@ -20,7 +20,7 @@
     run, kill_vm, restart_vm, freeze_vm, thaw_vm, cut, heal, cut_control, model_request,
     service_request, resend_key, caller_leaves, restart_engine, silent_engine, lose_answer,
     cross_answer, wrong_adapter, refuse, fail_load, leave, serve, retire_version,
-    create_version, drain_vm, count
+    create_version, drain_vm, bounce_vm, count
 };
 
 /// One step of a run.
