--- a/fuzz/request_fuzz.cpp
+++ b/fuzz/request_fuzz.cpp
@@ -25,7 +25,8 @@
             std::abort(); // a refusal before anything ran says so
         }
         if (request && request->kind != requests::route::service) {
-            (void)requests::resume_body(request->body, request->kind == requests::route::chat, " t1", 1);
+            (void)requests::resume_body(request->body, request->kind == requests::route::chat,
+                                        " t1", 1);
         }
     }
     requests::event_splitter splitter;
--- a/include/siskindrift/config/catalog.h
+++ b/include/siskindrift/config/catalog.h
@@ -39,6 +39,12 @@
     bool repeatable = false;
 };
 
+/// What an operator says of one upstream.
+struct upstream_config {
+    bool checks_fencing = false;
+    bool drained = false;
+};
+
 /// Facts about the deployment that teams share.
 struct deployment_config {
     std::string policy = "siskindrift";
@@ -66,6 +72,9 @@
     /// Returns whether the upstream checks fencing numbers; one that is not configured does not.
     [[nodiscard]] bool checks_fencing(const core::upstream_id& id) const;
 
+    /// Returns whether an operator drains the upstream, so that it gets no new work.
+    [[nodiscard]] bool drained(const core::upstream_id& id) const;
+
     /// Returns whether @p name ("adapter@version") exists and belongs to @p team.
     [[nodiscard]] bool may_use(const core::team_id& team, const core::adapter_version& name) const;
 
@@ -86,7 +95,7 @@
     std::unordered_map<std::string, core::team_id> m_key_hashes;
     std::unordered_map<std::string, adapter_config> m_adapters;
     std::unordered_map<std::string, service_config> m_services;
-    std::unordered_map<std::string, bool> m_fencing;
+    std::unordered_map<std::string, upstream_config> m_upstreams;
 };
 
 /// Splits "adapter@version"; returns none without exactly one '@' inside.
@@ -103,6 +112,9 @@
 /// Returns the lower-case hex SHA-256 of @p text.
 [[nodiscard]] std::string sha256_hex(std::string_view text);
 
+/// Returns whether an operator's token is among @p hashes; with no hashes all are.
+[[nodiscard]] bool is_operator(const std::vector<std::string>& hashes, std::string_view token);
+
 /// Compares in time that depends only on the lengths.
 [[nodiscard]] bool equal_constant_time(std::string_view a, std::string_view b);
 
--- a/include/siskindrift/config/settings.h
+++ b/include/siskindrift/config/settings.h
@@ -48,7 +48,6 @@
                                                                     core::last_reason& why);
 
 /// Returns the file's text, or none with the reason.
-[[nodiscard]] std::optional<std::string> read_file(const std::string& path,
-                                                   core::last_reason& why);
+[[nodiscard]] std::optional<std::string> read_file(const std::string& path, core::last_reason& why);
 
 } // namespace siskindrift::config
--- a/include/siskindrift/consensus/raft_node.h
+++ b/include/siskindrift/consensus/raft_node.h
@@ -21,7 +21,8 @@
 /// Durations of the protocol.
 struct raft_options {
     core::duration heartbeat = core::milliseconds{60};
-    core::duration election_min = core::milliseconds{400}; // above several heartbeats and a slow sync
+    core::duration election_min =
+        core::milliseconds{400}; // above several heartbeats and a slow sync
     core::duration election_max = core::milliseconds{800};
     std::size_t max_entries_per_message = 512;
     std::size_t snapshot_chunk_bytes = 1024 * 1024;
--- a/include/siskindrift/core/clock.h
+++ b/include/siskindrift/core/clock.h
@@ -42,8 +42,8 @@
     void advance(duration step)
     {
         m_now += step;
-        m_wall_ms += static_cast<std::uint64_t>(
-            std::chrono::duration_cast<milliseconds>(step).count());
+        m_wall_ms +=
+            static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(step).count());
     }
 
 private:
--- a/include/siskindrift/engines/engine_owner.h
+++ b/include/siskindrift/engines/engine_owner.h
@@ -113,7 +113,7 @@
     engine_queue m_queue;
     std::map<work_id, running_work> m_running;
     std::map<core::adapter_version, failed_load> m_failed;
-    std::set<core::adapter_version> m_make_room_for; ///< Loads that wait for an unload.
+    std::set<core::adapter_version> m_make_room_for;          ///< Loads that wait for an unload.
     std::map<core::adapter_version, std::uint64_t> m_permits; ///< Permit of each load.
     std::uint64_t m_free_permit = 0;
     bool m_permit_asked = false;
--- a/include/siskindrift/engines/residency_table.h
+++ b/include/siskindrift/engines/residency_table.h
@@ -21,21 +21,23 @@
 
 /// Bounds on what reports and orders may lag.
 struct residency_options {
-    core::duration report_lag = core::milliseconds{1500};   // a report may be this old on arrival
-    core::duration order_delay = core::milliseconds{1500};  // an order may reach the engine this late
-    core::duration rate_half_life = std::chrono::seconds{300}; // tells one use a minute from one use
+    core::duration report_lag = core::milliseconds{1500}; // a report may be this old on arrival
+    core::duration order_delay =
+        core::milliseconds{1500}; // an order may reach the engine this late
+    core::duration rate_half_life =
+        std::chrono::seconds{300}; // tells one use a minute from one use
     double silent_uses = 3.0; ///< Expected uses that an adapter may miss before it counts as cold.
 };
 
 /// One adapter's place on the engine.
 struct resident_entry {
     residency state = residency::loading;
-    std::uint32_t in_use = 0;          ///< Requests of this owner that run on it.
-    std::uint32_t foreign = 0;         ///< Requests that the engine reported beyond ours.
-    bool pinned_unknown = false;       ///< May be in use by a predecessor's request.
-    core::time_point since{};          ///< When the state was entered.
+    std::uint32_t in_use = 0;    ///< Requests of this owner that run on it.
+    std::uint32_t foreign = 0;   ///< Requests that the engine reported beyond ours.
+    bool pinned_unknown = false; ///< May be in use by a predecessor's request.
+    core::time_point since{};    ///< When the state was entered.
     core::time_point last_used{};
-    core::time_point settled_after{};  ///< Reports received before this say nothing about it.
+    core::time_point settled_after{}; ///< Reports received before this say nothing about it.
 };
 
 /// The table of one engine. An entry in any state takes a slot.
--- a/include/siskindrift/log/replica_store.h
+++ b/include/siskindrift/log/replica_store.h
@@ -68,8 +68,7 @@
     }
 
     /// Recovers the folder, cuts a torn tail and opens the log for writing.
-    std::optional<consensus::recovered_state> open(recovery_report& report,
-                                                   core::last_reason& why);
+    std::optional<consensus::recovered_state> open(recovery_report& report, core::last_reason& why);
 
     /// Writes and syncs one batch as one record.
     bool persist(const consensus::ready& work, const consensus::raft_node& node,
--- a/include/siskindrift/membership/message_age.h
+++ b/include/siskindrift/membership/message_age.h
@@ -13,9 +13,9 @@
 
 /// Durations that tell a pause from work.
 struct age_options {
-    core::duration pause = core::milliseconds{250};     // ticks come every ten milliseconds
-    core::duration distrust = core::milliseconds{300};  // by then the sockets' backlog is read
-    core::duration window = std::chrono::seconds{30};   // drift within it is far below a tick
+    core::duration pause = core::milliseconds{250};    // ticks come every ten milliseconds
+    core::duration distrust = core::milliseconds{300}; // by then the sockets' backlog is read
+    core::duration window = std::chrono::seconds{30};  // drift within it is far below a tick
 };
 
 /// Notices pauses of this process.
--- a/include/siskindrift/net/mesh.h
+++ b/include/siskindrift/net/mesh.h
@@ -86,8 +86,7 @@
 
     void accept();
     std::shared_ptr<mesh_connection> connection_to(const std::string& address);
-    std::shared_ptr<mesh_connection> add(boost::asio::ip::tcp::socket socket,
-                                         std::string address);
+    std::shared_ptr<mesh_connection> add(boost::asio::ip::tcp::socket socket, std::string address);
     void closed(connection_id id, const std::string& address);
     void retry(const std::string& address);
 
--- a/include/siskindrift/requests/context.h
+++ b/include/siskindrift/requests/context.h
@@ -19,15 +19,20 @@
 
 /// Durations and bounds of an entry VM.
 struct entry_options {
-    core::duration config_bound = core::milliseconds{5000}; ///< Serve no longer on an unconfirmed one.
+    core::duration config_bound =
+        core::milliseconds{5000}; ///< Serve no longer on an unconfirmed one.
     core::duration renew_every = core::milliseconds{400};
-    core::duration control_timeout = core::milliseconds{700};
+    core::duration control_timeout = core::milliseconds{500};
+    core::duration control_retry =
+        core::milliseconds{60}; ///< After a replica said that it does not lead.
+    core::duration control_suspicion = core::milliseconds{1500}; // above an election
     core::duration digest_every = core::milliseconds{250};
     core::duration placement_patience = core::milliseconds{6000}; // above a lease takeover
     core::duration placement_retry = core::milliseconds{50};
     core::duration abandon_wait = core::milliseconds{1500}; // above a silent link's detection
     core::duration abandon_resend = core::milliseconds{300};
-    core::duration owner_silence = core::milliseconds{4000}; // above the limits that the owner applies
+    core::duration owner_silence =
+        core::milliseconds{4000}; // above the limits that the owner applies
     core::duration head_limit = core::milliseconds{3000};
     core::duration progress_limit = core::milliseconds{1500}; // 30 times the target between tokens
     core::duration queued_word_every = core::milliseconds{1000};
@@ -37,8 +42,8 @@
     core::duration rebalance_every = core::milliseconds{3000};
     core::duration endpoints_ttl = core::milliseconds{5000};
     std::uint32_t max_attempts = 5;
-    double retry_share = 0.2;   ///< Retries per fresh request, in the long run.
-    double retry_burst = 30.0;  ///< Retries that a quiet VM may make at once.
+    double retry_share = 0.2;  ///< Retries per fresh request, in the long run.
+    double retry_burst = 30.0; ///< Retries that a quiet VM may make at once.
 };
 
 /// Who this VM is.
@@ -78,8 +83,8 @@
     membership::upstream_registry registry;
     std::map<std::string, wire::vm_info_t> vms;
     std::map<std::string, wire::ownership_info_t> owners; ///< By upstream.
-    core::time_point lease_until{};     ///< Until when this VM's own grants hold.
-    core::time_point confirmed_at{};    ///< When the configuration was last known to be current.
+    core::time_point lease_until{};                       ///< Until when this VM's own grants hold.
+    core::time_point confirmed_at{}; ///< When the configuration was last known to be current.
     bool confirmed_once = false;
     bool draining = false;
     bool left = false; ///< The session was given up; nothing may be served.
@@ -92,10 +97,7 @@
     {
         return confirmed_once && now() - confirmed_at <= options.config_bound;
     }
-    void note(const core::request_id& id, std::string line)
-    {
-        trace.add(id, std::move(line));
-    }
+    void note(const core::request_id& id, std::string line) { trace.add(id, std::move(line)); }
 };
 
 /// Sends a message to another VM, around a dead path where there is one.
--- a/include/siskindrift/requests/entry_core.h
+++ b/include/siskindrift/requests/entry_core.h
@@ -20,8 +20,7 @@
 class entry_core final : private peer_sender, private claim_sender, private permit_sender {
 public:
     entry_core(const core::clock& time, entry_outputs& out, entry_options options,
-               entry_identity self, std::vector<std::string> control_addresses,
-               std::uint64_t seed);
+               entry_identity self, std::vector<std::string> control_addresses, std::uint64_t seed);
     ~entry_core() override = default;
 
     /// Starts from a configuration stored before a restart; it serves nothing until confirmed.
@@ -71,8 +70,9 @@
         purpose what = purpose::other;
         std::string subject;
         core::time_point first_sent{};
-        core::time_point sent{};
+        core::time_point resend_at{};
         core::time_point give_up{};
+        bool refused = false; ///< The replica asked does not lead, or can't say yet.
     };
 
     // peer_sender
@@ -89,6 +89,7 @@
     template <class Body>
     void ask_control(Body body, purpose what, std::string subject, core::duration patience);
     void resend_control();
+    void suspect_control();
     void use_next_control();
     void on_grant(const pending_control& asked, const wire::control_reply_t& reply);
     void on_config(const pending_control& asked, const wire::control_reply_t& reply);
@@ -115,6 +116,8 @@
     owner m_owner;
     std::vector<std::string> m_control;
     std::size_t m_control_at = 0;
+    std::string m_suspect_control; ///< Did not answer; hints that it leads are not believed.
+    core::time_point m_suspect_until{};
     std::map<std::uint64_t, pending_control> m_pending;
     std::uint64_t m_next_control_id = 1;
     bool m_registered = false;
@@ -122,7 +125,7 @@
     membership::pause_detector m_pauses;
     membership::message_age m_ages;
     std::map<std::string, std::string> m_addresses; ///< Last known, also of expired VMs.
-    std::map<std::string, bool> m_links; ///< By address: whether the path works.
+    std::map<std::string, bool> m_links;            ///< By address: whether the path works.
     std::set<std::string> m_kept;
     std::vector<wire::envelope_t> m_local; ///< Messages to this VM itself.
     std::vector<wire::announcement_t> m_to_forward;
--- a/include/siskindrift/requests/ingress.h
+++ b/include/siskindrift/requests/ingress.h
@@ -94,16 +94,15 @@
     void refuse(caller_id caller, const caller_request& request, const refusal& why);
     void take_claim(call& entry);
     void finish_from_claim(call& entry, const wire::claim_result_t& held);
-    void complete(call& entry, core::outcome result, std::uint16_t status,
-                  std::string content_type, std::string body, std::string message);
+    void complete(call& entry, core::outcome result, std::uint16_t status, std::string content_type,
+                  std::string body, std::string message);
     void settle_claim(const call& entry, core::outcome result, const final_answer& answer);
 
     // Attempts (ingress_attempts.cpp).
     void place(call& entry);
     [[nodiscard]] std::optional<core::upstream_id> choose(const call& entry);
     [[nodiscard]] bool usable(const core::upstream_id& id, const call& entry) const;
-    [[nodiscard]] bool matches(const membership::upstream_record& record,
-                               const call& entry) const;
+    [[nodiscard]] bool matches(const membership::upstream_record& record, const call& entry) const;
     void dispatch(call& entry, const core::upstream_id& upstream);
     void take_piece(call& entry, const wire::dispatch_reply_t& reply);
     void take_end(call& entry, const wire::dispatch_reply_t& reply);
--- a/include/siskindrift/requests/owner.h
+++ b/include/siskindrift/requests/owner.h
@@ -42,16 +42,12 @@
     /// Follows the ownership that control granted.
     void sync_ownership();
     /// An upstream's newer word arrived.
-    void on_announcement(const core::upstream_id& upstream,
-                         membership::announcement_effect effect);
+    void on_announcement(const core::upstream_id& upstream, membership::announcement_effect effect);
     /// Stops starting work on an upstream and refuses what waits, before it is handed over.
     void hand_over(const core::upstream_id& upstream);
     void tick();
 
-    [[nodiscard]] const std::set<core::upstream_id>& handing_over() const
-    {
-        return m_handing_over;
-    }
+    [[nodiscard]] const std::set<core::upstream_id>& handing_over() const { return m_handing_over; }
     [[nodiscard]] wire::owner_digest_t digest() const;
     [[nodiscard]] std::size_t open_works() const { return m_works.size(); }
     [[nodiscard]] bool owns(const core::upstream_id& upstream) const
@@ -74,7 +70,7 @@
         std::uint64_t upstream_incarnation = 0;
         core::time_point arrived{};
         core::time_point deadline{};
-        call_id call = 0; ///< 0 until it started.
+        call_id call = 0;         ///< 0 until it started.
         bool engine_done = false; ///< The engine is known to have stopped working on it.
         bool head_ok = false;
         bool finished_marker = false;
--- a/include/siskindrift/requests/request.h
+++ b/include/siskindrift/requests/request.h
@@ -38,8 +38,8 @@
     core::adapter_version adapter; ///< Empty for a plain service.
     std::string service;           ///< Empty for a model.
     std::string method = "POST";
-    std::string path;         ///< Path on the upstream.
-    std::string body;         ///< Body for the upstream.
+    std::string path; ///< Path on the upstream.
+    std::string body; ///< Body for the upstream.
     std::string content_type = "application/json";
     bool stream = false;
     bool idempotent = true;
--- a/include/siskindrift/routing/placement.h
+++ b/include/siskindrift/routing/placement.h
@@ -27,11 +27,11 @@
 struct engine_view {
     core::upstream_id id;
     std::string base_model;
-    std::uint32_t slots = 1;   ///< Adapters that fit.
-    std::uint32_t batch = 1;   ///< Requests that run together.
-    std::uint32_t running = 0; ///< From the owner's last digest.
-    std::uint32_t waiting = 0; ///< From the owner's last digest.
-    double eviction_cost = 0.0;    ///< Demand that one more load would push out.
+    std::uint32_t slots = 1;      ///< Adapters that fit.
+    std::uint32_t batch = 1;      ///< Requests that run together.
+    std::uint32_t running = 0;    ///< From the owner's last digest.
+    std::uint32_t waiting = 0;    ///< From the owner's last digest.
+    double eviction_cost = 0.0;   ///< Demand that one more load would push out.
     std::uint32_t sent_since = 0; ///< Own dispatches after that digest.
     std::unordered_map<core::adapter_version, adapter_belief> adapters;
 
@@ -41,11 +41,11 @@
 
 /// Weights and durations of placement.
 struct placement_options {
-    double stall_weight = 0.5;        ///< Load stalls against batch efficiency, 0 to 1.
-    double load_ms = 250.0;           ///< One load at full speed.
-    double loads_per_second = 2.0;    ///< Rate of the weight store.
-    double service_ms = 1500.0;       ///< Typical time of one request in a batch.
-    double idle_engine_ms = 800.0;    ///< What waking an idle engine costs where batches matter.
+    double stall_weight = 0.5;     ///< Load stalls against batch efficiency, 0 to 1.
+    double load_ms = 250.0;        ///< One load at full speed.
+    double loads_per_second = 2.0; ///< Rate of the weight store.
+    double service_ms = 1500.0;    ///< Typical time of one request in a batch.
+    double idle_engine_ms = 800.0; ///< What waking an idle engine costs where batches matter.
 };
 
 /// Decides where a request goes.
@@ -84,9 +84,8 @@
     [[nodiscard]] double resident_cost(const engine_view& engine,
                                        const adapter_belief& belief) const;
     [[nodiscard]] double load_cost(const engine_view& engine) const;
-    [[nodiscard]] const engine_view*
-    home_of(const core::adapter_version& adapter,
-            const std::vector<const engine_view*>& engines) const;
+    [[nodiscard]] const engine_view* home_of(const core::adapter_version& adapter,
+                                             const std::vector<const engine_view*>& engines) const;
     [[nodiscard]] double spread_ms(const engine_view& engine) const;
     [[nodiscard]] bool packs() const { return m_options.stall_weight < 0.5; }
 
--- a/include/siskindrift/state/control_state.h
+++ b/include/siskindrift/state/control_state.h
@@ -16,9 +16,10 @@
 
 /// Limits of what the state keeps. All replicas must run with equal values.
 struct state_limits {
-    std::uint64_t claim_retention_ms = 24ULL * 3600 * 1000; // above the longest wait before a resend
-    std::uint64_t key_skew_ms = 5ULL * 60 * 1000;           // clocks of callers may differ this much
-    std::size_t history_items = 20'000;                      // above ten days at the target's rate
+    std::uint64_t claim_retention_ms =
+        24ULL * 3600 * 1000;                      // above the longest wait before a resend
+    std::uint64_t key_skew_ms = 5ULL * 60 * 1000; // clocks of callers may differ this much
+    std::size_t history_items = 20'000;           // above ten days at the target's rate
     std::size_t change_answers = 100'000;
     std::size_t claim_response_bytes = 64 * 1024;
 };
--- a/include/siskindrift/state/permit_book.h
+++ b/include/siskindrift/state/permit_book.h
@@ -14,7 +14,7 @@
 /// Rates of one weight store.
 struct store_budget {
     double loads_per_second = 2.0;
-    std::uint32_t max_in_flight = 8;             // beyond this every load slows down
+    std::uint32_t max_in_flight = 8;                    // beyond this every load slows down
     core::duration lifetime = core::milliseconds{3000}; // above a slow load at full flight
     double burst = 2.0;
 };
--- a/include/siskindrift/wire/frame.h
+++ b/include/siskindrift/wire/frame.h
@@ -15,7 +15,7 @@
 namespace siskindrift::wire {
 
 inline constexpr std::uint16_t protocol_version = 1;
-inline constexpr std::size_t frame_header_bytes = 8;           // length, version, zero
+inline constexpr std::size_t frame_header_bytes = 8;             // length, version, zero
 inline constexpr std::size_t max_frame_bytes = 16 * 1024 * 1024; // above any snapshot chunk or page
 
 /// Header of one frame.
--- a/src/apps/control_process.cpp
+++ b/src/apps/control_process.cpp
@@ -36,9 +36,8 @@
 
 } // namespace
 
-std::optional<std::string>
-catalog_checker::check(const std::map<std::string, std::string>&,
-                       const wire::apply_change_t& change) const
+std::optional<std::string> catalog_checker::check(const std::map<std::string, std::string>&,
+                                                  const wire::apply_change_t& change) const
 {
     if (change.change_id.empty() || change.operations.empty()) {
         return "a change needs an id and at least one operation";
@@ -87,8 +86,7 @@
     control::control_options options;
     options.compact_after = m_settings.compact_after;
     m_core = std::make_unique<control::control_core>(m_folder->identity(), std::move(*recovered),
-                                                     options, random_number(), m_clock,
-                                                     &m_checker);
+                                                     options, random_number(), m_clock, &m_checker);
     std::string error;
     if (!m_mesh->listen(m_settings.address, error)) {
         observe::error("cannot_listen", {{"reason", error}});
@@ -198,16 +196,8 @@
 
 bool control_process::permitted(const wire::control_request_t& request) const
 {
-    const auto& hashes = m_settings.operator_token_hashes;
-    if (hashes.empty() || !is_operator_request(request)) {
-        return true;
-    }
-    const auto presented = config::sha256_hex(request.token);
-    bool found = false;
-    for (const auto& hash : hashes) {
-        found = config::equal_constant_time(hash, presented) || found;
-    }
-    return found;
+    return !is_operator_request(request) ||
+           config::is_operator(m_settings.operator_token_hashes, request.token);
 }
 
 void control_process::send(const std::vector<consensus::outgoing_message>& messages)
--- a/src/apps/ctl_client.cpp
+++ b/src/apps/ctl_client.cpp
@@ -50,23 +50,27 @@
             keep(failed);
             return;
         }
-        asio::async_write(socket, asio::buffer(frame), [&](boost::system::error_code error, std::size_t) {
-            if (error) {
-                keep(error);
-                return;
-            }
-            asio::async_read(socket, asio::buffer(header), [&](boost::system::error_code broken, std::size_t) {
-                core::reason code = core::reason::none;
-                const auto read = wire::decode_header({header.data(), header.size()}, code);
-                if (broken || !read) {
-                    keep(broken ? broken : asio::error::invalid_argument);
+        asio::async_write(
+            socket, asio::buffer(frame), [&](boost::system::error_code error, std::size_t) {
+                if (error) {
+                    keep(error);
                     return;
                 }
-                payload.resize(read->length);
-                asio::async_read(socket, asio::buffer(payload),
-                                 [&](boost::system::error_code last, std::size_t) { keep(last); });
+                asio::async_read(
+                    socket, asio::buffer(header),
+                    [&](boost::system::error_code broken, std::size_t) {
+                        core::reason code = core::reason::none;
+                        const auto read = wire::decode_header({header.data(), header.size()}, code);
+                        if (broken || !read) {
+                            keep(broken ? broken : asio::error::invalid_argument);
+                            return;
+                        }
+                        payload.resize(read->length);
+                        asio::async_read(
+                            socket, asio::buffer(payload),
+                            [&](boost::system::error_code last, std::size_t) { keep(last); });
+                    });
             });
-        });
     });
     context.run_for(answer_limit);
     if (result) {
@@ -80,9 +84,9 @@
     return answer;
 }
 
-std::optional<wire::control_reply_t>
-control_connection::put_to(const std::string& address, wire::control_request_t request,
-                           core::last_reason& why)
+std::optional<wire::control_reply_t> control_connection::put_to(const std::string& address,
+                                                                wire::control_request_t request,
+                                                                core::last_reason& why)
 {
     request.id = 1;
     request.token = m_token;
--- a/src/apps/ctl_client.h
+++ b/src/apps/ctl_client.h
@@ -11,9 +11,8 @@
 namespace siskindrift::apps {
 
 /// Sends one message to @p address and waits for the answer.
-[[nodiscard]] std::optional<wire::envelope_t> ask(const std::string& address,
-                                                  const wire::envelope_t& message,
-                                                  core::last_reason& why);
+[[nodiscard]] std::optional<wire::envelope_t>
+ask(const std::string& address, const wire::envelope_t& message, core::last_reason& why);
 
 /// Finds the leader among control replicas and puts requests to it.
 class control_connection {
@@ -28,9 +27,8 @@
     [[nodiscard]] std::optional<wire::control_reply_t> put(wire::control_request_t request,
                                                            core::last_reason& why);
     /// Puts a request to one replica, whether it leads or not.
-    [[nodiscard]] std::optional<wire::control_reply_t> put_to(const std::string& address,
-                                                              wire::control_request_t request,
-                                                              core::last_reason& why);
+    [[nodiscard]] std::optional<wire::control_reply_t>
+    put_to(const std::string& address, wire::control_request_t request, core::last_reason& why);
     [[nodiscard]] const std::vector<std::string>& addresses() const { return m_addresses; }
 
 private:
--- a/src/apps/ctl_commands.cpp
+++ b/src/apps/ctl_commands.cpp
@@ -178,7 +178,8 @@
     if (options.json) {
         json::array list;
         for (const auto& fault : faults) {
-            list.push_back({{"pointer", fault.pointer}, {"found", fault.found}, {"allowed", fault.allowed}});
+            list.push_back(
+                {{"pointer", fault.pointer}, {"found", fault.found}, {"allowed", fault.allowed}});
         }
         std::cout << json::serialize(list) << "\n";
     }
@@ -328,7 +329,8 @@
     if (rest.size() == 2 && rest[0] == "show") {
         return list_or_show(at, prefix, rest);
     }
-    const bool changes = rest.size() >= 2 && (rest[0] == "create" || rest[0] == "change" || rest[0] == "retire");
+    const bool changes =
+        rest.size() >= 2 && (rest[0] == "create" || rest[0] == "change" || rest[0] == "retire");
     if (changes) {
         return change_entry(at, prefix, rest);
     }
@@ -389,8 +391,10 @@
             keys.emplace_back(key);
         }
         if (at.options.json) {
-            list.push_back({{"revision", item->revision}, {"change_id", item->change_id},
-                            {"operator", item->operator_name}, {"keys", keys}});
+            list.push_back({{"revision", item->revision},
+                            {"change_id", item->change_id},
+                            {"operator", item->operator_name},
+                            {"keys", keys}});
         }
         else {
             std::cout << std::setw(8) << item->revision << "  " << item->change_id << "  "
@@ -414,8 +418,8 @@
         return fail(why.text());
     }
     for (const auto& operation : page->operations) {
-        std::cout << (operation->remove ? "- " : "+ ") << operation->key << " "
-                  << operation->value << "\n";
+        std::cout << (operation->remove ? "- " : "+ ") << operation->key << " " << operation->value
+                  << "\n";
     }
     return exit_status::done;
 }
@@ -488,25 +492,39 @@
     json::array members;
     for (std::size_t i = 0; i < page.members.size(); ++i) {
         const auto& info = *page.members[i];
-        members.push_back({{"replica", info.id}, {"vm", info.vm}, {"address", info.address},
-                           {"voter", info.voter}, {"match", page.match_indexes[i]},
+        members.push_back({{"replica", info.id},
+                           {"vm", info.vm},
+                           {"address", info.address},
+                           {"voter", info.voter},
+                           {"match", page.match_indexes[i]},
                            {"leader", info.id == page.leader}});
     }
     json::array vms;
     for (const auto& vm : page.vms) {
-        vms.push_back({{"vm", vm->vm}, {"incarnation", vm->incarnation},
+        vms.push_back({{"vm", vm->vm},
+                       {"incarnation", vm->incarnation},
                        {"caller_address", vm->caller_address},
-                       {"failure_domain", vm->failure_domain}, {"draining", vm->draining},
+                       {"failure_domain", vm->failure_domain},
+                       {"draining", vm->draining},
                        {"revision", vm->config_revision}});
     }
     json::array owners;
     for (const auto& owned : page.ownerships) {
-        owners.push_back({{"upstream", owned->upstream}, {"vm", owned->vm}, {"fencing", owned->fencing}});
-    }
-    return {{"revision", page.revision}, {"term", page.term}, {"commit", page.commit},
-            {"applied", page.applied}, {"digest", page.digest}, {"claims", page.claims},
-            {"replica", page.replica}, {"leader", page.leader}, {"damaged", page.damaged},
-            {"members", members}, {"vms", vms}, {"owners", owners}};
+        owners.push_back(
+            {{"upstream", owned->upstream}, {"vm", owned->vm}, {"fencing", owned->fencing}});
+    }
+    return {{"revision", page.revision},
+            {"term", page.term},
+            {"commit", page.commit},
+            {"applied", page.applied},
+            {"digest", page.digest},
+            {"claims", page.claims},
+            {"replica", page.replica},
+            {"leader", page.leader},
+            {"damaged", page.damaged},
+            {"members", members},
+            {"vms", vms},
+            {"owners", owners}};
 }
 
 void print_status(const wire::status_page_t& page)
@@ -575,6 +593,40 @@
     return found ? exit_status::done : fail("no VM remembers this request");
 }
 
+// A VM ends after its work; an upstream gets no new work until it is put back.
+exit_status run_drain(session& at, const words& rest)
+{
+    const auto page = rest.size() == 1 ? read_status(at) : std::nullopt;
+    if (!page) {
+        return fail("usage: drain VM|UPSTREAM", exit_status::usage);
+    }
+    for (const auto& vm : page->vms) {
+        if (vm->vm != rest[0]) {
+            continue;
+        }
+        wire::drain_order_t order;
+        order.token = at.options.token;
+        core::last_reason why;
+        const auto answer = ask(vm->inner_address, wire::make_envelope(order), why);
+        const auto* reply = answer ? answer->body.Asexplain_reply() : nullptr;
+        if (reply == nullptr || reply->lines.empty()) {
+            return fail(reply == nullptr ? why.text() : "wrong operator token");
+        }
+        std::cout << rest[0] << " drains and then stops\n";
+        return exit_status::done;
+    }
+    const auto config = read_configuration(at);
+    if (!config) {
+        return exit_status::failed;
+    }
+    const auto map = map_of(*config);
+    const auto known = map.find("upstream/" + rest[0]);
+    auto entry = known == map.end() ? json::object{{"fencing", "ignored"}}
+                                    : json::parse(known->second).as_object();
+    entry["drain"] = true;
+    return apply(at, {put_operation("upstream/" + rest[0], entry)}, config->revision);
+}
+
 // --- control replicas ---
 
 std::optional<wire::status_page_t> status_of(session& at, const std::string& address,
@@ -694,8 +746,8 @@
     const auto state = log::read_replica(rest[1], report);
     std::cout << "records " << report.records << "\nterm " << state.hard.term << "\nvoted for "
               << state.hard.voted_for << "\nsnapshot at "
-              << (state.base ? state.base->last_index : 0) << "\nentries "
-              << state.entries.size() << "\ntorn tail " << report.cut_bytes << " bytes\ndamage "
+              << (state.base ? state.base->last_index : 0) << "\nentries " << state.entries.size()
+              << "\ntorn tail " << report.cut_bytes << " bytes\ndamage "
               << (report.damage.empty() ? "none" : report.damage) << "\n";
     return report.damage.empty() ? exit_status::done : exit_status::failed;
 }
@@ -707,13 +759,17 @@
     static const std::map<std::string, command> table{
         {"questionnaire", run_questionnaire},
         {"team", [](session& at, const words& rest) { return run_entries(at, "team/", rest); }},
-        {"adapter", [](session& at, const words& rest) { return run_entries(at, "adapter/", rest); }},
-        {"service", [](session& at, const words& rest) { return run_entries(at, "service/", rest); }},
-        {"upstream", [](session& at, const words& rest) { return run_entries(at, "upstream/", rest); }},
+        {"adapter",
+         [](session& at, const words& rest) { return run_entries(at, "adapter/", rest); }},
+        {"service",
+         [](session& at, const words& rest) { return run_entries(at, "service/", rest); }},
+        {"upstream",
+         [](session& at, const words& rest) { return run_entries(at, "upstream/", rest); }},
         {"version", run_version},
         {"config", run_config},
         {"status", run_status},
         {"explain", run_explain},
+        {"drain", run_drain},
         {"control", run_control},
         {"log", run_log}};
     return table;
@@ -730,6 +786,7 @@
   config show | history | diff SINCE-REVISION | put FILE [EXPECTED-REVISION]
   status
   explain REQUEST-ID
+  drain VM | UPSTREAM
   control form VM ADDRESS | add VM ADDRESS | replace VM ADDRESS | remove REPLICA-ID
   log inspect DIR
 
--- a/src/apps/ctl_main.cpp
+++ b/src/apps/ctl_main.cpp
@@ -26,7 +26,9 @@
                   values);
         po::notify(values);
         if (values.contains("help")) {
-            std::cout << "siskindrift-ctl: operates a deployment\n\n" << command_help() << "\n" << known;
+            std::cout << "siskindrift-ctl: operates a deployment\n\n"
+                      << command_help() << "\n"
+                      << known;
             return 0;
         }
     }
--- a/src/apps/entry_main.cpp
+++ b/src/apps/entry_main.cpp
@@ -8,8 +8,8 @@
 {
     using namespace siskindrift;
     int status = 0;
-    const auto options = apps::read_options(
-        argc, argv, "siskindrift-entry: serves callers on one entry VM", status);
+    const auto options =
+        apps::read_options(argc, argv, "siskindrift-entry: serves callers on one entry VM", status);
     if (!options) {
         return status;
     }
--- a/src/apps/entry_process.cpp
+++ b/src/apps/entry_process.cpp
@@ -70,8 +70,7 @@
     const core::outcome result{verdict::not_run, why};
     auto headers = verdict_headers(id, result, "");
     headers.emplace_back("Content-Type", "application/json");
-    answer.respond(status, std::move(headers),
-                   requests::error_body(result, message, id.value()));
+    answer.respond(status, std::move(headers), requests::error_body(result, message, id.value()));
 }
 
 std::string query_value(const std::string& target, const std::string& name)
@@ -116,13 +115,15 @@
     said.incarnation = number("incarnation");
     said.address = text("address");
     said.failure_domain = text("failure_domain");
-    said.kind = text("kind") == "service" ? wire::upstream_kind::service : wire::upstream_kind::engine;
+    said.kind =
+        text("kind") == "service" ? wire::upstream_kind::service : wire::upstream_kind::engine;
     said.service = text("service");
     said.base_model = text("base_model");
     said.slots = static_cast<std::uint32_t>(number("slots"));
     said.batch = static_cast<std::uint32_t>(number("batch"));
     said.sequence = number("sequence");
-    said.state = text("state") == "leaving" ? wire::upstream_state::leaving : wire::upstream_state::serving;
+    said.state =
+        text("state") == "leaving" ? wire::upstream_state::leaving : wire::upstream_state::serving;
     if (const auto* residents = object.if_contains("residents");
         residents != nullptr && residents->is_array()) {
         for (const auto& item : residents->as_array()) {
@@ -151,9 +152,9 @@
       m_server(m_context, limits_of(m_settings), *this), m_client(m_context, *this)
 {
     const auto incarnation = random_number();
-    m_core = std::make_unique<requests::entry_core>(
-        m_clock, *this, options_of(m_settings), identity_of(m_settings, incarnation),
-        m_settings.control, incarnation);
+    m_core = std::make_unique<requests::entry_core>(m_clock, *this, options_of(m_settings),
+                                                    identity_of(m_settings, incarnation),
+                                                    m_settings.control, incarnation);
 }
 
 int entry_process::run()
@@ -405,6 +406,10 @@
         answer_explain(from, *query);
         return;
     }
+    if (const auto* order = message.body.Asdrain_order()) {
+        take_drain_order(from, *order);
+        return;
+    }
     const std::lock_guard lock{m_mutex};
     if (const auto* reply = message.body.Ascontrol_reply()) {
         m_core->on_control_reply(*reply);
@@ -413,6 +418,17 @@
     m_core->on_peer(std::move(message));
 }
 
+void entry_process::take_drain_order(net::connection_id from, const wire::drain_order_t& order)
+{
+    wire::explain_reply_t reply;
+    const auto& hashes = m_settings.operator_token_hashes;
+    if (config::is_operator(hashes, order.token)) {
+        stop_gracefully();
+        reply.lines.emplace_back("draining");
+    }
+    m_mesh->reply(from, wire::make_envelope(std::move(reply)));
+}
+
 void entry_process::answer_explain(net::connection_id from, const wire::explain_query_t& query)
 {
     wire::explain_reply_t reply;
--- a/src/apps/entry_process.h
+++ b/src/apps/entry_process.h
@@ -79,6 +79,7 @@
     void take_work(std::uint64_t exchange, const http::server_request& request,
                    std::shared_ptr<http::responder> answer);
     bool answer_plain(const http::server_request& request, http::responder& answer);
+    void take_drain_order(net::connection_id from, const wire::drain_order_t& order);
     void answer_explain(net::connection_id from, const wire::explain_query_t& query);
     bool open_data_folder();
     void load_config();
--- a/src/apps/load_run.cpp
+++ b/src/apps/load_run.cpp
@@ -71,8 +71,8 @@
     if (due_s >= m_options.seconds) {
         return;
     }
-    m_timer.expires_at(m_begun + std::chrono::duration_cast<core::duration>(
-                                     std::chrono::duration<double>(due_s)));
+    m_timer.expires_at(
+        m_begun + std::chrono::duration_cast<core::duration>(std::chrono::duration<double>(due_s)));
     m_timer.async_wait([this](boost::system::error_code error) {
         if (!error) {
             fire();
@@ -83,8 +83,7 @@
 
 std::uint32_t load_run::draw_adapter()
 {
-    const double point =
-        std::uniform_real_distribution<double>{0.0, m_cumulative.back()}(m_random);
+    const double point = std::uniform_real_distribution<double>{0.0, m_cumulative.back()}(m_random);
     const auto found = std::lower_bound(m_cumulative.begin(), m_cumulative.end(), point);
     auto rank = static_cast<std::uint32_t>(found - m_cumulative.begin());
     const bool shifted = m_options.shift_at > 0.0 &&
@@ -99,14 +98,15 @@
     shot one;
     one.number = m_fired;
     one.due = m_clock.now();
-    one.service = !m_options.service.empty() &&
-                  std::uniform_real_distribution<double>{0.0, 1.0}(m_random) < m_options.service_share;
+    one.service = !m_options.service.empty() && std::uniform_real_distribution<double>{0.0, 1.0}(
+                                                    m_random) < m_options.service_share;
     one.key = core::make_key(m_clock.wall_ms(), m_random(), m_random());
     if (!one.service) {
         std::array<char, 32> name{};
         std::snprintf(name.data(), name.size(), "adapter-%05u@1", draw_adapter());
         one.adapter = name.data();
-        one.prompt = "request " + std::to_string(m_fired) + " of seed " + std::to_string(m_options.seed);
+        one.prompt =
+            "request " + std::to_string(m_fired) + " of seed " + std::to_string(m_options.seed);
     }
     one.endpoint = m_random() % std::max<std::size_t>(1, m_endpoints.size());
     (one.service ? m_services : m_models) += 1;
@@ -347,18 +347,19 @@
     const auto share = [](std::uint64_t part, std::uint64_t whole) {
         return whole == 0 ? 0.0 : static_cast<double>(part) / static_cast<double>(whole);
     };
-    const json::object summary{{"requests", m_models + m_services},
-                               {"ran", m_verdicts["ran"]},
-                               {"not_run", m_verdicts["not_run"]},
-                               {"may_have_run", m_verdicts["may_have_run"]},
-                               {"no_answer", m_no_answer},
-                               {"wrong_text", m_wrong_text},
-                               {"wrong_adapter", m_wrong_adapter},
-                               {"idempotent_failed_share", share(m_idempotent_failed, m_models)},
-                               {"non_idempotent_unknown_share", share(m_services_unknown, m_services)},
-                               {"first_token_ms", quantiles(m_first_token)},
-                               {"total_ms", quantiles(m_total)},
-                               {"reasons", reasons}};
+    const json::object summary{
+        {"requests", m_models + m_services},
+        {"ran", m_verdicts["ran"]},
+        {"not_run", m_verdicts["not_run"]},
+        {"may_have_run", m_verdicts["may_have_run"]},
+        {"no_answer", m_no_answer},
+        {"wrong_text", m_wrong_text},
+        {"wrong_adapter", m_wrong_adapter},
+        {"idempotent_failed_share", share(m_idempotent_failed, m_models)},
+        {"non_idempotent_unknown_share", share(m_services_unknown, m_services)},
+        {"first_token_ms", quantiles(m_first_token)},
+        {"total_ms", quantiles(m_total)},
+        {"reasons", reasons}};
     std::cout << json::serialize(summary) << "\n";
 }
 
--- a/src/bench/capacity_bench.cpp
+++ b/src/bench/capacity_bench.cpp
@@ -55,7 +55,8 @@
         auto catalog = std::make_unique<config::catalog>();
         catalog->apply(page);
         print("entry_bytes_per_adapter", count, (allocated_bytes() - before) / count, "bytes");
-        print("page_bytes_per_adapter", count, wire::encode_table(page).size() / static_cast<double>(count), "bytes");
+        print("page_bytes_per_adapter", count,
+              wire::encode_table(page).size() / static_cast<double>(count), "bytes");
 
         const double empty = allocated_bytes();
         auto state = std::make_unique<state::control_state>();
@@ -66,7 +67,8 @@
         }
         state->apply(entry_of(1, wire::make_control_request(std::move(change))));
         print("control_bytes_per_adapter", count, (allocated_bytes() - empty) / count, "bytes");
-        print("snapshot_bytes_per_adapter", count, state->save().size() / static_cast<double>(count), "bytes");
+        print("snapshot_bytes_per_adapter", count,
+              state->save().size() / static_cast<double>(count), "bytes");
     }
 }
 
@@ -105,14 +107,16 @@
             said.sequence = ++sequence;
             wire::append(batch.announcements, said);
             const auto frame = wire::encode_frame(wire::make_envelope(std::move(batch)));
-            const auto read = wire::decode_payload(std::string_view{frame}.substr(wire::frame_header_bytes));
+            const auto read =
+                wire::decode_payload(std::string_view{frame}.substr(wire::frame_header_bytes));
             registry->take(*read->body.Asannouncement_batch()->announcements.front(), start);
         });
         print("cpu_per_announcement", count, us, "us");
     }
     wire::announcement_batch_t batch;
     wire::append(batch.announcements, announcement(1, 8));
-    print("bytes_per_announcement", 8, wire::encode_frame(wire::make_envelope(batch)).size(), "bytes");
+    print("bytes_per_announcement", 8, wire::encode_frame(wire::make_envelope(batch)).size(),
+          "bytes");
 }
 
 void routing_decisions()
@@ -127,14 +131,16 @@
             views[i].running = static_cast<std::uint32_t>(i * 7 % 13);
             for (std::size_t a = 0; a < 30; ++a) {
                 const auto name = "adapter-" + std::to_string((i * 30 + a) % 36'000) + "@1";
-                views[i].adapters[core::adapter_version{name}].state = routing::residency_belief::resident;
+                views[i].adapters[core::adapter_version{name}].state =
+                    routing::residency_belief::resident;
             }
             list.push_back(&views[i]);
         }
         const routing::cost_placement policy{routing::placement_options{}};
         std::size_t chosen = 0;
         const double us = cpu_us(count >= 1'200 ? 2'000 : 20'000, [&](std::uint64_t i) {
-            const core::adapter_version adapter{"adapter-" + std::to_string(i * 37 % 36'000) + "@1"};
+            const core::adapter_version adapter{"adapter-" + std::to_string(i * 37 % 36'000) +
+                                                "@1"};
             chosen += policy.choose(adapter, list)->value().size();
         });
         print("cpu_per_routing_decision", count, us, "us");
@@ -148,7 +154,8 @@
         (void)wire::decode_payload(std::string_view{frame}.substr(wire::frame_header_bytes));
     });
     print("cpu_per_heartbeat", 1, heartbeat, "us");
-    print("bytes_per_heartbeat", 1, wire::encode_frame(wire::make_envelope(wire::heartbeat_t{})).size(), "bytes");
+    print("bytes_per_heartbeat", 1,
+          wire::encode_frame(wire::make_envelope(wire::heartbeat_t{})).size(), "bytes");
     for (const std::size_t size : {256, 1'024, 4'096}) {
         wire::dispatch_t order;
         order.request_id = "vm-1-1234567890123-42";
@@ -159,9 +166,11 @@
             (void)wire::decode_payload(std::string_view{frame}.substr(wire::frame_header_bytes));
         });
         print("cpu_per_forwarded_request", size, us, "us");
-        print("bytes_per_forwarded_request", size, wire::encode_frame(wire::make_envelope(order)).size(), "bytes");
+        print("bytes_per_forwarded_request", size,
+              wire::encode_frame(wire::make_envelope(order)).size(), "bytes");
     }
-    const std::string event = R"({"id":"x","model":"adapter-12345@1","choices":[{"index":0,"text":" t123","finish_reason":null}]})";
+    const std::string event =
+        R"({"id":"x","model":"adapter-12345@1","choices":[{"index":0,"text":" t123","finish_reason":null}]})";
     requests::caller_request request;
     request.id = core::request_id{"vm-1-1234567890123-42"};
     request.adapter = core::adapter_version{"adapter-12345@1"};
@@ -173,11 +182,13 @@
         piece.offset = static_cast<std::uint32_t>(i);
         piece.data = read->text;
         const auto frame = wire::encode_frame(wire::make_envelope(std::move(piece)));
-        const auto got = wire::decode_payload(std::string_view{frame}.substr(wire::frame_header_bytes));
+        const auto got =
+            wire::decode_payload(std::string_view{frame}.substr(wire::frame_header_bytes));
         (void)requests::stream_event(request, got->body.Asdispatch_reply()->data);
     });
     print("cpu_per_streamed_token", 1, token, "us");
-    const double parse = cpu_us(100'000, [&](std::uint64_t) { (void)requests::parse_model_event(event); });
+    const double parse =
+        cpu_us(100'000, [&](std::uint64_t) { (void)requests::parse_model_event(event); });
     print("cpu_per_token_parse", 1, parse, "us");
 }
 
@@ -203,7 +214,8 @@
         ask.vm = "vm-" + std::to_string(i % 340);
         ask.incarnation = 1;
         const auto frame = wire::encode_frame(wire::make_envelope(wire::make_control_request(ask)));
-        const auto read = wire::decode_payload(std::string_view{frame}.substr(wire::frame_header_bytes));
+        const auto read =
+            wire::decode_payload(std::string_view{frame}.substr(wire::frame_header_bytes));
         book.renew(read->body.Ascontrol_request()->body.Asrenew_session()->vm, 1, start);
         wire::control_reply_t reply;
         reply.body.Set(wire::session_grant_t{});
--- a/src/bench/control_bench.cpp
+++ b/src/bench/control_bench.cpp
@@ -17,7 +17,9 @@
 
 class scratch_folder {
 public:
-    scratch_folder() : m_path(fs::temp_directory_path() / ("siskindrift-bench-" + std::to_string(std::random_device{}())))
+    scratch_folder()
+        : m_path(fs::temp_directory_path() /
+                 ("siskindrift-bench-" + std::to_string(std::random_device{}())))
     {
         fs::create_directories(m_path);
     }
@@ -33,14 +35,15 @@
 // One replica with its disk, driven as the control process drives it.
 class replica {
 public:
-    explicit replica(const fs::path& folder, std::uint64_t compact_after) : m_store(folder, m_opener)
+    explicit replica(const fs::path& folder, std::uint64_t compact_after)
+        : m_store(folder, m_opener)
     {
         log::recovery_report report;
         core::last_reason why;
         control::control_options options;
         options.compact_after = compact_after;
-        m_core = std::make_unique<control::control_core>(core::replica_id{9}, *m_store.open(report, why),
-                                                         options, 1, m_clock, nullptr);
+        m_core = std::make_unique<control::control_core>(
+            core::replica_id{9}, *m_store.open(report, why), options, 1, m_clock, nullptr);
         wire::form_cluster_t form;
         form.vm = form.address = "bench";
         m_core->on_request(0, wire::make_control_request(form));
@@ -115,8 +118,10 @@
     const double rate = static_cast<double>(commits) / seconds_between(begin, clock.now());
     std::sort(latencies.begin(), latencies.end());
     print(std::string{"commits_per_second_"} + name, static_cast<double>(writers), rate, "1/s");
-    print(std::string{"commit_p50_"} + name, static_cast<double>(writers), latencies[latencies.size() / 2], "ms");
-    print(std::string{"commit_p99_"} + name, static_cast<double>(writers), latencies[latencies.size() * 99 / 100], "ms");
+    print(std::string{"commit_p50_"} + name, static_cast<double>(writers),
+          latencies[latencies.size() / 2], "ms");
+    print(std::string{"commit_p99_"} + name, static_cast<double>(writers),
+          latencies[latencies.size() * 99 / 100], "ms");
     return rate;
 }
 
@@ -143,7 +148,8 @@
     for (const auto& entry : state.entries) {
         restored.apply(entry);
     }
-    print(std::string{"recovery_"} + name, static_cast<double>(changes), seconds_between(begin, clock.now()) * 1000.0, "ms");
+    print(std::string{"recovery_"} + name, static_cast<double>(changes),
+          seconds_between(begin, clock.now()) * 1000.0, "ms");
 }
 
 } // namespace
--- a/src/bench/policy_clairvoyant.cpp
+++ b/src/bench/policy_clairvoyant.cpp
@@ -87,7 +87,8 @@
     double last = 0.0;
     for (const auto& item : changes) {
         const double adapters = static_cast<double>(running.size());
-        const double engines = std::max(std::ceil(open / shape.batch), std::ceil(adapters / shape.slots));
+        const double engines =
+            std::max(std::ceil(open / shape.batch), std::ceil(adapters / shape.slots));
         engine_seconds += engines * (item.at - last);
         last = item.at;
         open += item.sign;
@@ -102,7 +103,9 @@
 double percentile_of(std::vector<double> values, double share)
 {
     std::sort(values.begin(), values.end());
-    return values.empty() ? 0.0 : values[static_cast<std::size_t>(share * static_cast<double>(values.size() - 1))];
+    return values.empty()
+               ? 0.0
+               : values[static_cast<std::size_t>(share * static_cast<double>(values.size() - 1))];
 }
 
 } // namespace
@@ -150,22 +153,25 @@
         if (!waiting.empty()) {
             // The load that ends the most waiting.
             const auto gain = [&](const auto& item) {
-                return static_cast<double>(item.second.size()) + known.uses_until(item.first, slot, slot + gain_horizon_s);
+                return static_cast<double>(item.second.size()) +
+                       known.uses_until(item.first, slot, slot + gain_horizon_s);
             };
-            const auto best = std::max_element(waiting.begin(), waiting.end(), [&](const auto& a, const auto& b) {
-                return gain(a) < gain(b);
-            });
+            const auto best =
+                std::max_element(waiting.begin(), waiting.end(),
+                                 [&](const auto& a, const auto& b) { return gain(a) < gain(b); });
             load(best->first, slot);
             continue;
         }
         if (!prefetch) {
             // The store waits for the next request that misses, with its burst in hand.
             while (at < arrivals.size() && held.ready_at.contains(arrivals[at].adapter)) {
-                note(arrivals[at].at_s, std::max(0.0, held.ready_at[arrivals[at].adapter] - arrivals[at].at_s));
+                note(arrivals[at].at_s,
+                     std::max(0.0, held.ready_at[arrivals[at].adapter] - arrivals[at].at_s));
                 ++at;
             }
             if (at < arrivals.size()) {
-                slot_free = std::max(slot_free, arrivals[at].at_s - store_burst / shape.loads_per_second);
+                slot_free =
+                    std::max(slot_free, arrivals[at].at_s - store_burst / shape.loads_per_second);
                 waiting[arrivals[at].adapter].push_back(arrivals[at].at_s);
                 load(arrivals[at].adapter, std::max(slot, arrivals[at].at_s));
                 ++at;
@@ -175,8 +181,9 @@
         // A spare slot of the store prefetches what is needed next.
         for (auto ahead = at; ahead < arrivals.size() && ahead < at + 2000; ++ahead) {
             if (!held.ready_at.contains(arrivals[ahead].adapter)) {
-                const bool useful = held.ready_at.size() < held.size ||
-                                    known.next_use(furthest(held, known, slot), slot) > arrivals[ahead].at_s;
+                const bool useful =
+                    held.ready_at.size() < held.size ||
+                    known.next_use(furthest(held, known, slot), slot) > arrivals[ahead].at_s;
                 if (useful) {
                     load(arrivals[ahead].adapter, slot);
                 }
--- a/src/bench/policy_main.cpp
+++ b/src/bench/policy_main.cpp
@@ -30,7 +30,8 @@
     return {magnolia, sangat, slice};
 }
 
-void print(const deployment_shape& shape, workload kind, const std::string& policy, const sim_result& result)
+void print(const deployment_shape& shape, workload kind, const std::string& policy,
+           const sim_result& result)
 {
     std::cout << json::serialize(json::value{{"deployment", shape.name},
                                              {"workload", name_of(kind)},
@@ -59,9 +60,11 @@
     double seconds = 180;
     std::uint64_t seed = 1;
     std::string only;
-    po::options_description known{"siskindrift-policy-bench: the policy against naive and clairvoyant"};
+    po::options_description known{
+        "siskindrift-policy-bench: the policy against naive and clairvoyant"};
     known.add_options()("seconds", po::value(&seconds), "virtual seconds of each run")(
-        "seed", po::value(&seed), "seed of the workloads")("deployment", po::value(&only), "only this one")("help", "show this text");
+        "seed", po::value(&seed), "seed of the workloads")(
+        "deployment", po::value(&only), "only this one")("help", "show this text");
     po::variables_map values;
     po::store(po::parse_command_line(argc, argv, known), values);
     po::notify(values);
--- a/src/bench/policy_sim.cpp
+++ b/src/bench/policy_sim.cpp
@@ -56,8 +56,7 @@
                const std::vector<arrival>& arrivals, double seconds, std::uint64_t seed)
         : m_shape(shape), m_kind(kind), m_arrivals(arrivals), m_seconds(seconds), m_random(seed),
           m_residency(engines::make_residency_policy(policy, shape.stall_weight)),
-          m_store({shape.loads_per_second, milliseconds{250}, 8}),
-          m_permits(budget_of(shape))
+          m_store({shape.loads_per_second, milliseconds{250}, 8}), m_permits(budget_of(shape))
     {
         routing::placement_options options;
         options.stall_weight = shape.stall_weight;
@@ -252,7 +251,8 @@
         case engine_action::kind::load: {
             ++m_loads;
             const auto ends = m_store.begin(m_now);
-            const bool fails = m_kind == workload::failing_loads && core::uniform_below(m_random, 10) == 0;
+            const bool fails =
+                m_kind == workload::failing_loads && core::uniform_below(m_random, 10) == 0;
             at(ends, [this, number, incarnation, action, fails] {
                 m_store.end();
                 m_permits.give_back(action.permit);
@@ -308,7 +308,8 @@
     {
         auto& target = m_engines[number];
         target.stepping = true;
-        const double ms = step_base_ms + step_per_request_ms * static_cast<double>(target.running.size());
+        const double ms =
+            step_base_ms + step_per_request_ms * static_cast<double>(target.running.size());
         at(m_now + seconds_of(ms / 1000.0), [this, number, incarnation = target.said.incarnation] {
             if (m_engines[number].said.incarnation == incarnation) {
                 generate(number);
@@ -320,8 +321,10 @@
     {
         auto& target = m_engines[number];
         target.stepping = false;
-        m_full_tokens += m_shape.batch * (step_base_ms + step_per_request_ms * static_cast<double>(target.running.size())) /
-                         (step_base_ms + step_per_request_ms * m_shape.batch);
+        m_full_tokens +=
+            m_shape.batch *
+            (step_base_ms + step_per_request_ms * static_cast<double>(target.running.size())) /
+            (step_base_ms + step_per_request_ms * m_shape.batch);
         std::vector<engines::work_id> done;
         for (const auto work : target.running) {
             auto& entry = m_requests.at(work);
@@ -410,7 +413,8 @@
                 wire::resident_info_t info;
                 info.adapter = adapter;
                 for (const auto work : target.running) {
-                    info.running += adapter_name(m_requests.at(work).what->adapter).value() == adapter ? 1 : 0;
+                    info.running +=
+                        adapter_name(m_requests.at(work).what->adapter).value() == adapter ? 1 : 0;
                 }
                 wire::append(target.said.residents, info);
             }
@@ -447,7 +451,8 @@
         result.stall_p99_ms = percentile(m_stalls, 0.99);
         result.stall_total_s = std::accumulate(m_stalls.begin(), m_stalls.end(), 0.0) / 1000.0;
         result.stall_share = m_request_time_s > 0.0 ? result.stall_total_s / m_request_time_s : 0.0;
-        result.batch_fill = m_full_tokens > 0.0 ? static_cast<double>(m_tokens) / m_full_tokens : 0.0;
+        result.batch_fill =
+            m_full_tokens > 0.0 ? static_cast<double>(m_tokens) / m_full_tokens : 0.0;
         std::vector<double> firsts;
         for (const auto& [begun, ms] : m_first_tokens) {
             firsts.push_back(ms);
@@ -487,8 +492,8 @@
         double sum = 0.0;
         double squares = 0.0;
         for (const auto& [team, waits] : m_wait_by_team) {
-            const double speed =
-                1.0 / (100.0 + std::accumulate(waits.begin(), waits.end(), 0.0) / static_cast<double>(waits.size()));
+            const double speed = 1.0 / (100.0 + std::accumulate(waits.begin(), waits.end(), 0.0) /
+                                                    static_cast<double>(waits.size()));
             sum += speed;
             squares += speed * speed;
         }
--- a/src/bench/policy_sim.h
+++ b/src/bench/policy_sim.h
@@ -31,7 +31,15 @@
 };
 
 enum class workload : std::uint8_t {
-    steady, rush, reshuffle, scan, failing_loads, engine_restart, vm_cut, dawn_peak, idle_and_wake
+    steady,
+    rush,
+    reshuffle,
+    scan,
+    failing_loads,
+    engine_restart,
+    vm_cut,
+    dawn_peak,
+    idle_and_wake
 };
 
 /// Returns the name of a workload.
--- a/src/config/catalog.cpp
+++ b/src/config/catalog.cpp
@@ -41,6 +41,12 @@
     return value != nullptr && value->is_string() ? std::string{value->as_string()} : "";
 }
 
+bool read_flag(const json::object& from, std::string_view name)
+{
+    const auto* value = from.if_contains(name);
+    return value != nullptr && value->is_bool() && value->as_bool();
+}
+
 std::vector<std::string> read_texts(const json::object& from, std::string_view name)
 {
     std::vector<std::string> texts;
@@ -93,8 +99,7 @@
 {
     service_config service;
     service.teams = read_texts(from, "teams");
-    const auto* repeatable = from.if_contains("repeatable");
-    service.repeatable = repeatable != nullptr && repeatable->is_bool() && repeatable->as_bool();
+    service.repeatable = read_flag(from, "repeatable");
     return service;
 }
 
@@ -237,9 +242,10 @@
         }
     }
     else if (const auto upstream = name_after(upstream_prefix, key)) {
-        m_fencing.erase(*upstream);
+        m_upstreams.erase(*upstream);
         if (object) {
-            m_fencing[*upstream] = read_text(*object, "fencing") == "checked";
+            m_upstreams[*upstream] = {read_text(*object, "fencing") == "checked",
+                                      read_flag(*object, "drain")};
         }
     }
     else if (key == deployment_key) {
@@ -276,8 +282,14 @@
 
 bool catalog::checks_fencing(const core::upstream_id& id) const
 {
-    const auto found = m_fencing.find(id.value());
-    return found != m_fencing.end() && found->second;
+    const auto found = m_upstreams.find(id.value());
+    return found != m_upstreams.end() && found->second.checks_fencing;
+}
+
+bool catalog::drained(const core::upstream_id& id) const
+{
+    const auto found = m_upstreams.find(id.value());
+    return found != m_upstreams.end() && found->second.drained;
 }
 
 bool catalog::may_use(const core::team_id& team, const core::adapter_version& name) const
@@ -328,6 +340,16 @@
     return hex;
 }
 
+bool is_operator(const std::vector<std::string>& hashes, std::string_view token)
+{
+    const auto presented = sha256_hex(token);
+    bool found = hashes.empty();
+    for (const auto& hash : hashes) {
+        found = equal_constant_time(hash, presented) || found;
+    }
+    return found;
+}
+
 bool equal_constant_time(std::string_view a, std::string_view b)
 {
     return a.size() == b.size() && CRYPTO_memcmp(a.data(), b.data(), a.size()) == 0;
--- a/src/config/catalog_test.cpp
+++ b/src/config/catalog_test.cpp
@@ -26,7 +26,8 @@
         wire::config_page_t page;
         page.revision = 1;
         page.full = true;
-        wire::append(page.operations, put("team/a", R"({"key_hashes":[")" + sha256_hex("secret") + R"("]})"));
+        wire::append(page.operations,
+                     put("team/a", R"({"key_hashes":[")" + sha256_hex("secret") + R"("]})"));
         wire::append(page.operations,
                      put("adapter/x", R"({"team":"a","base_model":"base","versions":["1","2"]})"));
         known.apply(page);
@@ -65,10 +66,28 @@
 
 TEST(Catalog, NamesWhatIsWrongWithAnEntry)
 {
-    CHECK_TRUE(check_entry("adapter/a@b", R"({"team":"a","base_model":"b","versions":[]})").has_value());
+    CHECK_TRUE(
+        check_entry("adapter/a@b", R"({"team":"a","base_model":"b","versions":[]})").has_value());
     CHECK_TRUE(check_entry("team/a", R"({"key_hashes":["short"]})").has_value());
     CHECK_TRUE(check_entry("deployment", R"({"policy":"other"})").has_value());
     CHECK_TRUE(check_entry("unheard-of/x", "{}").has_value());
     CHECK_TRUE(check_entry("upstream/x", R"({"fencing":"maybe"})").has_value());
     CHECK_FALSE(check_entry("upstream/x", R"({"fencing":"checked"})").has_value());
 }
+
+TEST(Catalog, GivesADrainedUpstreamNoNewWork)
+{
+    CHECK_FALSE(known.drained(core::upstream_id{"engine"}));
+    wire::config_page_t page;
+    page.revision = 2;
+    wire::append(page.operations, put("upstream/engine", R"({"fencing":"checked","drain":true})"));
+    known.apply(page);
+    CHECK_TRUE(known.drained(core::upstream_id{"engine"}));
+    CHECK_TRUE(known.checks_fencing(core::upstream_id{"engine"}));
+}
+
+TEST(Catalog, KnowsAnOperatorByTheHashOfTheToken)
+{
+    CHECK_TRUE(is_operator({sha256_hex("token")}, "token"));
+    CHECK_FALSE(is_operator({sha256_hex("token")}, "guess"));
+}
--- a/src/config/questionnaire.cpp
+++ b/src/config/questionnaire.cpp
@@ -31,8 +31,8 @@
     for (std::size_t i = 0; i < names.size(); ++i) {
         const std::string name{names[i].as_string()};
         if (!seen.insert(name).second) {
-            faults.push_back({"/adapters/names/" + std::to_string(i), name,
-                              "each adapter may be named once"});
+            faults.push_back(
+                {"/adapters/names/" + std::to_string(i), name, "each adapter may be named once"});
         }
     }
     return faults;
@@ -101,9 +101,9 @@
     if (const auto* services = root.if_contains("services")) {
         for (const auto& service : services->as_array()) {
             const auto& item = service.as_object();
-            operations.push_back(put("service/" + std::string{item.at("name").as_string()},
-                                     {{"teams", json::array{name}},
-                                      {"repeatable", item.at("repeatable")}}));
+            operations.push_back(
+                put("service/" + std::string{item.at("name").as_string()},
+                    {{"teams", json::array{name}}, {"repeatable", item.at("repeatable")}}));
         }
     }
     return operations;
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -37,8 +37,8 @@
 }
 
 template <class Number>
-void read(const json::object& from, std::string_view name, Number& to)
-    requires std::is_arithmetic_v<Number>
+void read(const json::object& from, std::string_view name,
+          Number& to) requires std::is_arithmetic_v<Number>
 {
     if (const auto* value = from.if_contains(name)) {
         to = value->to_number<Number>();
@@ -86,8 +86,8 @@
     read(*object, "operator_token_hashes", settings.operator_token_hashes);
     read(*object, "log_level", settings.log_level);
     if (settings.caller_address == settings.inner_address) {
-        why.set(describe({{"/inner_address", settings.inner_address,
-                           "must differ from /caller_address"}}));
+        why.set(describe(
+            {{"/inner_address", settings.inner_address, "must differ from /caller_address"}}));
         return std::nullopt;
     }
     return settings;
--- a/src/consensus/raft_node.cpp
+++ b/src/consensus/raft_node.cpp
@@ -156,8 +156,8 @@
 
 void raft_node::reset_election_timer(core::time_point now)
 {
-    const auto spread = static_cast<std::uint64_t>(
-        (m_options.election_max - m_options.election_min).count());
+    const auto spread =
+        static_cast<std::uint64_t>((m_options.election_max - m_options.election_min).count());
     m_election_timeout =
         m_options.election_min + core::duration{core::uniform_below(m_random, spread + 1)};
     m_election_due = now + m_election_timeout;
@@ -312,8 +312,8 @@
         become_follower(reply.term, 0);
         return;
     }
-    const bool pre = m_role == role::pre_candidate && reply.pre_vote &&
-                     reply.term == m_hard.term + 1;
+    const bool pre =
+        m_role == role::pre_candidate && reply.pre_vote && reply.term == m_hard.term + 1;
     const bool real = m_role == role::candidate && !reply.pre_vote && reply.term == m_hard.term;
     if (reply.granted && (pre || real)) {
         count_vote(reply.from, now);
--- a/src/consensus/raft_replication.cpp
+++ b/src/consensus/raft_replication.cpp
@@ -170,8 +170,8 @@
     request.commit = std::min(m_commit, peer.match);
     request.round = m_round;
     if (has_entries && prev_term) {
-        const auto last = std::min<std::uint64_t>(
-            m_log.last_index(), prev + m_options.max_entries_per_message);
+        const auto last =
+            std::min<std::uint64_t>(m_log.last_index(), prev + m_options.max_entries_per_message);
         for (auto index = peer.next; index <= last; ++index) {
             wire::append(request.entries, m_log.at(index));
         }
@@ -331,8 +331,8 @@
     if (request.offset == 0) {
         m_incoming = snapshot{request.last_index, request.last_term, {}, {}};
     }
-    const bool expected = m_incoming.last_index == request.last_index &&
-                          m_incoming.state.size() == request.offset;
+    const bool expected =
+        m_incoming.last_index == request.last_index && m_incoming.state.size() == request.offset;
     if (expected) {
         m_incoming.state.append(request.data.begin(), request.data.end());
         if (request.done) {
--- a/src/engines/engine_owner.cpp
+++ b/src/engines/engine_owner.cpp
@@ -177,8 +177,8 @@
 void engine_owner::refuse_expired(std::vector<engine_action>& actions, core::time_point now)
 {
     for (const auto& work : m_queue.take_expired(now)) {
-        actions.push_back(about_work(engine_action::kind::refuse, work.id,
-                                     core::reason::deadline_passed));
+        actions.push_back(
+            about_work(engine_action::kind::refuse, work.id, core::reason::deadline_passed));
     }
 }
 
@@ -225,11 +225,10 @@
 
 std::uint32_t engine_owner::loads_in_flight() const
 {
-    const auto loading = std::count_if(
-        m_table.entries().begin(), m_table.entries().end(),
-        [](const auto& item) { return item.second.state == residency::loading; });
-    return static_cast<std::uint32_t>(loading) +
-           static_cast<std::uint32_t>(m_make_room_for.size());
+    const auto loading =
+        std::count_if(m_table.entries().begin(), m_table.entries().end(),
+                      [](const auto& item) { return item.second.state == residency::loading; });
+    return static_cast<std::uint32_t>(loading) + static_cast<std::uint32_t>(m_make_room_for.size());
 }
 
 std::vector<load_wish> engine_owner::wishes(core::time_point now) const
@@ -282,13 +281,12 @@
             return;
         }
         if (m_policy.uses_permits() && m_free_permit == 0) {
-            const bool lost = m_permit_asked &&
-                              now - m_permit_asked_at > m_options.permit_wait_limit;
+            const bool lost =
+                m_permit_asked && now - m_permit_asked_at > m_options.permit_wait_limit;
             if ((!m_permit_asked || lost) && now >= m_permit_retry_at) {
                 m_permit_asked = true;
                 m_permit_asked_at = now;
-                actions.push_back(
-                    about_adapter(engine_action::kind::ask_permit, wish.adapter, 0));
+                actions.push_back(about_adapter(engine_action::kind::ask_permit, wish.adapter, 0));
                 actions.back().benefit = wish.waiting;
             }
             return;
--- a/src/engines/engine_queue.cpp
+++ b/src/engines/engine_queue.cpp
@@ -13,8 +13,7 @@
     ++m_by_adapter[work.adapter];
     const auto place = std::upper_bound(
         m_waiting.begin(), m_waiting.end(), work, [](const auto& a, const auto& b) {
-            return a.priority != b.priority ? a.priority > b.priority
-                                            : a.finish_tag < b.finish_tag;
+            return a.priority != b.priority ? a.priority > b.priority : a.finish_tag < b.finish_tag;
         });
     m_waiting.insert(place, std::move(work));
 }
--- a/src/engines/policy.cpp
+++ b/src/engines/policy.cpp
@@ -13,9 +13,9 @@
     return static_cast<std::size_t>(oldest - wishes.begin());
 }
 
-std::optional<core::adapter_version>
-naive_residency::choose_victim(const residency_table& table, const engine_queue&,
-                               core::time_point) const
+std::optional<core::adapter_version> naive_residency::choose_victim(const residency_table& table,
+                                                                    const engine_queue&,
+                                                                    core::time_point) const
 {
     std::optional<core::adapter_version> victim;
     core::time_point oldest = core::time_point::max();
@@ -42,9 +42,9 @@
     return static_cast<std::size_t>(best - wishes.begin());
 }
 
-std::optional<core::adapter_version>
-cost_residency::choose_victim(const residency_table& table, const engine_queue& queue,
-                              core::time_point now) const
+std::optional<core::adapter_version> cost_residency::choose_victim(const residency_table& table,
+                                                                   const engine_queue& queue,
+                                                                   core::time_point now) const
 {
     std::optional<core::adapter_version> victim;
     double least = 0.0;
@@ -54,8 +54,8 @@
             continue;
         }
         const double wanted = table.demand(adapter, now);
-        const bool better = !victim || wanted < least ||
-                            (wanted == least && entry.last_used < least_used);
+        const bool better =
+            !victim || wanted < least || (wanted == least && entry.last_used < least_used);
         if (better) {
             victim = adapter;
             least = wanted;
--- a/src/engines/residency_table.cpp
+++ b/src/engines/residency_table.cpp
@@ -37,7 +37,8 @@
         auto& [adapter, known] = *entry;
         const auto said = running.find(adapter);
         const bool settled = now >= known.settled_after;
-        const bool ordered = known.state == residency::loading || known.state == residency::unloading;
+        const bool ordered =
+            known.state == residency::loading || known.state == residency::unloading;
         if (said == running.end()) {
             const bool gone = settled && !ordered && known.in_use == 0;
             entry = gone ? m_entries.erase(entry) : std::next(entry);
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -103,8 +103,7 @@
     static bool still_open(beast::tcp_stream& stream)
     {
         char byte = 0;
-        const auto got =
-            ::recv(stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        const auto got = ::recv(stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
         return got < 0 && errno == EAGAIN;
     }
 
@@ -237,10 +236,9 @@
         m_parser.get().body().size = m_piece.size();
         m_parser.get().body().more = true;
         m_stream->expires_after(m_call.progress_limit);
-        beast::http::async_read_some(*m_stream, m_buffer, m_parser,
-                                     [self = shared_from_this()](error_code error, std::size_t) {
-                                         self->on_body(error);
-                                     });
+        beast::http::async_read_some(
+            *m_stream, m_buffer, m_parser,
+            [self = shared_from_this()](error_code error, std::size_t) { self->on_body(error); });
     }
 
     void on_body(error_code error)
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -114,10 +114,9 @@
         m_parser->body_limit(m_shared->limits.max_body_bytes);
         m_stream.expires_after(first ? m_shared->limits.header_timeout
                                      : m_shared->limits.idle_timeout);
-        beast::http::async_read_header(m_stream, m_buffer, *m_parser,
-                                       [self = shared_from_this()](error_code error, std::size_t) {
-                                           self->on_header(error);
-                                       });
+        beast::http::async_read_header(
+            m_stream, m_buffer, *m_parser,
+            [self = shared_from_this()](error_code error, std::size_t) { self->on_header(error); });
     }
 
     void on_header(error_code error)
@@ -132,18 +131,16 @@
             asio::write(m_stream.socket(), asio::buffer(go_on), ignored);
         }
         m_stream.expires_after(m_shared->limits.body_timeout);
-        beast::http::async_read(m_stream, m_buffer, *m_parser,
-                                [self = shared_from_this()](error_code failed, std::size_t) {
-                                    self->on_body(failed);
-                                });
+        beast::http::async_read(
+            m_stream, m_buffer, *m_parser,
+            [self = shared_from_this()](error_code failed, std::size_t) { self->on_body(failed); });
     }
 
     void refuse(error_code error, bool in_body)
     {
         const bool quiet = error == beast::http::error::end_of_stream ||
                            error == asio::error::operation_aborted ||
-                           error == asio::error::connection_reset ||
-                           error == asio::error::eof ||
+                           error == asio::error::connection_reset || error == asio::error::eof ||
                            (error == beast::error::timeout && m_buffer.size() == 0 && !in_body);
         if (quiet) {
             close();
@@ -158,10 +155,10 @@
             return;
         }
         const std::uint16_t status = large ? 413 : header ? 431 : 400;
-        const std::string body = R"({"error":{"message":")" + error.message() +
-                                 R"(","type":"invalid_request_error","code":")" +
-                                 std::string{core::to_string(why)} + R"(","verdict":"not_run","reason":")" +
-                                 std::string{core::to_string(why)} + "\"}}";
+        const std::string body =
+            R"({"error":{"message":")" + error.message() +
+            R"(","type":"invalid_request_error","code":")" + std::string{core::to_string(why)} +
+            R"(","verdict":"not_run","reason":")" + std::string{core::to_string(why)} + "\"}}";
         m_close_after = true;
         m_exchange = m_shared->next_exchange++;
         queue(m_exchange,
@@ -180,7 +177,8 @@
     void watch_caller()
     {
         m_stream.socket().async_wait(
-            tcp::socket::wait_read, [self = shared_from_this(), exchange = m_exchange](error_code error) {
+            tcp::socket::wait_read,
+            [self = shared_from_this(), exchange = m_exchange](error_code error) {
                 if (error || exchange != self->m_exchange || !self->m_answering) {
                     return;
                 }
@@ -228,20 +226,21 @@
         }
         m_queue.clear();
         m_stream.expires_after(m_shared->limits.write_timeout);
-        asio::async_write(m_stream, asio::buffer(m_out),
-                          [self = shared_from_this()](error_code error, std::size_t) {
-                              self->m_writing = false;
-                              self->m_backlog -= std::min<std::size_t>(self->m_backlog, self->m_out.size());
-                              if (error) {
-                                  if (error == beast::error::timeout) {
-                                      self->m_shared->handler.on_refused(core::reason::caller_too_slow);
-                                  }
-                                  self->close();
-                                  return;
-                              }
-                              self->m_stream.expires_never();
-                              self->write_next();
-                          });
+        asio::async_write(
+            m_stream, asio::buffer(m_out),
+            [self = shared_from_this()](error_code error, std::size_t) {
+                self->m_writing = false;
+                self->m_backlog -= std::min<std::size_t>(self->m_backlog, self->m_out.size());
+                if (error) {
+                    if (error == beast::error::timeout) {
+                        self->m_shared->handler.on_refused(core::reason::caller_too_slow);
+                    }
+                    self->close();
+                    return;
+                }
+                self->m_stream.expires_never();
+                self->write_next();
+            });
     }
 
     void finish_answer()
--- a/src/http/server_test.cpp
+++ b/src/http/server_test.cpp
@@ -19,7 +19,8 @@
 
 class echo final : public server_handler {
 public:
-    void on_request(std::uint64_t, server_request request, std::shared_ptr<responder> answer) override
+    void on_request(std::uint64_t, server_request request,
+                    std::shared_ptr<responder> answer) override
     {
         answer->respond(200, {}, request.body);
     }
@@ -77,7 +78,8 @@
 
     void expect_alive()
     {
-        const auto answer = exchange("POST / HTTP/1.1\r\nContent-Length: 2\r\nConnection: close\r\n\r\nhi");
+        const auto answer =
+            exchange("POST / HTTP/1.1\r\nContent-Length: 2\r\nConnection: close\r\n\r\nhi");
         CHECK_TRUE_TEXT(answer.starts_with("HTTP/1.1 200"), answer.c_str());
     }
 };
--- a/src/log/data_folder.cpp
+++ b/src/log/data_folder.cpp
@@ -68,8 +68,7 @@
 bool replace_file(const fs::path& path, std::string_view content, core::last_reason& why)
 {
     const auto temporary = path.string() + ".tmp";
-    const int file =
-        ::open(temporary.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, file_mode);
+    const int file = ::open(temporary.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, file_mode);
     if (file < 0) {
         why.set(failed(temporary, "can't create"));
         return false;
--- a/src/log/replica_store.cpp
+++ b/src/log/replica_store.cpp
@@ -189,8 +189,8 @@
     }
     const auto bytes = read_whole(files.back().path);
     const auto payload = unseal(bytes);
-    const auto image = payload ? wire::decode_table<wire::snapshot_file_t>(std::string{*payload})
-                               : std::nullopt;
+    const auto image =
+        payload ? wire::decode_table<wire::snapshot_file_t>(std::string{*payload}) : std::nullopt;
     if (!image) {
         report.damage = files.back().path.string() + ": damaged snapshot";
         return;
@@ -262,8 +262,7 @@
 
 } // namespace
 
-std::unique_ptr<append_file> system_file_opener::open(const fs::path& path,
-                                                      core::last_reason& why)
+std::unique_ptr<append_file> system_file_opener::open(const fs::path& path, core::last_reason& why)
 {
     const int file = ::open(path.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, file_mode);
     if (file < 0) {
--- a/src/log/replica_store_test.cpp
+++ b/src/log/replica_store_test.cpp
@@ -79,7 +79,10 @@
         std::string pattern = (fs::temp_directory_path() / "siskindrift-test-XXXXXX").string();
         folder = ::mkdtemp(pattern.data());
     }
-    void teardown() override { fs::remove_all(folder); }
+    void teardown() override
+    {
+        fs::remove_all(folder);
+    }
 
     fs::path last_segment() const
     {
--- a/src/membership/upstream_registry.cpp
+++ b/src/membership/upstream_registry.cpp
@@ -9,9 +9,9 @@
     const auto [found, inserted] = m_records.try_emplace(id);
     auto& known = found->second;
     if (!inserted) {
-        const bool older = said.incarnation < known.last.incarnation ||
-                           (said.incarnation == known.last.incarnation &&
-                            said.sequence <= known.last.sequence);
+        const bool older =
+            said.incarnation < known.last.incarnation ||
+            (said.incarnation == known.last.incarnation && said.sequence <= known.last.sequence);
         if (older) {
             return announcement_effect::stale;
         }
@@ -43,9 +43,8 @@
 
 void upstream_registry::forget_silent(core::time_point now)
 {
-    std::erase_if(m_records, [&](const auto& item) {
-        return now - item.second.heard > m_options.forget_age;
-    });
+    std::erase_if(m_records,
+                  [&](const auto& item) { return now - item.second.heard > m_options.forget_age; });
 }
 
 } // namespace siskindrift::membership
--- a/src/net/mesh.cpp
+++ b/src/net/mesh.cpp
@@ -146,8 +146,7 @@
             if (!beat->echo) {
                 wire::heartbeat_t echo;
                 echo.echo = true;
-                send(std::make_shared<std::string>(
-                    wire::encode_frame(wire::make_envelope(echo))));
+                send(std::make_shared<std::string>(wire::encode_frame(wire::make_envelope(echo))));
             }
         }
         else {
@@ -268,8 +267,8 @@
         return nullptr;
     }
     const auto id = m_next_id++;
-    auto connection = std::make_shared<mesh_connection>(shared_from_this(), std::move(socket), id,
-                                                        address);
+    auto connection =
+        std::make_shared<mesh_connection>(shared_from_this(), std::move(socket), id, address);
     m_connections[id] = connection;
     if (!address.empty()) {
         m_by_address[address] = id;
--- a/src/net/mesh_test.cpp
+++ b/src/net/mesh_test.cpp
@@ -21,9 +21,18 @@
 
 class recorder final : public mesh_handler {
 public:
-    void on_message(connection_id, wire::envelope_t) override { note([this] { ++messages; }); }
-    void on_link(const std::string&, bool up) override { note([this, up] { ++(up ? ups : downs); }); }
-    void on_bad_frame(core::reason why) override { note([this, why] { last_bad = why; }); }
+    void on_message(connection_id, wire::envelope_t) override
+    {
+        note([this] { ++messages; });
+    }
+    void on_link(const std::string&, bool up) override
+    {
+        note([this, up] { ++(up ? ups : downs); });
+    }
+    void on_bad_frame(core::reason why) override
+    {
+        note([this, why] { last_bad = why; });
+    }
 
     template <class Condition>
     bool wait(Condition condition)
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -28,8 +28,8 @@
 {
     const double wanted = share * static_cast<double>(m_count);
     double seen = 0.0;
-    for (const auto& bin : boost::histogram::indexed(m_histogram,
-                                                     boost::histogram::coverage::all)) {
+    for (const auto& bin :
+         boost::histogram::indexed(m_histogram, boost::histogram::coverage::all)) {
         seen += *bin;
         if (seen >= wanted && *bin > 0.0) {
             return bin.bin().upper();
@@ -43,8 +43,8 @@
     std::ostringstream text;
     text << "# TYPE " << name << " histogram\n";
     double cumulative = 0.0;
-    for (const auto& bin : boost::histogram::indexed(m_histogram,
-                                                     boost::histogram::coverage::all)) {
+    for (const auto& bin :
+         boost::histogram::indexed(m_histogram, boost::histogram::coverage::all)) {
         cumulative += *bin;
         if (*bin > 0.0) {
             text << name << "_bucket{le=\"" << bin.bin().upper() << "\"} " << cumulative << "\n";
--- a/src/observe/metrics_test.cpp
+++ b/src/observe/metrics_test.cpp
@@ -13,7 +13,8 @@
     counted.count_reason(core::reason::queue_full);
     const auto text = counted.expose();
     for (std::size_t i = 1; i < core::reason_count; ++i) {
-        const auto name = "reason=\"" + std::string{core::to_string(static_cast<core::reason>(i))} + "\"";
+        const auto name =
+            "reason=\"" + std::string{core::to_string(static_cast<core::reason>(i))} + "\"";
         CHECK_TRUE_TEXT(text.find(name) != std::string::npos, name.c_str());
     }
     CHECK_TRUE(text.find("reason=\"queue_full\"} 1") != std::string::npos);
--- a/src/requests/body_mapping.cpp
+++ b/src/requests/body_mapping.cpp
@@ -85,13 +85,12 @@
     if (messages == nullptr || !messages->is_array() || messages->as_array().empty()) {
         return false;
     }
-    return std::all_of(messages->as_array().begin(), messages->as_array().end(),
-                       [](const auto& message) {
-                           const auto* object = message.if_object();
-                           const auto* content =
-                               object == nullptr ? nullptr : object->if_contains("content");
-                           return content != nullptr && content->is_string();
-                       });
+    return std::all_of(
+        messages->as_array().begin(), messages->as_array().end(), [](const auto& message) {
+            const auto* object = message.if_object();
+            const auto* content = object == nullptr ? nullptr : object->if_contains("content");
+            return content != nullptr && content->is_string();
+        });
 }
 
 std::optional<caller_request> map_model(const raw_request& raw, caller_request request,
@@ -258,8 +257,7 @@
     return text;
 }
 
-std::string whole_answer(const caller_request& request, std::string_view text,
-                         std::uint32_t tokens)
+std::string whole_answer(const caller_request& request, std::string_view text, std::uint32_t tokens)
 {
     json::object choice{{"index", 0}, {"finish_reason", "stop"}};
     json::object answer;
@@ -281,8 +279,7 @@
 {
     auto document = json::parse(body).as_object();
     if (chat) {
-        document["messages"].as_array().push_back(
-            {{"role", "assistant"}, {"content", delivered}});
+        document["messages"].as_array().push_back({{"role", "assistant"}, {"content", delivered}});
         document["continue_final_message"] = true;
         document["add_generation_prompt"] = false;
     }
--- a/src/requests/body_mapping_test.cpp
+++ b/src/requests/body_mapping_test.cpp
@@ -33,7 +33,8 @@
 TEST(BodyMapping, TakesACompletionWithItsAdapterAndVersion)
 {
     refusal why;
-    const auto request = map_request(completion(R"({"model":"a@1","prompt":"x","stream":true})"), why);
+    const auto request =
+        map_request(completion(R"({"model":"a@1","prompt":"x","stream":true})"), why);
     CHECK_TRUE_TEXT(request.has_value(), why.message.c_str());
     STRCMP_EQUAL("a@1", request->adapter.value().c_str());
     CHECK_TRUE(request->stream);
@@ -42,11 +43,12 @@
 
 TEST(BodyMapping, RefusesWhatIsNotARequest)
 {
-    for (const auto* body : {"", "{", "[]", "1", R"({"prompt":"x"})", R"({"model":"a","prompt":"x"})",
-                             R"({"model":"a@1"})", R"({"model":"a@1","prompt":7})",
-                             R"({"model":"a@1","prompt":"x","max_tokens":0})",
-                             R"({"model":"a@1","prompt":"x","max_tokens":1e300})",
-                             R"({"model":"a@1","prompt":"x","stream":"yes"})", "{\"model\":\"\xff\"}"}) {
+    for (const auto* body :
+         {"", "{", "[]", "1", R"({"prompt":"x"})", R"({"model":"a","prompt":"x"})",
+          R"({"model":"a@1"})", R"({"model":"a@1","prompt":7})",
+          R"({"model":"a@1","prompt":"x","max_tokens":0})",
+          R"({"model":"a@1","prompt":"x","max_tokens":1e300})",
+          R"({"model":"a@1","prompt":"x","stream":"yes"})", "{\"model\":\"\xff\"}"}) {
         CHECK_TRUE_TEXT(refused(completion(body)) == core::reason::bad_request, body);
     }
 }
@@ -83,7 +85,8 @@
 
 TEST(BodyMapping, ResumesWhereTheDeliveredTextEnds)
 {
-    const auto body = resume_body(R"({"model":"a@1","prompt":"x","max_tokens":10})", false, " t1 t2", 2);
+    const auto body =
+        resume_body(R"({"model":"a@1","prompt":"x","max_tokens":10})", false, " t1 t2", 2);
     const auto object = boost::json::parse(body).as_object();
     STRCMP_EQUAL("x t1 t2", object.at("prompt").as_string().c_str());
     LONGS_EQUAL(8, object.at("max_tokens").to_number<int>());
--- a/src/requests/entry_core.cpp
+++ b/src/requests/entry_core.cpp
@@ -12,11 +12,11 @@
 
 namespace {
 
-constexpr core::milliseconds short_patience{2000};    // questions that are asked again anyway
-constexpr core::milliseconds claim_patience{4000};    // above a change of the leader
-constexpr std::chrono::minutes settle_patience{5};    // outcomes of claims must arrive
+constexpr core::milliseconds short_patience{2000}; // questions that are asked again anyway
+constexpr core::milliseconds claim_patience{4000}; // above a change of the leader
+constexpr std::chrono::minutes settle_patience{5}; // outcomes of claims must arrive
 constexpr core::milliseconds ownership_every{200};
-constexpr core::milliseconds drain_margin{500};       // a caller's last connect may still come
+constexpr core::milliseconds drain_margin{500}; // a caller's last connect may still come
 constexpr std::string_view bearer = "Bearer ";
 
 std::string claim_subject(const std::string& team, const std::string& key)
@@ -29,9 +29,8 @@
 entry_core::entry_core(const core::clock& time, entry_outputs& out, entry_options options,
                        entry_identity self, std::vector<std::string> control_addresses,
                        std::uint64_t seed)
-    : m_context(time, out, options, std::move(self), seed),
-      m_ingress(m_context, *this, *this), m_owner(m_context, *this, *this),
-      m_control(std::move(control_addresses))
+    : m_context(time, out, options, std::move(self), seed), m_ingress(m_context, *this, *this),
+      m_owner(m_context, *this, *this), m_control(std::move(control_addresses))
 {
     m_control_at = core::uniform_below(m_context.random, m_control.size());
 }
@@ -180,8 +179,8 @@
         return link != m_links.end() && link->second;
     };
     const auto target = m_context.vms.find(vm);
-    const auto link = target == m_context.vms.end() ? m_links.end()
-                                                    : m_links.find(target->second.inner_address);
+    const auto link =
+        target == m_context.vms.end() ? m_links.end() : m_links.find(target->second.inner_address);
     if (link == m_links.end() || link->second) {
         return {};
     }
@@ -209,6 +208,12 @@
 void entry_core::on_link(const std::string& address, bool up)
 {
     m_links[address] = up;
+    if (!up && address == m_control[m_control_at]) {
+        suspect_control();
+        for (auto& [id, asked] : m_pending) {
+            asked.resend_at = m_context.now();
+        }
+    }
     if (!up) {
         for (const auto& [name, vm] : m_context.vms) {
             if (vm.inner_address == address) {
@@ -288,7 +293,7 @@
     asked.what = what;
     asked.subject = std::move(subject);
     asked.first_sent = now;
-    asked.sent = now;
+    asked.resend_at = now + m_context.options.control_timeout;
     asked.give_up = now + patience;
     m_context.out.send_control(m_control[m_control_at], asked.request);
     m_pending.emplace(asked.request.id, std::move(asked));
@@ -306,13 +311,20 @@
     m_control_at = (m_control_at + 1) % m_control.size();
 }
 
+void entry_core::suspect_control()
+{
+    m_suspect_control = m_control[m_control_at];
+    m_suspect_until = m_context.now() + m_context.options.control_suspicion;
+    use_next_control();
+}
+
 void entry_core::resend_control()
 {
     const auto now = m_context.now();
-    bool any_late = false;
+    bool unanswered = false;
     std::vector<std::uint64_t> given_up;
     for (const auto& [id, asked] : m_pending) {
-        any_late = any_late || now - asked.sent > m_context.options.control_timeout;
+        unanswered = unanswered || (now >= asked.resend_at && !asked.refused);
         if (now >= asked.give_up) {
             given_up.push_back(id);
         }
@@ -324,13 +336,13 @@
         on_control_reply(none);
         m_pending.erase(id);
     }
-    if (!any_late) {
-        return;
+    if (unanswered) {
+        suspect_control();
     }
-    use_next_control();
     for (auto& [id, asked] : m_pending) {
-        if (now - asked.sent > m_context.options.control_timeout) {
-            asked.sent = now;
+        if (now >= asked.resend_at) {
+            asked.resend_at = now + m_context.options.control_timeout;
+            asked.refused = false;
             m_context.out.send_control(m_control[m_control_at], asked.request);
         }
     }
@@ -347,13 +359,19 @@
                            reply.outcome == wire::control_outcome::unavailable;
     if (reply.outcome == wire::control_outcome::not_leader) {
         const auto at = std::find(m_control.begin(), m_control.end(), reply.leader_address);
-        if (at != m_control.end()) {
+        const bool suspect = now < m_suspect_until && reply.leader_address == m_suspect_control;
+        if (at == m_control.end() || suspect) {
+            use_next_control();
+        }
+        else {
             m_control_at = static_cast<std::size_t>(at - m_control.begin());
         }
     }
     const bool permit = found->second.what == purpose::permit;
     if (try_again && now < found->second.give_up && !permit) {
-        return; // sent again after the time-out, to the leader by then
+        found->second.refused = true;
+        found->second.resend_at = now + m_context.options.control_retry;
+        return;
     }
     const auto asked = std::move(found->second);
     m_pending.erase(found);
@@ -548,8 +566,8 @@
         }
         const bool near = vm.failure_domain == domain;
         const auto weight = routing::rendezvous_weight(upstream.value(), name);
-        const bool better = best.empty() || (near && !best_near) ||
-                            (near == best_near && weight > best_weight);
+        const bool better =
+            best.empty() || (near && !best_near) || (near == best_near && weight > best_weight);
         if (better) {
             best = name;
             best_near = near;
@@ -623,8 +641,7 @@
 void entry_core::release(const core::upstream_id& upstream)
 {
     const auto owned = m_context.owners.find(upstream.value());
-    const bool ours = owned != m_context.owners.end() &&
-                      owned->second.vm == m_context.self.vm &&
+    const bool ours = owned != m_context.owners.end() && owned->second.vm == m_context.self.vm &&
                       owned->second.incarnation == m_context.self.incarnation;
     if (!ours || busy(purpose::acquire, upstream.value())) {
         return;
--- a/src/requests/ingress.cpp
+++ b/src/requests/ingress.cpp
@@ -108,8 +108,8 @@
     m_retries.note_fresh();
     const auto longest = core::duration{core::milliseconds{team.longest_answer_ms}};
     const auto id = request.id;
-    request.priority = std::min(request.priority.value_or(team.default_priority),
-                                team.highest_priority);
+    request.priority =
+        std::min(request.priority.value_or(team.default_priority), team.highest_priority);
     request.key_time_ms = core::key_time_ms(request.key).value_or(0);
     call entry;
     entry.caller = caller;
@@ -119,8 +119,8 @@
     entry.request = std::move(request);
     m_by_caller[caller] = id;
     auto& stored = m_calls[id] = std::move(entry);
-    m_context.note(id, "admitted at " + m_context.self.vm + " for team " +
-                           stored.request.team.value());
+    m_context.note(id,
+                   "admitted at " + m_context.self.vm + " for team " + stored.request.team.value());
     if (stored.request.idempotent) {
         place(stored);
     }
@@ -207,8 +207,8 @@
              "an earlier request with this key may have run");
 }
 
-void ingress::complete(call& entry, outcome result, std::uint16_t status,
-                       std::string content_type, std::string body, std::string message)
+void ingress::complete(call& entry, outcome result, std::uint16_t status, std::string content_type,
+                       std::string body, std::string message)
 {
     // An attempt that may have run outweighs a later one that did not.
     if (entry.may_have_run && result.result == verdict::not_run) {
@@ -226,14 +226,14 @@
         answer.body = error_body(result, message, entry.request.id.value());
         answer.message = std::move(message);
         const bool temporary = status == 429 || status == 503;
-        answer.retry_after_ms = std::max(entry.retry_after_ms,
-                                         temporary ? default_retry_after_ms : 0);
+        answer.retry_after_ms =
+            std::max(entry.retry_after_ms, temporary ? default_retry_after_ms : 0);
     }
     settle_claim(entry, result, answer);
     const std::chrono::duration<double, std::milli> took = m_context.now() - entry.begun;
     m_context.out.observe_ms("siskindrift_request_ms", took.count());
-    m_context.note(entry.request.id, "ended: " + std::string{core::to_string(result.result)} +
-                                         " " + std::string{core::to_string(result.why)});
+    m_context.note(entry.request.id, "ended: " + std::string{core::to_string(result.result)} + " " +
+                                         std::string{core::to_string(result.why)});
     m_limits.release(entry.request.team);
     if (entry.caller != 0) {
         m_by_caller.erase(entry.caller);
--- a/src/requests/ingress_attempts.cpp
+++ b/src/requests/ingress_attempts.cpp
@@ -49,6 +49,9 @@
 
 bool ingress::usable(const core::upstream_id& id, const call& entry) const
 {
+    if (m_context.catalog.drained(id)) {
+        return false;
+    }
     if (entry.avoided.contains(id) || !m_context.registry.admissible(id, m_context.now())) {
         return false;
     }
@@ -97,7 +100,8 @@
         dispatch(entry, *chosen);
         return;
     }
-    if (now >= entry.deadline || now - entry.placing_since >= m_context.options.placement_patience) {
+    if (now >= entry.deadline ||
+        now - entry.placing_since >= m_context.options.placement_patience) {
         const auto why = entry.last.why == reason::none ? reason::no_upstream : entry.last.why;
         complete(entry, {verdict::not_run, why}, 503, "", "", "no upstream can take the request");
         return;
@@ -133,12 +137,11 @@
     order.path = request.path;
     order.method = request.method;
     order.content_type = request.content_type;
-    order.body = entry.delivered.empty()
-                     ? request.body
-                     : resume_body(request.body, request.kind == route::chat, entry.delivered,
-                                   entry.pieces);
-    order.deadline_ms = static_cast<std::uint32_t>(
-        std::max<std::int64_t>(1, core::to_ms(entry.deadline - now)));
+    order.body = entry.delivered.empty() ? request.body
+                                         : resume_body(request.body, request.kind == route::chat,
+                                                       entry.delivered, entry.pieces);
+    order.deadline_ms =
+        static_cast<std::uint32_t>(std::max<std::int64_t>(1, core::to_ms(entry.deadline - now)));
     order.priority = request.priority.value_or(0);
     order.idempotent = request.idempotent;
     order.max_tokens = request.max_tokens;
@@ -307,8 +310,8 @@
     entry.abandon_at = now;
     entry.abandon_sent = now;
     entry.abandon_why = why;
-    m_context.note(entry.request.id, "asks " + entry.current.vm + " to abandon it: " +
-                                         std::string{core::to_string(why)});
+    m_context.note(entry.request.id, "asks " + entry.current.vm +
+                                         " to abandon it: " + std::string{core::to_string(why)});
     send_abandon(entry, false);
 }
 
@@ -350,8 +353,8 @@
             continue;
         }
         const auto vm = m_context.vms.find(entry.current.vm);
-        const bool gone = vm == m_context.vms.end() ||
-                          vm->second.incarnation != entry.current.vm_incarnation;
+        const bool gone =
+            vm == m_context.vms.end() || vm->second.incarnation != entry.current.vm_incarnation;
         if (gone) {
             abandon(entry, reason::vm_restarted);
         }
--- a/src/requests/owner.cpp
+++ b/src/requests/owner.cpp
@@ -34,7 +34,8 @@
 } // namespace
 
 owner::owner(entry_context& context, peer_sender& peers, permit_sender& permits)
-    : m_context(context), m_peers(peers), m_permits(permits), m_fates(context.options.tombstone_life)
+    : m_context(context), m_peers(peers), m_permits(permits),
+      m_fates(context.options.tombstone_life)
 {
 }
 
@@ -65,7 +66,8 @@
         return reason::config_unconfirmed;
     }
     const auto* record = m_context.registry.find(upstream);
-    if (record != nullptr && record->last.state == wire::upstream_state::leaving) {
+    const bool leaving = record != nullptr && record->last.state == wire::upstream_state::leaving;
+    if (leaving || m_context.catalog.drained(upstream)) {
         return reason::upstream_leaving;
     }
     if (!m_context.registry.admissible(upstream, m_context.now())) {
@@ -184,8 +186,8 @@
         else if (m_fates.of(key) == attempt_fate::unseen) {
             m_fates.set(key, attempt_fate::abandoned, now);
         }
-        answer.tombstoned = m_fates.of(key) == attempt_fate::abandoned ||
-                            m_fates.of(key) == attempt_fate::not_run;
+        answer.tombstoned =
+            m_fates.of(key) == attempt_fate::abandoned || m_fates.of(key) == attempt_fate::not_run;
     }
     m_peers.send(from, wire::make_envelope(std::move(answer)));
 }
@@ -243,9 +245,9 @@
     call.content_type = entry.order.content_type;
     call.body = entry.order.body;
     call.repeatable = entry.order.idempotent;
-    call.headers = {{"X-Request-Id", entry.order.request_id + "." +
-                                         std::to_string(entry.order.attempt)},
-                    {"Siskindrift-Fencing", std::to_string(m_fencing[entry.upstream])}};
+    call.headers = {
+        {"X-Request-Id", entry.order.request_id + "." + std::to_string(entry.order.attempt)},
+        {"Siskindrift-Fencing", std::to_string(m_fencing[entry.upstream])}};
     if (!entry.order.key.empty()) {
         call.headers.emplace_back("Idempotency-Key", entry.order.key);
     }
@@ -298,11 +300,12 @@
     }
     entry->status = head.status;
     entry->content_type = head.content_type;
-    const auto expected =
-        entry->order.request_id + "." + std::to_string(entry->order.attempt);
-    const bool echoed = head.request_id == expected || (is_service(*entry) && head.request_id.empty());
-    const bool refused = is_service(*entry) ? (head.status == 429 || head.status == 503) && head.retry_after
-                                            : refused_before_running(head.status);
+    const auto expected = entry->order.request_id + "." + std::to_string(entry->order.attempt);
+    const bool echoed =
+        head.request_id == expected || (is_service(*entry) && head.request_id.empty());
+    const bool refused = is_service(*entry)
+                             ? (head.status == 429 || head.status == 503) && head.retry_after
+                             : refused_before_running(head.status);
     if (refused && (echoed || head.request_id.empty())) {
         m_context.out.cancel_call(call);
         entry->engine_done = true;
@@ -411,8 +414,8 @@
     case call_end::complete:
         break;
     }
-    const bool whole = entry->head_ok && (is_service(*entry) ||
-                                          (entry->finished_marker && entry->model_checked));
+    const bool whole =
+        entry->head_ok && (is_service(*entry) || (entry->finished_marker && entry->model_checked));
     if (whole) {
         end(*entry, {verdict::ran, reason::none}, wire::dispatch_event::finished);
     }
@@ -510,8 +513,8 @@
     const auto& name = m_context.catalog.deployment().policy;
     if (!m_policy || name != m_policy_name) {
         if (m_engines.empty()) {
-            m_policy = engines::make_residency_policy(
-                name, m_context.catalog.deployment().stall_weight);
+            m_policy =
+                engines::make_residency_policy(name, m_context.catalog.deployment().stall_weight);
             m_policy_name = name;
         }
     }
@@ -532,8 +535,8 @@
     for (const auto& [name_of, owned] : m_context.owners) {
         const core::upstream_id upstream{name_of};
         const auto* record = m_context.registry.find(upstream);
-        const bool ours = owned.vm == m_context.self.vm &&
-                          owned.incarnation == m_context.self.incarnation;
+        const bool ours =
+            owned.vm == m_context.self.vm && owned.incarnation == m_context.self.incarnation;
         if (!ours || record == nullptr || m_engines.contains(upstream)) {
             continue;
         }
@@ -596,8 +599,7 @@
     }
     m_handing_over.insert(upstream);
     const auto* record = m_context.registry.find(upstream);
-    const bool leaving =
-        record != nullptr && record->last.state == wire::upstream_state::leaving;
+    const bool leaving = record != nullptr && record->last.state == wire::upstream_state::leaving;
     std::vector<engines::work_id> waiting;
     for (const auto& [id, entry] : m_works) {
         if (entry.upstream == upstream && entry.call == 0) {
@@ -619,8 +621,8 @@
     std::vector<engines::work_id> late;
     std::vector<call_id> overdue;
     for (auto& [id, entry] : m_works) {
-        const bool stuck = !m_context.lease_valid() ||
-                           !m_context.registry.admissible(entry.upstream, now);
+        const bool stuck =
+            !m_context.lease_valid() || !m_context.registry.admissible(entry.upstream, now);
         if (entry.call == 0 && (stuck || now >= entry.deadline)) {
             late.push_back(id);
         }
@@ -643,9 +645,9 @@
         if (const auto engine = m_engines.find(entry.upstream); engine != m_engines.end()) {
             engine->second->cancel_waiting(id);
         }
-        const auto why = now >= entry.deadline         ? reason::deadline_passed
-                         : !m_context.lease_valid()    ? reason::lease_expired
-                                                       : reason::upstream_stale;
+        const auto why = now >= entry.deadline      ? reason::deadline_passed
+                         : !m_context.lease_valid() ? reason::lease_expired
+                                                    : reason::upstream_stale;
         end(entry, {verdict::not_run, why}, wire::dispatch_event::refused);
     }
     for (const auto call : overdue) {
@@ -688,9 +690,10 @@
         // What waits for a load counts as coming, so that others join it.
         for (const auto& waiting : engine->queue().in_order()) {
             const bool listed = engine->table().find(waiting.adapter) != nullptr;
-            const bool repeated = std::any_of(
-                item.residents.begin(), item.residents.end(),
-                [&](const auto& other) { return other->adapter == waiting.adapter.value(); });
+            const bool repeated =
+                std::any_of(item.residents.begin(), item.residents.end(), [&](const auto& other) {
+                    return other->adapter == waiting.adapter.value();
+                });
             if (!listed && !repeated && !waiting.adapter.value().empty()) {
                 wire::resident_load_t wanted;
                 wanted.adapter = waiting.adapter.value();
--- a/src/requests/team_limits.cpp
+++ b/src/requests/team_limits.cpp
@@ -9,7 +9,8 @@
                                                std::size_t live_vms, core::time_point now)
 {
     // Callers spread over the live VMs, but unevenly at times; half a share is kept spare.
-    const double share = std::min(1.0, 1.5 / static_cast<double>(std::max<std::size_t>(1, live_vms)));
+    const double share =
+        std::min(1.0, 1.5 / static_cast<double>(std::max<std::size_t>(1, live_vms)));
     const double rate = config.requests_per_second * share;
     const double burst = std::max(1.0, rate);
     auto& used = m_usage[team];
--- a/src/routing/placement.cpp
+++ b/src/routing/placement.cpp
@@ -116,8 +116,8 @@
     if (holder != nullptr) {
         // A copy is worth a load only when it shortens a queue; how full the engines are
         // decides between holders, and between homes, but makes no copies.
-        const bool copy = home != nullptr &&
-                          load_cost(*home) - spread_ms(*home) < queue_ms(*holder);
+        const bool copy =
+            home != nullptr && load_cost(*home) - spread_ms(*home) < queue_ms(*holder);
         return copy ? home->id : holder->id;
     }
     if (home != nullptr) {
@@ -126,8 +126,7 @@
     return least_loaded_placement{}.choose(adapter, engines);
 }
 
-std::unique_ptr<placement_policy> make_placement(const std::string& name,
-                                                 placement_options options)
+std::unique_ptr<placement_policy> make_placement(const std::string& name, placement_options options)
 {
     if (name == "naive") {
         return std::make_unique<least_loaded_placement>();
--- a/src/standins/standin_process.h
+++ b/src/standins/standin_process.h
@@ -94,7 +94,6 @@
 };
 
 /// Reads the settings; @p error says what is wrong when false is returned.
-bool read_standin_settings(const std::string& text, standin_settings& settings,
-                           std::string& error);
+bool read_standin_settings(const std::string& text, standin_settings& settings, std::string& error);
 
 } // namespace siskindrift::standins
--- a/src/standins/standin_upstream.cpp
+++ b/src/standins/standin_upstream.cpp
@@ -89,8 +89,9 @@
 
 bool standin_upstream::inject(const std::string& fault, std::uint32_t count, core::duration length)
 {
-    static const std::set<std::string> counted{"fail_load", "hang_load", "refuse", "lose_answer",
-                                               "late", "crossed", "wrong_adapter", "lose_order"};
+    static const std::set<std::string> counted{"fail_load",     "hang_load", "refuse",
+                                               "lose_answer",   "late",      "crossed",
+                                               "wrong_adapter", "lose_order"};
     if (counted.contains(fault)) {
         m_faults[fault] += count;
         m_fault_length = length;
@@ -141,7 +142,10 @@
     }
     const auto number = std::strtoull(request.header("Siskindrift-Fencing").c_str(), nullptr, 10);
     if (number < m_fencing) {
-        note({{"kind", "refused_order"}, {"fencing", number}, {"known", m_fencing}, {"path", request.target}});
+        note({{"kind", "refused_order"},
+              {"fencing", number},
+              {"known", m_fencing},
+              {"path", request.target}});
         return true;
     }
     m_fencing = number;
@@ -152,8 +156,9 @@
                                   std::shared_ptr<http::responder> answer)
 {
     if (old_fencing(request)) {
-        answer->respond(409, {{"Content-Type", "application/json"},
-                              {"X-Request-Id", request.header("X-Request-Id")}},
+        answer->respond(409,
+                        {{"Content-Type", "application/json"},
+                         {"X-Request-Id", request.header("X-Request-Id")}},
                         R"({"error":"old fencing number"})");
     }
     else if (m_settings.kind == "service") {
@@ -189,27 +194,27 @@
     const bool fails = take_fault("fail_load");
     const bool lost = take_fault("lose_order");
     const auto incarnation = m_incarnation;
-    run_later(ends - begun, [self = shared_from_this(), adapter, answer, fails, lost, incarnation,
-                             begun] {
-        self->m_owner.store().end();
-        if (self->m_incarnation != incarnation) {
-            answer->abort();
-            return;
-        }
-        self->m_loading.erase(adapter);
-        if (!fails) {
-            self->m_adapters.insert(adapter);
-        }
-        self->note({{"kind", fails ? "load_failed" : "load"},
-                    {"adapter", adapter},
-                    {"ms", core::to_ms(self->m_owner.time().now() - begun)},
-                    {"in_flight", self->m_owner.store().in_flight() + 1}});
-        if (lost) {
-            answer->abort();
-            return;
-        }
-        answer->respond(fails ? 500 : 200, {}, "{}");
-    });
+    run_later(ends - begun,
+              [self = shared_from_this(), adapter, answer, fails, lost, incarnation, begun] {
+                  self->m_owner.store().end();
+                  if (self->m_incarnation != incarnation) {
+                      answer->abort();
+                      return;
+                  }
+                  self->m_loading.erase(adapter);
+                  if (!fails) {
+                      self->m_adapters.insert(adapter);
+                  }
+                  self->note({{"kind", fails ? "load_failed" : "load"},
+                              {"adapter", adapter},
+                              {"ms", core::to_ms(self->m_owner.time().now() - begun)},
+                              {"in_flight", self->m_owner.store().in_flight() + 1}});
+                  if (lost) {
+                      answer->abort();
+                      return;
+                  }
+                  answer->respond(fails ? 500 : 200, {}, "{}");
+              });
 }
 
 std::uint32_t standin_upstream::running_on(const std::string& adapter) const
@@ -224,7 +229,10 @@
 {
     const auto adapter = text_at(parse_body(request.body), "lora_name");
     const bool known = m_adapters.erase(adapter) > 0;
-    note({{"kind", "unload"}, {"adapter", adapter}, {"known", known}, {"in_use", running_on(adapter)}});
+    note({{"kind", "unload"},
+          {"adapter", adapter},
+          {"known", known},
+          {"in_use", running_on(adapter)}});
     answer->respond(known ? 200 : 404, {}, "{}");
 }
 
@@ -239,7 +247,8 @@
     running.key = request.header("Idempotency-Key");
     if (!m_adapters.contains(running.adapter)) {
         note({{"kind", "missing_adapter"}, {"adapter", running.adapter}});
-        answer->respond(404, {{"X-Request-Id", running.request_id}}, R"({"error":"no such model"})");
+        answer->respond(404, {{"X-Request-Id", running.request_id}},
+                        R"({"error":"no such model"})");
         return;
     }
     if (take_fault("refuse")) {
@@ -358,8 +367,8 @@
 {
     if (!running.head_sent) {
         running.head_sent = true;
-        running.answer->begin(200, {{"Content-Type", "text/event-stream"},
-                                    {"X-Request-Id", running.shown_id}});
+        running.answer->begin(
+            200, {{"Content-Type", "text/event-stream"}, {"X-Request-Id", running.shown_id}});
     }
     --running.left;
     ++running.made;
@@ -399,8 +408,8 @@
     const auto wait = late ? core::duration{late_answer} : m_settings.service_time;
     const auto shown = !m_previous_id.empty() && take_fault("crossed") ? m_previous_id : id;
     m_previous_id = id;
-    const auto body = json::serialize(json::value{{"done", request.header("Idempotency-Key")},
-                                                  {"path", request.target}});
+    const auto body = json::serialize(
+        json::value{{"done", request.header("Idempotency-Key")}, {"path", request.target}});
     run_later(wait, [self = shared_from_this(), answer, lose, shown, body, run, id] {
         self->note({{"kind", "run_end"}, {"run", run}, {"request_id", id}, {"whole", !lose}});
         if (lose) {
--- a/src/state/control_state.cpp
+++ b/src/state/control_state.cpp
@@ -90,9 +90,8 @@
         answer.outcome = wire::control_outcome::conflict;
         answer.revision = m_revision;
         const auto wanted = change.expected_revision + 1;
-        const auto winner =
-            std::find_if(m_history.begin(), m_history.end(),
-                         [&](const auto& item) { return item.revision == wanted; });
+        const auto winner = std::find_if(m_history.begin(), m_history.end(),
+                                         [&](const auto& item) { return item.revision == wanted; });
         if (winner != m_history.end()) {
             answer.winner_change_id = winner->change_id;
             answer.winner_operator = winner->operator_name;
@@ -303,9 +302,9 @@
 {
     wire::config_page_t page;
     page.revision = m_revision;
-    const bool known = since <= m_revision && since != 0 &&
-                       (since == m_revision ||
-                        (!m_history.empty() && m_history.front().revision <= since + 1));
+    const bool known =
+        since <= m_revision && since != 0 &&
+        (since == m_revision || (!m_history.empty() && m_history.front().revision <= since + 1));
     page.full = !known;
     std::set<std::string> keys;
     if (known) {
--- a/src/state/control_state_test.cpp
+++ b/src/state/control_state_test.cpp
@@ -217,9 +217,8 @@
         for (int i = 0; i < count; ++i) {
             const auto id = "change-" + std::to_string(*rc::gen::inRange(0, 40));
             const auto key = "key-" + std::to_string(*rc::gen::inRange(0, 5));
-            const auto expected = static_cast<std::uint64_t>(
-                *rc::gen::inRange<int>(static_cast<int>(naive_revision) - 1,
-                                       static_cast<int>(naive_revision) + 2));
+            const auto expected = static_cast<std::uint64_t>(*rc::gen::inRange<int>(
+                static_cast<int>(naive_revision) - 1, static_cast<int>(naive_revision) + 2));
             const auto value = *rc::gen::element<std::string>("", "x", "y");
             const auto reply = first.put(change(id, expected, key, value));
             if (i % 10 == 5) {
--- a/src/state/permit_book_test.cpp
+++ b/src/state/permit_book_test.cpp
@@ -15,7 +15,10 @@
 TEST_GROUP(PermitBook)
 {
     permit_book book{{}};
-    void setup() override { book.begin(start); }
+    void setup() override
+    {
+        book.begin(start);
+    }
 };
 
 TEST(PermitBook, WaitsOutThePredecessorsPermits)
--- a/src/state/session_book_test.cpp
+++ b/src/state/session_book_test.cpp
@@ -23,7 +23,8 @@
     CHECK_TRUE(terms.granter_wait() > terms.ttl * (1.0 + terms.clock_drift));
     book.start("vm", 1, start);
     CHECK_TRUE(book.take_expired(start + terms.ttl).empty());
-    UNSIGNED_LONGS_EQUAL(1, book.take_expired(start + terms.granter_wait() + milliseconds{1}).size());
+    UNSIGNED_LONGS_EQUAL(1,
+                         book.take_expired(start + terms.granter_wait() + milliseconds{1}).size());
 }
 
 TEST(SessionBook, RefusesToRenewASessionThatIsBeingEnded)
--- a/tests/control_world.cpp
+++ b/tests/control_world.cpp
@@ -29,10 +29,11 @@
 }
 
 const std::array<const char*, static_cast<std::size_t>(fault_kind::count)> names{
-    "run", "kill", "restart", "wipe", "tear_write", "freeze", "thaw", "cut_one_way",
-    "cut_both_ways", "heal", "change", "resend_change", "race_change", "read", "add_learner",
-    "promote", "remove_lost", "register_vm", "renew", "acquire", "release", "claim", "finish",
-    "permit", "transfer", "depose", "steal"};
+    "run",         "kill",        "restart",       "wipe",    "tear_write",  "freeze",
+    "thaw",        "cut_one_way", "cut_both_ways", "heal",    "change",      "resend_change",
+    "race_change", "read",        "add_learner",   "promote", "remove_lost", "register_vm",
+    "renew",       "acquire",     "release",       "claim",   "finish",      "permit",
+    "transfer",    "depose",      "steal"};
 
 } // namespace
 
@@ -87,8 +88,8 @@
     options.compact_after = 40; // so that snapshots and their transfer happen often
     options.raft.snapshot_chunk_bytes = 512;
     options.raft.max_entries_per_message = 8;
-    one.core = std::make_unique<control::control_core>(core::replica_id{one.id}, recovered,
-                                                       options, m_random(), *one.clock, nullptr);
+    one.core = std::make_unique<control::control_core>(core::replica_id{one.id}, recovered, options,
+                                                       m_random(), *one.clock, nullptr);
     one.frozen = false;
     one.tear = false;
     one.frozen_mail.clear();
@@ -110,17 +111,16 @@
     }
     if (work.installed) {
         stored.base = *work.installed;
-        std::erase_if(stored.entries, [&](const auto& entry) {
-            return entry.index <= stored.base->last_index;
-        });
-        if (!stored.entries.empty() && stored.entries.front().index != stored.base->last_index + 1) {
+        std::erase_if(stored.entries,
+                      [&](const auto& entry) { return entry.index <= stored.base->last_index; });
+        if (!stored.entries.empty() &&
+            stored.entries.front().index != stored.base->last_index + 1) {
             stored.entries.clear();
         }
     }
     if (!work.entries.empty()) {
-        std::erase_if(stored.entries, [&](const auto& entry) {
-            return entry.index >= work.entries.front().index;
-        });
+        std::erase_if(stored.entries,
+                      [&](const auto& entry) { return entry.index >= work.entries.front().index; });
         stored.entries.insert(stored.entries.end(), work.entries.begin(), work.entries.end());
     }
 }
@@ -164,9 +164,8 @@
     post(at, work.messages);
     if (const auto made = one.core->complete(work)) {
         one.stored.base = *made;
-        std::erase_if(one.stored.entries, [&](const auto& entry) {
-            return entry.index <= made->last_index;
-        });
+        std::erase_if(one.stored.entries,
+                      [&](const auto& entry) { return entry.index <= made->last_index; });
     }
     check_commits(one, work);
     for (const auto& reply : one.core->take_replies()) {
@@ -174,8 +173,7 @@
     }
 }
 
-void control_world::post(std::size_t from,
-                         const std::vector<consensus::outgoing_message>& messages)
+void control_world::post(std::size_t from, const std::vector<consensus::outgoing_message>& messages)
 {
     for (const auto& item : messages) {
         for (std::size_t to = 0; to < m_replicas.size(); ++to) {
@@ -260,11 +258,10 @@
     const auto& raft = m_replicas[*leader].core->raft();
     std::size_t voters = 0;
     for (const auto& info : raft.members()) {
-        const auto held = std::find_if(m_replicas.begin(), m_replicas.end(), [&](const auto& one) {
-            return one.id == info.id;
-        });
-        const bool caught_up = held != m_replicas.end() &&
-                               raft.match_index(info.id) >= raft.commit_index();
+        const auto held = std::find_if(m_replicas.begin(), m_replicas.end(),
+                                       [&](const auto& one) { return one.id == info.id; });
+        const bool caught_up =
+            held != m_replicas.end() && raft.match_index(info.id) >= raft.commit_index();
         if (info.voter && !caught_up) {
             return false;
         }
@@ -334,8 +331,8 @@
     }
     const auto revision = reply.body.Aschange_result()->revision;
     if (revision != about.floor + 1) {
-        fail(about.subject + " expected revision " + std::to_string(about.floor) +
-             " but became " + std::to_string(revision));
+        fail(about.subject + " expected revision " + std::to_string(about.floor) + " but became " +
+             std::to_string(revision));
     }
     const auto [winner, first] = m_accepted_by_revision.emplace(revision, about.subject);
     if (!first && winner->second != about.subject) {
@@ -459,9 +456,10 @@
         order.address = address_of(at);
         order.add = true;
         order.voter = next.what == fault_kind::promote;
-        const bool known = std::any_of(raft.members().begin(), raft.members().end(), [&](const auto& info) {
-            return info.id == order.id && (info.voter || !order.voter);
-        });
+        const bool known =
+            std::any_of(raft.members().begin(), raft.members().end(), [&](const auto& info) {
+                return info.id == order.id && (info.voter || !order.voter);
+            });
         if (known) {
             return;
         }
@@ -505,7 +503,7 @@
         order.vm = vm_name(at);
         order.incarnation = 1;
         order.fencing = owned->second;
-        m_vms[at].owned.erase(owned); // the holder stops before it says so
+        m_vms[at].owned.erase(owned);   // the holder stops before it says so
         m_vms[at].version = UINT64_MAX; // and believes no older list until it renews afresh
         m_vms[at].lease_until = {};
         m_vms[at].version = 0;
@@ -571,7 +569,8 @@
             run_for(core::milliseconds{30});
             take({fault_kind::read, static_cast<std::uint8_t>(*old), 0});
             // An odd target sends the renewal to that replica, whoever leads.
-            const auto odd = static_cast<std::uint8_t>(*old % 2 == 1 ? *old : *old + m_replicas.size());
+            const auto odd =
+                static_cast<std::uint8_t>(*old % 2 == 1 ? *old : *old + m_replicas.size());
             take({fault_kind::renew, next.a, odd});
             return;
         }
@@ -648,18 +647,22 @@
         m_cuts.clear();
         break;
     case fault_kind::change:
-        change("change-" + std::to_string(m_next_change++), m_known_revision, leader_at().value_or(at));
+        change("change-" + std::to_string(m_next_change++), m_known_revision,
+               leader_at().value_or(at));
         break;
     case fault_kind::resend_change:
         if (m_next_change > 1) {
-            const auto number = m_next_change - 1 - next.b % std::min<std::uint64_t>(m_next_change - 1, 8);
+            const auto number =
+                m_next_change - 1 - next.b % std::min<std::uint64_t>(m_next_change - 1, 8);
             // A resend repeats the first expectation.
-            change("change-" + std::to_string(number), m_expected.at(number), leader_at().value_or(at));
+            change("change-" + std::to_string(number), m_expected.at(number),
+                   leader_at().value_or(at));
         }
         break;
     case fault_kind::race_change:
         for (int i = 0; i < 2; ++i) {
-            change("change-" + std::to_string(m_next_change++), m_known_revision, leader_at().value_or(at));
+            change("change-" + std::to_string(m_next_change++), m_known_revision,
+                   leader_at().value_or(at));
         }
         break;
     case fault_kind::read: {
@@ -688,7 +691,8 @@
         asked about;
         about.what = fault_kind::permit;
         for (int i = 0; i < 3; ++i) { // more than the burst
-            ask(leader_at().value_or(at), wire::make_control_request(wire::request_permit_t{}), about);
+            ask(leader_at().value_or(at), wire::make_control_request(wire::request_permit_t{}),
+                about);
         }
         break;
     }
--- a/tests/control_world.h
+++ b/tests/control_world.h
@@ -17,9 +17,34 @@
 namespace siskindrift::tests {
 
 enum class fault_kind : std::uint8_t {
-    run, kill, restart, wipe, tear_write, freeze, thaw, cut_one_way, cut_both_ways, heal,
-    change, resend_change, race_change, read, add_learner, promote, remove_lost,
-    register_vm, renew, acquire, release, claim, finish, permit, transfer, depose, steal, count
+    run,
+    kill,
+    restart,
+    wipe,
+    tear_write,
+    freeze,
+    thaw,
+    cut_one_way,
+    cut_both_ways,
+    heal,
+    change,
+    resend_change,
+    race_change,
+    read,
+    add_learner,
+    promote,
+    remove_lost,
+    register_vm,
+    renew,
+    acquire,
+    release,
+    claim,
+    finish,
+    permit,
+    transfer,
+    depose,
+    steal,
+    count
 };
 
 /// One step of a run.
--- a/tests/entry_fuzz_test.cpp
+++ b/tests/entry_fuzz_test.cpp
@@ -15,31 +15,20 @@
 // Faults are rarer than requests, so that most requests meet one fault or none.
 rc::Gen<event_kind> any_kind()
 {
-    return rc::gen::weightedElement<event_kind>({{20, event_kind::run},
-                                                 {1, event_kind::kill_vm},
-                                                 {4, event_kind::restart_vm},
-                                                 {1, event_kind::freeze_vm},
-                                                 {4, event_kind::thaw_vm},
-                                                 {1, event_kind::cut},
-                                                 {4, event_kind::heal},
-                                                 {1, event_kind::cut_control},
-                                                 {20, event_kind::model_request},
-                                                 {12, event_kind::service_request},
-                                                 {6, event_kind::resend_key},
-                                                 {2, event_kind::caller_leaves},
-                                                 {1, event_kind::restart_engine},
-                                                 {1, event_kind::silent_engine},
-                                                 {2, event_kind::lose_answer},
-                                                 {1, event_kind::cross_answer},
-                                                 {1, event_kind::wrong_adapter},
-                                                 {2, event_kind::refuse},
-                                                 {1, event_kind::fail_load},
-                                                 {1, event_kind::leave},
-                                                 {2, event_kind::serve},
-                                                 {1, event_kind::retire_version},
-                                                 {1, event_kind::create_version},
-                                                 {1, event_kind::drain_vm},
-                                                 {1, event_kind::bounce_vm}});
+    return rc::gen::weightedElement<event_kind>(
+        {{20, event_kind::run},           {1, event_kind::kill_vm},
+         {4, event_kind::restart_vm},     {1, event_kind::freeze_vm},
+         {4, event_kind::thaw_vm},        {1, event_kind::cut},
+         {4, event_kind::heal},           {1, event_kind::cut_control},
+         {20, event_kind::model_request}, {12, event_kind::service_request},
+         {6, event_kind::resend_key},     {2, event_kind::caller_leaves},
+         {1, event_kind::restart_engine}, {1, event_kind::silent_engine},
+         {2, event_kind::lose_answer},    {1, event_kind::cross_answer},
+         {1, event_kind::wrong_adapter},  {2, event_kind::refuse},
+         {1, event_kind::fail_load},      {1, event_kind::leave},
+         {2, event_kind::serve},          {1, event_kind::retire_version},
+         {1, event_kind::create_version}, {1, event_kind::drain_vm},
+         {1, event_kind::bounce_vm}});
 }
 
 rc::Gen<event> any_event()
@@ -61,7 +50,8 @@
     entry_world::totals sum;
     const bool held = rc::check("entry VMs, owners and engines against the oracle", [&] {
         const auto seed = *rc::gen::arbitrary<std::uint32_t>();
-        const auto events = *rc::gen::resize(100, rc::gen::container<std::vector<event>>(events_per_run, any_event()));
+        const auto events = *rc::gen::resize(
+            100, rc::gen::container<std::vector<event>>(events_per_run, any_event()));
         entry_world world{seed};
         for (const auto& next : events) {
             world.take(next);
--- a/tests/entry_world.cpp
+++ b/tests/entry_world.cpp
@@ -25,10 +25,11 @@
 constexpr const char* team_key = "team-key-of-the-fuzz";
 
 const std::array<const char*, static_cast<std::size_t>(event_kind::count)> names{
-    "run", "kill_vm", "restart_vm", "freeze_vm", "thaw_vm", "cut", "heal", "cut_control",
-    "model_request", "service_request", "resend_key", "caller_leaves", "restart_engine",
-    "silent_engine", "lose_answer", "cross_answer", "wrong_adapter", "refuse", "fail_load",
-    "leave", "serve", "retire_version", "create_version", "drain_vm", "bounce_vm"};
+    "run",          "kill_vm",        "restart_vm",     "freeze_vm",     "thaw_vm",
+    "cut",          "heal",           "cut_control",    "model_request", "service_request",
+    "resend_key",   "caller_leaves",  "restart_engine", "silent_engine", "lose_answer",
+    "cross_answer", "wrong_adapter",  "refuse",         "fail_load",     "leave",
+    "serve",        "retire_version", "create_version", "drain_vm",      "bounce_vm"};
 
 std::string vm_name(std::size_t at)
 {
@@ -101,7 +102,8 @@
         const auto delay = fate < 8 ? core::uniform_below(m_world.m_random, 400)
                                     : core::uniform_below(m_world.m_random, 4);
         for (int copy = 0; copy < (fate >= 398 ? 2 : 1); ++copy) {
-            m_world.to_vm(to, delay, [message](requests::entry_core& core) { core.on_peer(message); });
+            m_world.to_vm(to, delay,
+                          [message](requests::entry_core& core) { core.on_peer(message); });
         }
     }
 
@@ -117,12 +119,16 @@
         });
     }
 
-    void start_call(requests::upstream_call call) override { m_world.on_call(m_at, std::move(call)); }
+    void start_call(requests::upstream_call call) override
+    {
+        m_world.on_call(m_at, std::move(call));
+    }
 
     void cancel_call(requests::call_id call) override
     {
         for (auto& one : m_world.m_runs) {
-            if (one.call == call && one.vm == m_at && one.generation == m_world.m_vms[m_at].generation) {
+            if (one.call == call && one.vm == m_at &&
+                one.generation == m_world.m_vms[m_at].generation) {
                 one.open = false;
             }
         }
@@ -164,11 +170,15 @@
     m_control->on_request(0, wire::make_control_request(form));
     wire::apply_change_t change;
     change.change_id = "first";
-    wire::append(change.operations, put("deployment", {{"policy", policy}, {"loads_per_second", 20.0}}));
-    wire::append(change.operations, put("team/team", {{"key_hashes", {config::sha256_hex(team_key)}},
-                                                      {"requests_per_second", 10000.0},
-                                                      {"max_concurrent", 1000}, {"max_queued", 1000}}));
-    wire::append(change.operations, put("service/filing", {{"teams", {"team"}}, {"repeatable", false}}));
+    wire::append(change.operations,
+                 put("deployment", {{"policy", policy}, {"loads_per_second", 20.0}}));
+    wire::append(change.operations,
+                 put("team/team", {{"key_hashes", {config::sha256_hex(team_key)}},
+                                   {"requests_per_second", 10000.0},
+                                   {"max_concurrent", 1000},
+                                   {"max_queued", 1000}}));
+    wire::append(change.operations,
+                 put("service/filing", {{"teams", {"team"}}, {"repeatable", false}}));
     for (std::size_t i = 0; i < adapter_count; ++i) {
         wire::append(change.operations, put("adapter/" + adapter_name(i), adapter_entry(true)));
     }
@@ -219,11 +229,12 @@
     ++one.generation;
     one.outputs = std::make_unique<world_outputs>(*this, at);
     one.clock = one.clock ? std::move(one.clock) : std::make_unique<core::manual_clock>();
-    requests::entry_identity self{vm_name(at), at * 1000 + one.generation, vm_name(at), vm_name(at), "domain"};
+    requests::entry_identity self{vm_name(at), at * 1000 + one.generation, vm_name(at), vm_name(at),
+                                  "domain"};
     requests::entry_options options;
     options.endpoints_ttl = core::milliseconds{1000};
-    one.core = std::make_unique<requests::entry_core>(*one.clock, *one.outputs, options, self,
-                                                      std::vector<std::string>{"control"}, m_random());
+    one.core = std::make_unique<requests::entry_core>(
+        *one.clock, *one.outputs, options, self, std::vector<std::string>{"control"}, m_random());
     one.frozen = one.draining = one.leaving = false;
     one.mail.clear();
 }
@@ -369,8 +380,10 @@
     }
     else {
         raw.target = "/v1/completions";
-        raw.body = json::serialize(json::value{{"model", wanted.adapter}, {"prompt", wanted.prompt},
-                                               {"max_tokens", wanted.tokens}, {"stream", true}});
+        raw.body = json::serialize(json::value{{"model", wanted.adapter},
+                                               {"prompt", wanted.prompt},
+                                               {"max_tokens", wanted.tokens},
+                                               {"stream", true}});
     }
     requests::refusal why;
     auto request = requests::map_request(raw, why);
@@ -401,10 +414,10 @@
     switch (answer.result.result) {
     case verdict::ran: {
         ++m_totals.ran;
-        const bool whole = wanted.service
-                               ? answer.body == "done " + wanted.key
-                               : wanted.text == standins::expected_text(wanted.adapter, wanted.prompt,
-                                                                        wanted.tokens);
+        const bool whole =
+            wanted.service ? answer.body == "done " + wanted.key
+                           : wanted.text == standins::expected_text(wanted.adapter, wanted.prompt,
+                                                                    wanted.tokens);
         if (!whole) {
             fail(id + " got an answer that is not the whole of its own" + trace_of(wanted.vm, id));
         }
@@ -447,10 +460,11 @@
         auto& target = m_engines[at];
         const std::uint64_t fencing = std::stoull(header(call, "Siskindrift-Fencing"));
         if (target.checks_fencing && fencing < target.fencing) {
-            to_vm(from, 1, [id = call.id, echo = header(call, "X-Request-Id")](requests::entry_core& core) {
-                core.on_call_head(id, {409, "", echo, false});
-                core.on_call_end(id, call_end::complete);
-            });
+            to_vm(from, 1,
+                  [id = call.id, echo = header(call, "X-Request-Id")](requests::entry_core& core) {
+                      core.on_call_head(id, {409, "", echo, false});
+                      core.on_call_end(id, call_end::complete);
+                  });
             return;
         }
         target.fencing = std::max(target.fencing, fencing);
@@ -483,7 +497,8 @@
         auto& now = *std::find_if(m_engines.begin(), m_engines.end(),
                                   [&](const auto& one) { return one.id == name; });
         if (now.incarnation != incarnation) {
-            to_vm(from, 1, [id](requests::entry_core& core) { core.on_call_end(id, call_end::lost); });
+            to_vm(from, 1,
+                  [id](requests::entry_core& core) { core.on_call_end(id, call_end::lost); });
             return;
         }
         if (load && !fails && now.adapters.size() < 3) {
@@ -548,9 +563,11 @@
         if (take_armed(target, event_kind::wrong_adapter)) {
             one.shown_adapter = "another@1"; // it truly runs on another adapter
         }
-        const bool crossed = !target.previous_id.empty() && take_armed(target, event_kind::cross_answer);
+        const bool crossed =
+            !target.previous_id.empty() && take_armed(target, event_kind::cross_answer);
         one.shown_id = crossed ? target.previous_id : echo;
-        const auto prompt = crossed ? "the prompt of " + target.previous_id : text_at(body, "prompt");
+        const auto prompt =
+            crossed ? "the prompt of " + target.previous_id : text_at(body, "prompt");
         standins::token_model model{one.shown_adapter, prompt};
         const auto tokens = body.at("max_tokens").to_number<int>();
         for (int i = 0; i < tokens; ++i) {
@@ -564,7 +581,8 @@
         return;
     }
     else {
-        const bool crossed = !target.previous_id.empty() && take_armed(target, event_kind::cross_answer);
+        const bool crossed =
+            !target.previous_id.empty() && take_armed(target, event_kind::cross_answer);
         one.shown_id = crossed ? target.previous_id : echo;
         one.pieces = {"done " + (crossed ? "for another" : header(call, "Idempotency-Key"))};
     }
@@ -584,7 +602,8 @@
     if (m_vms[one.vm].generation != one.generation) {
         return;
     }
-    to_vm(one.vm, delay, [id = one.call, how](requests::entry_core& core) { core.on_call_end(id, how); });
+    to_vm(one.vm, delay,
+          [id = one.call, how](requests::entry_core& core) { core.on_call_end(id, how); });
 }
 
 void entry_world::step_run(std::size_t run)
@@ -611,15 +630,19 @@
     else {
         std::string bytes = piece;
         if (!target.service) {
-            bytes = "data: " + json::serialize(json::value{{"model", one.shown_adapter},
-                                                           {"choices", {{{"text", piece}}}}}) + "\n\n";
+            bytes = "data: " +
+                    json::serialize(json::value{{"model", one.shown_adapter},
+                                                {"choices", {{{"text", piece}}}}}) +
+                    "\n\n";
         }
         const bool last = one.next == one.pieces.size();
         if (last && !target.service) {
             bytes += "data: [DONE]\n\n";
         }
         if (!(last && one.lost)) {
-            to_vm(one.vm, 1, [id = one.call, bytes](requests::entry_core& core) { core.on_call_data(id, bytes); });
+            to_vm(one.vm, 1, [id = one.call, bytes](requests::entry_core& core) {
+                core.on_call_data(id, bytes);
+            });
         }
         if (last) {
             one.open = false;
@@ -637,7 +660,9 @@
     one.core.reset();
     ++one.generation;
     for (std::size_t other = 0; other < m_vms.size(); ++other) {
-        to_vm(other, 5, [address = vm_name(at)](requests::entry_core& core) { core.on_link(address, false); });
+        to_vm(other, 5, [address = vm_name(at)](requests::entry_core& core) {
+            core.on_link(address, false);
+        });
     }
     for (auto caller = m_by_caller.begin(); caller != m_by_caller.end();) {
         const bool lost = m_asked.at(caller->second).vm == at;
@@ -685,7 +710,9 @@
         if (!one.core) {
             start_vm(at);
             for (std::size_t peer = 0; peer < m_vms.size(); ++peer) {
-                to_vm(peer, 100, [address = vm_name(at)](requests::entry_core& core) { core.on_link(address, true); });
+                to_vm(peer, 100, [address = vm_name(at)](requests::entry_core& core) {
+                    core.on_link(address, true);
+                });
             }
         }
         break;
@@ -700,7 +727,9 @@
         if (one.core && !one.frozen) {
             one.frozen = true;
             for (std::size_t peer = 0; peer < m_vms.size(); ++peer) {
-                to_vm(peer, 1300, [address = vm_name(at)](requests::entry_core& core) { core.on_link(address, false); });
+                to_vm(peer, 1300, [address = vm_name(at)](requests::entry_core& core) {
+                    core.on_link(address, false);
+                });
             }
         }
         break;
@@ -711,21 +740,31 @@
                 action();
             }
             for (std::size_t peer = 0; peer < m_vms.size(); ++peer) {
-                to_vm(peer, 200, [address = vm_name(at)](requests::entry_core& core) { core.on_link(address, true); });
+                to_vm(peer, 200, [address = vm_name(at)](requests::entry_core& core) {
+                    core.on_link(address, true);
+                });
             }
         }
         break;
     case event_kind::cut:
         if (at != other) {
             m_cuts.insert({at, other});
-            to_vm(at, 1300, [address = vm_name(other)](requests::entry_core& core) { core.on_link(address, false); });
-            to_vm(other, 1300, [address = vm_name(at)](requests::entry_core& core) { core.on_link(address, false); });
+            to_vm(at, 1300, [address = vm_name(other)](requests::entry_core& core) {
+                core.on_link(address, false);
+            });
+            to_vm(other, 1300, [address = vm_name(at)](requests::entry_core& core) {
+                core.on_link(address, false);
+            });
         }
         break;
     case event_kind::heal:
         for (const auto& [from, to] : std::exchange(m_cuts, {})) {
-            to_vm(from, 200, [address = vm_name(to)](requests::entry_core& core) { core.on_link(address, true); });
-            to_vm(to, 200, [address = vm_name(from)](requests::entry_core& core) { core.on_link(address, true); });
+            to_vm(from, 200, [address = vm_name(to)](requests::entry_core& core) {
+                core.on_link(address, true);
+            });
+            to_vm(to, 200, [address = vm_name(from)](requests::entry_core& core) {
+                core.on_link(address, true);
+            });
         }
         m_control_cuts.clear();
         break;
@@ -747,7 +786,8 @@
         wanted.service = true;
         const bool resend = next.what == event_kind::resend_key && !m_keys.empty();
         if (resend) {
-            wanted.key = m_keys[m_keys.size() - 1 - next.b % std::min<std::size_t>(m_keys.size(), 5)];
+            wanted.key =
+                m_keys[m_keys.size() - 1 - next.b % std::min<std::size_t>(m_keys.size(), 5)];
         }
         else {
             wanted.key = core::make_key(m_control_clock.wall_ms(), m_random(), m_random());
--- a/tests/entry_world.h
+++ b/tests/entry_world.h
@@ -17,10 +17,32 @@
 namespace siskindrift::tests {
 
 enum class event_kind : std::uint8_t {
-    run, kill_vm, restart_vm, freeze_vm, thaw_vm, cut, heal, cut_control, model_request,
-    service_request, resend_key, caller_leaves, restart_engine, silent_engine, lose_answer,
-    cross_answer, wrong_adapter, refuse, fail_load, leave, serve, retire_version,
-    create_version, drain_vm, bounce_vm, count
+    run,
+    kill_vm,
+    restart_vm,
+    freeze_vm,
+    thaw_vm,
+    cut,
+    heal,
+    cut_control,
+    model_request,
+    service_request,
+    resend_key,
+    caller_leaves,
+    restart_engine,
+    silent_engine,
+    lose_answer,
+    cross_answer,
+    wrong_adapter,
+    refuse,
+    fail_load,
+    leave,
+    serve,
+    retire_version,
+    create_version,
+    drain_vm,
+    bounce_vm,
+    count
 };
 
 /// One step of a run.
@@ -113,7 +135,8 @@
     void run_for(std::uint64_t ms);
     void tick();
     void later(std::uint64_t ms, std::function<void()> action);
-    void to_vm(std::size_t at, std::uint64_t delay, std::function<void(requests::entry_core&)> action);
+    void to_vm(std::size_t at, std::uint64_t delay,
+               std::function<void(requests::entry_core&)> action);
     void drive_control();
     void announce(std::size_t at);
     void submit(std::size_t at, asked wanted);
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -166,7 +166,8 @@
                     "inner_address": self.inner_address(i),
                     "control": self.relays.get(i, self.control_addresses()),
                     "workers": 2, "endpoints_ttl_ms": 1000,
-                    "config_bound_ms": self.config_bound_ms}
+                    "config_bound_ms": self.config_bound_ms,
+                    "operator_token_hashes": [sha256(OPERATOR_TOKEN)]}
         if i < CONTROL_VMS:
             settings["data_folder"] = str(self.folder / f"entry-{i + 1}" / "data")
         return settings
--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -26,12 +26,32 @@
             shutil.copy2(ROOT / name, target / name)
 
 
+def apply_edits(tree, mutation):
+    """Returns the texts that the edits replaced, or None when one does not apply."""
+    before = {}
+    for edit in [mutation] + mutation.get("also", []):
+        path = tree / edit["file"]
+        text = path.read_text()
+        before.setdefault(path, text)
+        # The formatter may break lines elsewhere than the entry does.
+        pattern = r"\s+".join(re.escape(word) for word in edit["from"].split())
+        found = re.findall(pattern, text)
+        if len(found) != 1:
+            restore(before)
+            return None
+        path.write_text(text.replace(found[0], edit["to"]))
+    return before
+
+
+def restore(before):
+    for path, text in before.items():
+        path.write_text(text)
+
+
 def try_mutation(tree, mutation):
-    path = tree / mutation["file"]
-    text = path.read_text()
-    if text.count(mutation["from"]) != 1:
+    before = apply_edits(tree, mutation)
+    if before is None:
         return False, "the text to replace does not stand there once"
-    path.write_text(text.replace(mutation["from"], mutation["to"]))
     try:
         test = mutation["test"]
         built = subprocess.run(["ninja", "-C", str(tree / "build"), test], capture_output=True, text=True)
@@ -43,10 +63,11 @@
                              env=environment, timeout=240)
         if run.returncode == 0:
             return False, "NOT NOTICED by " + test
-        seen = re.search(r"^.*(at \d+ ms:|Failure in TEST|error: ).*$", run.stdout, re.MULTILINE)
+        seen = re.search(r"^at \d+ ms: .*$", run.stdout, re.MULTILINE) or \
+            re.search(r"Failure in TEST\(.*\)", run.stdout)
         return True, (seen.group(0).strip() if seen else f"exit {run.returncode}")[:150]
     finally:
-        path.write_text(text)
+        restore(before)
 
 
 def main():
