A VM without configuration calls no key wrong; an owner tells an outcome again

Change: unknown keys before the first confirmation are config_unconfirmed, not_run; for calls that may not be repeated the owner keeps what it told for 60 s and tells it again when it is asked to abandon the call.

--- a/include/siskindrift/requests/context.h
+++ b/include/siskindrift/requests/context.h
@@ -29,7 +29,9 @@
     core::duration digest_every = core::milliseconds{250};
     core::duration placement_patience = core::milliseconds{6000}; // above a lease takeover
     core::duration placement_retry = core::milliseconds{50};
-    core::duration abandon_wait = core::milliseconds{1500}; // above a silent link's detection
+    core::duration abandon_wait = core::milliseconds{1500};  // above a silent link's detection
+    core::duration keep_outcomes = std::chrono::seconds{60}; // above any wait for an answer
+    std::size_t kept_answer_bytes = 64UL * 1024;
     core::duration abandon_resend = core::milliseconds{300};
     core::duration owner_silence =
         core::milliseconds{4000}; // above the limits that the owner applies
--- a/include/siskindrift/requests/entry_core.h
+++ b/include/siskindrift/requests/entry_core.h
@@ -27,7 +27,9 @@
     void restore_config(const wire::config_page_t& stored);
 
     // Callers.
-    void on_request(caller_id caller, caller_request request);
+    /// Begins a request with the value of its Authorization header. The outcome always comes
+    /// through `entry_outputs::finish`, possibly within the call.
+    void on_request(caller_id caller, const std::string& authorization, caller_request request);
     void on_caller_left(caller_id caller);
     /// Returns a request id that no other request of the system has.
     [[nodiscard]] core::request_id new_request_id();
--- a/include/siskindrift/requests/ingress.h
+++ b/include/siskindrift/requests/ingress.h
@@ -33,6 +33,9 @@
 
     /// Begins a request. The outcome always comes through `entry_outputs::finish`.
     void submit(caller_id caller, caller_request request);
+    /// Answers a request that is not admitted.
+    void reject(caller_id caller, const caller_request& request, core::reason why,
+                std::string message);
     /// The caller closed its connection.
     void on_caller_left(caller_id caller);
     void on_claim(const core::request_id& id, const wire::control_reply_t& reply);
--- a/include/siskindrift/requests/owner.h
+++ b/include/siskindrift/requests/owner.h
@@ -79,6 +79,13 @@
         std::string content_type;
         std::size_t offset = 0;
         event_splitter events;
+        std::vector<wire::dispatch_reply_t> told; ///< Of a call that may not be repeated.
+        std::size_t told_bytes = 0;
+    };
+    /// What an ingress that lost the connection may still ask for.
+    struct kept_outcome {
+        core::time_point since{};
+        std::vector<wire::dispatch_reply_t> told;
     };
     struct order_call {
         core::upstream_id upstream;
@@ -101,7 +108,9 @@
     void fail(work& entry, core::outcome result);
     void end(work& entry, core::outcome result, wire::dispatch_event event,
              std::uint32_t retry_after_ms = 0);
-    void reply(const work& entry, wire::dispatch_reply_t message);
+    void reply(work& entry, wire::dispatch_reply_t message);
+    void tell_again(const std::string& to, const std::vector<wire::dispatch_reply_t>& told);
+    void forget_outcomes(core::time_point now);
     void refuse(const std::string& to, const wire::dispatch_t& order, core::reason why,
                 std::uint32_t retry_after_ms = 0);
     void drop_engine(const core::upstream_id& upstream, core::reason why, bool calls_too);
@@ -120,6 +129,7 @@
     std::map<call_id, engines::work_id> m_by_call;
     std::map<call_id, order_call> m_orders;
     tombstones m_fates;
+    std::map<attempt_key, kept_outcome> m_outcomes;
     engines::work_id m_next_work = 1;
 };
 
--- a/src/apps/entry_process.cpp
+++ b/src/apps/entry_process.cpp
@@ -552,7 +552,10 @@
         id = m_core->new_request_id();
         const auto team = m_core->authenticate(request.header("Authorization"));
         if (!team) {
-            refuse(answer, 401, reason::unauthorized, "unknown team key", id);
+            const bool knows = m_core->context().config_confirmed();
+            const auto why = knows ? reason::unauthorized : reason::config_unconfirmed;
+            refuse(answer, requests::status_of({verdict::not_run, why}), why,
+                   knows ? "unknown team key" : "the configuration is not confirmed yet", id);
             return;
         }
         models = m_core->models_of(*team);
@@ -623,17 +626,10 @@
         refuse(*answer, why.status, why.result.why, why.message, id);
         return;
     }
-    const auto team = m_core->authenticate(raw.authorization);
-    if (!team) {
-        m_metrics.count_reason(reason::unauthorized);
-        refuse(*answer, 401, reason::unauthorized, "unknown team key", id);
-        return;
-    }
     mapped->id = id;
-    mapped->team = *team;
     m_metrics.count("siskindrift_requests_total");
     m_exchanges[exchange].answer = std::move(answer);
-    m_core->on_request(exchange, std::move(*mapped));
+    m_core->on_request(exchange, raw.authorization, std::move(*mapped));
 }
 
 void entry_process::on_left(std::uint64_t exchange)
--- a/src/requests/entry_core.cpp
+++ b/src/requests/entry_core.cpp
@@ -71,9 +71,22 @@
     return m_context.config_confirmed() && !m_context.draining;
 }
 
-void entry_core::on_request(caller_id caller, caller_request request)
+void entry_core::on_request(caller_id caller, const std::string& authorization,
+                            caller_request request)
 {
-    m_ingress.submit(caller, std::move(request));
+    const auto team = authenticate(authorization);
+    if (team) {
+        request.team = *team;
+        m_ingress.submit(caller, std::move(request));
+    }
+    else if (!m_context.config_confirmed()) {
+        // A VM that just started knows no keys yet; that must not look like a wrong key.
+        m_ingress.reject(caller, request, reason::config_unconfirmed,
+                         "this VM has not confirmed its configuration yet; use another");
+    }
+    else {
+        m_ingress.reject(caller, request, reason::unauthorized, "unknown team key");
+    }
     deliver_local();
 }
 
--- a/src/requests/ingress.cpp
+++ b/src/requests/ingress.cpp
@@ -130,6 +130,12 @@
     remove_done();
 }
 
+void ingress::reject(caller_id caller, const caller_request& request, reason why,
+                     std::string message)
+{
+    refuse(caller, request, refused(why, std::move(message)));
+}
+
 void ingress::refuse(caller_id caller, const caller_request& request, const refusal& why)
 {
     m_context.out.count(why.result.why);
--- a/src/requests/ingress_attempts.cpp
+++ b/src/requests/ingress_attempts.cpp
@@ -368,7 +368,10 @@
     else if (!same_process) {
         after_attempt(entry, {verdict::may_have_run, reason::vm_restarted}, 0);
     }
-    // Started: its answer may still come until the wait for it ends.
+    else if (m_context.now() < entry.deadline) {
+        // It has started at a process that lives; its answer is told again until the deadline.
+        entry.abandon_at = m_context.now();
+    }
     remove_done();
 }
 
--- a/src/requests/owner.cpp
+++ b/src/requests/owner.cpp
@@ -124,7 +124,7 @@
     entry.deadline = queued.deadline;
     entry.last_word = now;
     m_by_attempt[key] = id;
-    const auto& stored = m_works.emplace(id, std::move(entry)).first->second;
+    auto& stored = m_works.emplace(id, std::move(entry)).first->second;
     wire::dispatch_reply_t word;
     word.event = wire::dispatch_event::queued;
     reply(stored, std::move(word));
@@ -151,15 +151,37 @@
     m_peers.send(to, wire::make_envelope(std::move(message)));
 }
 
-void owner::reply(const work& entry, wire::dispatch_reply_t message)
+void owner::reply(work& entry, wire::dispatch_reply_t message)
 {
     message.request_id = entry.order.request_id;
     message.attempt = entry.order.attempt;
     message.owner_incarnation = m_context.self.incarnation;
     message.ingress_incarnation = entry.order.ingress_incarnation;
+    const bool answer = message.event == wire::dispatch_event::piece ||
+                        message.event == wire::dispatch_event::finished;
+    if (answer && !entry.order.idempotent) {
+        entry.told_bytes += message.data.size();
+        if (entry.told_bytes <= m_context.options.kept_answer_bytes) {
+            entry.told.push_back(message);
+        }
+    }
     m_peers.send(entry.ingress, wire::make_envelope(std::move(message)));
 }
 
+void owner::tell_again(const std::string& to, const std::vector<wire::dispatch_reply_t>& told)
+{
+    for (const auto& message : told) {
+        m_peers.send(to, wire::make_envelope(message));
+    }
+}
+
+void owner::forget_outcomes(core::time_point now)
+{
+    std::erase_if(m_outcomes, [&](const auto& item) {
+        return now - item.second.since > m_context.options.keep_outcomes;
+    });
+}
+
 void owner::on_abandon(const std::string& from, const wire::abandon_t& order)
 {
     const attempt_key key{order.request_id, order.attempt};
@@ -182,6 +204,12 @@
                 m_context.out.cancel_call(entry.call);
                 fail(entry, {verdict::may_have_run, reason::abandoned});
             }
+            else {
+                tell_again(from, entry.told);
+            }
+        }
+        else if (const auto kept = m_outcomes.find(key); kept != m_outcomes.end()) {
+            tell_again(from, kept->second.told);
         }
         else if (m_fates.of(key) == attempt_fate::unseen) {
             m_fates.set(key, attempt_fate::abandoned, now);
@@ -484,6 +512,9 @@
         engine != m_engines.end() && engine->second->incarnation() == entry.upstream_incarnation) {
         engine->second->finish(id, entry.engine_done, now);
     }
+    if (!entry.told.empty() && result.result == verdict::ran) {
+        m_outcomes[key] = {now, std::move(entry.told)};
+    }
     m_by_call.erase(entry.call);
     m_by_attempt.erase(key);
     m_works.erase(id);
@@ -618,6 +649,7 @@
 {
     const auto now = m_context.now();
     m_fates.forget_old(now);
+    forget_outcomes(now);
     std::vector<engines::work_id> late;
     std::vector<call_id> overdue;
     for (auto& [id, entry] : m_works) {
--- a/tests/entry_world.cpp
+++ b/tests/entry_world.cpp
@@ -393,17 +393,19 @@
         return;
     }
     request->id = target.core->new_request_id();
-    request->team = core::team_id{"team"};
     wanted.vm = at;
     wanted.at_ms = m_now_ms;
     const auto caller = m_next_caller++;
     m_by_caller[caller] = request->id.value();
     m_asked[request->id.value()] = std::move(wanted);
-    target.core->on_request(caller, std::move(*request));
+    target.core->on_request(caller, std::string{"Bearer "} + team_key, std::move(*request));
 }
 
 void entry_world::on_finish(requests::caller_id caller, const requests::final_answer& answer)
 {
+    if (answer.result.why == core::reason::unauthorized) {
+        fail("a valid team key was called unknown");
+    }
     const auto found = m_by_caller.find(caller);
     if (found == m_by_caller.end()) {
         return;
