--- a/tools/prove.py
+++ b/tools/prove.py
@@ -214,7 +214,9 @@
                 run.fleet.restart(name)
                 fleet.wait_until(lambda: ready(run, i), IN_FORCE_BOUND_S, f"{name} ready again")
             leader = run.control_leader()
-            expect(run.fleet.stop(leader, signal.SIGTERM) == 0, "the control leader ended badly")
+            status = run.fleet.stop(leader, signal.SIGTERM)
+            log = pathlib.Path(run.fleet.processes[leader]["log"]).read_text()[-500:]
+            expect(status == 0, f"{leader} ended with {status}: {log}")
             run.fleet.restart(leader)
         summary, _, _ = run.load(32, faults, rate=20, extra=("--resends", "0"))
         failed = summary["requests"] - summary["ran"]
