--- a/include/siskindrift/requests/context.h
+++ b/include/siskindrift/requests/context.h
@@ -23,6 +23,7 @@
         core::milliseconds{5000}; ///< Serve no longer on an unconfirmed one.
     core::duration renew_every = core::milliseconds{400};
     core::duration control_timeout = core::milliseconds{500};
+    core::duration question_patience = core::milliseconds{2000}; // for what is asked again anyway
     core::duration control_retry =
         core::milliseconds{60}; ///< After a replica said that it does not lead.
     core::duration control_suspicion = core::milliseconds{1500}; // above an election
--- a/include/siskindrift/requests/entry_core.h
+++ b/include/siskindrift/requests/entry_core.h
@@ -139,4 +139,20 @@
     std::uint64_t m_next_request = 1;
 };
 
+template <class Body>
+void entry_core::ask_control(Body body, purpose what, std::string subject, core::duration patience)
+{
+    const auto now = m_context.now();
+    pending_control asked;
+    asked.request = wire::make_control_request(std::move(body));
+    asked.request.id = m_next_control_id++;
+    asked.what = what;
+    asked.subject = std::move(subject);
+    asked.first_sent = now;
+    asked.resend_at = now + m_context.options.control_timeout;
+    asked.give_up = now + patience;
+    m_context.out.send_control(m_control[m_control_at], asked.request);
+    m_pending.emplace(asked.request.id, std::move(asked));
+}
+
 } // namespace siskindrift::requests
--- /dev/null
+++ b/src/requests/owner_engines.cpp
@@ -0,0 +1,227 @@
+// The engines that a VM owns: orders to them, hand-over, and their digest.
+#include <algorithm>
+#include <utility>
+
+#include "siskindrift/requests/owner.h"
+
+namespace siskindrift::requests {
+
+using core::reason;
+using core::verdict;
+using engines::engine_action;
+
+namespace {
+
+constexpr std::string_view load_path = "/v1/load_lora_adapter";
+constexpr std::string_view unload_path = "/v1/unload_lora_adapter";
+
+std::string order_body(const std::string& adapter, bool load)
+{
+    // Names are checked when they enter the configuration; they need no escaping.
+    auto body = R"({"lora_name":")" + adapter + R"(")";
+    if (load) {
+        body += R"(,"lora_path":"store://)" + adapter + R"(")";
+    }
+    return body + "}";
+}
+
+} // namespace
+
+void owner::order(const core::upstream_id& upstream, const engine_action& action)
+{
+    const bool load = action.what == engine_action::kind::load;
+    upstream_call call;
+    call.id = m_context.next_call++;
+    call.address = m_context.registry.find(upstream)->last.address;
+    call.path = load ? load_path : unload_path;
+    call.body = order_body(action.adapter.value(), load);
+    call.headers = {{"Siskindrift-Fencing", std::to_string(m_fencing[upstream])}};
+    call.head_limit = m_context.options.order_limit;
+    call.progress_limit = m_context.options.progress_limit;
+    order_call entry;
+    entry.upstream = upstream;
+    entry.incarnation = m_engines.at(upstream)->incarnation();
+    entry.adapter = action.adapter;
+    entry.load = load;
+    entry.permit = action.permit;
+    m_orders[call.id] = std::move(entry);
+    m_context.out.count_event(load ? "siskindrift_loads_total" : "siskindrift_evictions_total");
+    m_context.out.start_call(std::move(call));
+}
+
+void owner::end_order(order_call& entry, call_end how)
+{
+    if (entry.permit != 0 && how != call_end::silent) {
+        m_permits.return_permit(entry.permit);
+    }
+    const auto found = m_engines.find(entry.upstream);
+    if (found == m_engines.end() || found->second->incarnation() != entry.incarnation) {
+        return;
+    }
+    const auto now = m_context.now();
+    const bool done = how == call_end::complete && entry.status == 200;
+    const bool known = how == call_end::complete || how == call_end::not_sent;
+    if (!known) {
+        found->second->on_order_lost(entry.adapter, now);
+    }
+    else if (entry.load) {
+        found->second->on_loaded(entry.adapter, done, now);
+    }
+    else {
+        found->second->on_unloaded(entry.adapter, done, now);
+    }
+    if (!done) {
+        m_context.out.count_event(entry.load ? "siskindrift_failed_loads_total"
+                                             : "siskindrift_failed_evictions_total");
+    }
+    run(entry.upstream);
+}
+
+void owner::sync_ownership()
+{
+    const auto& name = m_context.catalog.deployment().policy;
+    if (!m_policy || name != m_policy_name) {
+        if (m_engines.empty()) {
+            m_policy =
+                engines::make_residency_policy(name, m_context.catalog.deployment().stall_weight);
+            m_policy_name = name;
+        }
+    }
+    std::vector<core::upstream_id> lost;
+    for (const auto& [upstream, engine] : m_engines) {
+        const auto owned = m_context.owners.find(upstream.value());
+        const bool ours = owned != m_context.owners.end() &&
+                          owned->second.vm == m_context.self.vm &&
+                          owned->second.incarnation == m_context.self.incarnation &&
+                          owned->second.fencing == m_fencing[upstream];
+        if (!ours) {
+            lost.push_back(upstream);
+        }
+    }
+    for (const auto& upstream : lost) {
+        drop_engine(upstream, reason::not_owner, false);
+    }
+    for (const auto& [name_of, owned] : m_context.owners) {
+        const core::upstream_id upstream{name_of};
+        const auto* record = m_context.registry.find(upstream);
+        const bool ours =
+            owned.vm == m_context.self.vm && owned.incarnation == m_context.self.incarnation;
+        if (!ours || record == nullptr || m_engines.contains(upstream)) {
+            continue;
+        }
+        m_fencing[upstream] = owned.fencing;
+        m_engines[upstream] = std::make_unique<engines::engine_owner>(
+            record->last, *m_policy, engines::owner_options{}, m_context.now());
+    }
+}
+
+void owner::drop_engine(const core::upstream_id& upstream, reason why, bool calls_too)
+{
+    std::vector<engines::work_id> ended;
+    for (const auto& [id, entry] : m_works) {
+        if (entry.upstream == upstream && (entry.call == 0 || calls_too)) {
+            ended.push_back(id);
+        }
+    }
+    // Without the engine its works end below without starting others.
+    auto engine = m_engines.extract(upstream);
+    for (const auto id : ended) {
+        auto& entry = m_works.at(id);
+        if (entry.call != 0) {
+            m_context.out.cancel_call(entry.call);
+            fail(entry, {verdict::may_have_run, why});
+        }
+        else {
+            end(entry, {verdict::not_run, why}, wire::dispatch_event::refused);
+        }
+    }
+    m_handing_over.erase(upstream);
+    m_fencing.erase(upstream);
+}
+
+void owner::on_announcement(const core::upstream_id& upstream,
+                            membership::announcement_effect effect)
+{
+    const auto found = m_engines.find(upstream);
+    const auto* record = m_context.registry.find(upstream);
+    if (found == m_engines.end() || record == nullptr) {
+        return;
+    }
+    if (effect == membership::announcement_effect::restarted &&
+        record->last.incarnation != found->second->incarnation()) {
+        drop_engine(upstream, reason::upstream_restarted, true);
+        sync_ownership();
+        return;
+    }
+    found->second->on_report(record->last, m_context.now());
+    if (record->last.state == wire::upstream_state::leaving) {
+        hand_over(upstream);
+        m_handing_over.erase(upstream); // it stays ours; its state alone stops new work
+    }
+    run(upstream);
+}
+
+void owner::hand_over(const core::upstream_id& upstream)
+{
+    if (!m_engines.contains(upstream)) {
+        return;
+    }
+    m_handing_over.insert(upstream);
+    const auto* record = m_context.registry.find(upstream);
+    const bool leaving = record != nullptr && record->last.state == wire::upstream_state::leaving;
+    std::vector<engines::work_id> waiting;
+    for (const auto& [id, entry] : m_works) {
+        if (entry.upstream == upstream && entry.call == 0) {
+            waiting.push_back(id);
+        }
+    }
+    for (const auto id : waiting) {
+        auto& entry = m_works.at(id);
+        m_engines.at(upstream)->cancel_waiting(id);
+        end(entry, {verdict::not_run, leaving ? reason::upstream_leaving : reason::not_owner},
+            wire::dispatch_event::refused);
+    }
+}
+
+wire::owner_digest_t owner::digest() const
+{
+    wire::owner_digest_t digest;
+    for (const auto& [upstream, engine] : m_engines) {
+        wire::engine_digest_t item;
+        item.upstream = upstream.value();
+        item.fencing = m_fencing.at(upstream);
+        item.running = engine->running();
+        item.waiting = engine->waiting_for_room();
+        item.eviction_cost = static_cast<float>(engine->eviction_cost(m_context.now()));
+        for (const auto& [adapter, entry] : engine->table().entries()) {
+            const bool coming = entry.state == engines::residency::loading;
+            if (!coming && entry.state != engines::residency::resident) {
+                continue;
+            }
+            wire::resident_load_t resident;
+            resident.adapter = adapter.value();
+            resident.state = static_cast<std::uint8_t>(coming ? 1 : 2);
+            resident.in_use = static_cast<std::uint16_t>(entry.in_use);
+            resident.waiting = static_cast<std::uint16_t>(engine->queue().waiting_for(adapter));
+            wire::append(item.residents, resident);
+        }
+        // What waits for a load counts as coming, so that others join it.
+        for (const auto& waiting : engine->queue().in_order()) {
+            const bool listed = engine->table().find(waiting.adapter) != nullptr;
+            const bool repeated =
+                std::any_of(item.residents.begin(), item.residents.end(), [&](const auto& other) {
+                    return other->adapter == waiting.adapter.value();
+                });
+            if (!listed && !repeated && !waiting.adapter.value().empty()) {
+                wire::resident_load_t wanted;
+                wanted.adapter = waiting.adapter.value();
+                wanted.state = 1;
+                wire::append(item.residents, wanted);
+            }
+        }
+        wire::append(digest.engines, item);
+    }
+    return digest;
+}
+
+} // namespace siskindrift::requests
