--- a/include/siskindrift/consensus/raft_node.h
+++ b/include/siskindrift/consensus/raft_node.h
@@ -215,7 +215,6 @@
     core::time_point m_last_leader_contact{};
     core::time_point m_election_due{};
     core::time_point m_heartbeat_due{};
-    core::time_point m_led_since{};
     core::duration m_election_timeout{};
     std::map<std::uint64_t, progress> m_progress;
     std::vector<std::uint64_t> m_votes;
--- a/include/siskindrift/core/ids.h
+++ b/include/siskindrift/core/ids.h
@@ -27,8 +27,6 @@
 
 /// One entry or control VM.
 using vm_id = strong_id<struct vm_tag, std::string>;
-/// One run of a VM's process; a restart draws a new one.
-using incarnation_id = strong_id<struct incarnation_tag, std::uint64_t>;
 /// One model engine or plain service instance.
 using upstream_id = strong_id<struct upstream_tag, std::string>;
 /// One customer of the deployment.
@@ -39,8 +37,6 @@
 using request_id = strong_id<struct request_tag, std::string>;
 /// Identity of a replica's data folder; an empty disk draws a new one.
 using replica_id = strong_id<struct replica_tag, std::uint64_t>;
-/// Number of an ownership grant; a later grant has a larger one.
-using fencing_number = strong_id<struct fencing_tag, std::uint64_t>;
 /// Revision of the accepted configuration.
 using config_revision = strong_id<struct revision_tag, std::uint64_t>;
 
--- a/include/siskindrift/core/random.h
+++ b/include/siskindrift/core/random.h
@@ -15,4 +15,12 @@
     return std::uniform_int_distribution<std::uint64_t>{0, bound - 1}(random);
 }
 
+/// Returns an unpredictable odd number, for identities and seeds of processes.
+[[nodiscard]] inline std::uint64_t fresh_number()
+{
+    std::random_device device;
+    constexpr int half_bits = 32;
+    return (static_cast<std::uint64_t>(device()) << half_bits | device()) | 1U;
+}
+
 } // namespace siskindrift::core
--- a/include/siskindrift/engines/policy.h
+++ b/include/siskindrift/engines/policy.h
@@ -71,8 +71,6 @@
 
 /// Returns the policy of a deployment's configuration.
 /// @param name "naive" or "siskindrift".
-/// @param stall_weight share of load stalls against batch efficiency, 0 to 1.
-[[nodiscard]] std::unique_ptr<residency_policy> make_residency_policy(const std::string& name,
-                                                                      double stall_weight);
+[[nodiscard]] std::unique_ptr<residency_policy> make_residency_policy(const std::string& name);
 
 } // namespace siskindrift::engines
--- a/include/siskindrift/log/data_folder.h
+++ b/include/siskindrift/log/data_folder.h
@@ -41,6 +41,9 @@
     bool m_created = false;
 };
 
+/// Returns the bytes of a file; empty when it can't be read.
+[[nodiscard]] std::string read_whole(const std::filesystem::path& path);
+
 /// Writes a file so that it has either its old or its new content after a crash.
 bool replace_file(const std::filesystem::path& path, std::string_view content,
                   core::last_reason& why);
--- a/include/siskindrift/requests/ingress.h
+++ b/include/siskindrift/requests/ingress.h
@@ -46,6 +46,8 @@
     /// An owner's word on its engines.
     void on_digest(const std::string& vm, const wire::owner_digest_t& digest);
     void on_ownership_changed();
+    /// The catalog changed; placement may weigh differently now.
+    void on_config_changed();
     void tick();
 
     [[nodiscard]] std::size_t open_requests() const { return m_calls.size(); }
@@ -63,10 +65,7 @@
         std::uint64_t vm_incarnation = 0;
         core::upstream_id upstream;
         core::time_point last_progress{};
-        std::size_t base_offset = 0; ///< Bytes delivered before this attempt.
-        std::size_t received = 0;    ///< Bytes of this attempt.
-        std::uint16_t status = 200;
-        std::string content_type;
+        std::size_t received = 0;                  ///< Bytes of this attempt.
         std::map<std::size_t, std::string> early;  ///< Pieces ahead of a gap, by offset.
         std::optional<wire::dispatch_reply_t> end; ///< Came before the last piece.
         core::time_point gap_since{};
@@ -134,7 +133,6 @@
     std::set<core::request_id> m_done; ///< Ended during the current event.
 
     void remove_done();
-    void refresh_placement();
 };
 
 } // namespace siskindrift::requests
--- a/include/siskindrift/requests/owner.h
+++ b/include/siskindrift/requests/owner.h
@@ -106,8 +106,7 @@
     void take_model_bytes(work& entry, const std::string& bytes);
     bool take_model_event(work& entry, const std::string& data);
     void fail(work& entry, core::outcome result);
-    void end(work& entry, core::outcome result, wire::dispatch_event event,
-             std::uint32_t retry_after_ms = 0);
+    void end(work& entry, core::outcome result, wire::dispatch_event event);
     void reply(work& entry, wire::dispatch_reply_t message);
     void tell_again(const std::string& to, const std::vector<wire::dispatch_reply_t>& told);
     void forget_outcomes(core::time_point now);
--- a/src/apps/control_process.cpp
+++ b/src/apps/control_process.cpp
@@ -2,10 +2,10 @@
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/signal_set.hpp>
-#include <random>
 #include <thread>
 
 #include "siskindrift/config/catalog.h"
+#include "siskindrift/core/random.h"
 #include "siskindrift/observe/log.h"
 
 namespace siskindrift::apps {
@@ -15,12 +15,6 @@
 constexpr core::milliseconds stop_grace{1000}; // for the successor's election
 constexpr int worker_count = 2;
 
-std::uint64_t random_number()
-{
-    std::random_device device;
-    return (static_cast<std::uint64_t>(device()) << 32 | device()) | 1U;
-}
-
 bool is_operator_request(const wire::control_request_t& request)
 {
     switch (request.body.type) {
@@ -63,7 +57,7 @@
 bool control_process::start()
 {
     core::last_reason why;
-    auto folder = log::data_folder::open(m_settings.data_folder, random_number(), why);
+    auto folder = log::data_folder::open(m_settings.data_folder, core::fresh_number(), why);
     if (!folder) {
         observe::error("data_folder_refused", {{"reason", why.text()}});
         return false;
@@ -85,8 +79,9 @@
                                 {"cut_bytes", report.cut_bytes}});
     control::control_options options;
     options.compact_after = m_settings.compact_after;
-    m_core = std::make_unique<control::control_core>(m_folder->identity(), std::move(*recovered),
-                                                     options, random_number(), m_clock, &m_checker);
+    m_core =
+        std::make_unique<control::control_core>(m_folder->identity(), std::move(*recovered),
+                                                options, core::fresh_number(), m_clock, &m_checker);
     std::string error;
     if (!m_mesh->listen(m_settings.address, error)) {
         observe::error("cannot_listen", {{"reason", error}});
--- a/src/apps/entry_process.cpp
+++ b/src/apps/entry_process.cpp
@@ -2,11 +2,11 @@
 
 #include <boost/asio/post.hpp>
 #include <boost/json.hpp>
-#include <random>
 #include <thread>
 #include <vector>
 
 #include "announcement_json.h"
+#include "siskindrift/core/random.h"
 #include "siskindrift/observe/log.h"
 #include "siskindrift/wire/frame.h"
 
@@ -21,12 +21,6 @@
 constexpr core::milliseconds leave_grace{300}; // for the last word to control
 constexpr std::uint16_t ok = 200;
 
-std::uint64_t random_number()
-{
-    std::random_device device;
-    return (static_cast<std::uint64_t>(device()) << 32 | device()) | 1U;
-}
-
 requests::entry_identity identity_of(const config::entry_settings& settings,
                                      std::uint64_t incarnation)
 {
@@ -99,7 +93,7 @@
       m_mesh(std::make_shared<net::mesh>(m_context, net::mesh_options{}, *this)),
       m_server(m_context, limits_of(m_settings), *this), m_client(m_context, *this)
 {
-    const auto incarnation = random_number();
+    const auto incarnation = core::fresh_number();
     m_core = std::make_unique<requests::entry_core>(m_clock, *this, options_of(m_settings),
                                                     identity_of(m_settings, incarnation),
                                                     m_settings.control, incarnation);
@@ -138,7 +132,7 @@
 bool entry_process::open_data_folder()
 {
     core::last_reason why;
-    auto folder = log::data_folder::open(m_settings.data_folder, random_number(), why);
+    auto folder = log::data_folder::open(m_settings.data_folder, core::fresh_number(), why);
     if (!folder) {
         observe::error("data_folder_refused", {{"reason", why.text()}});
         return false;
--- a/src/bench/policy_sim.cpp
+++ b/src/bench/policy_sim.cpp
@@ -55,7 +55,7 @@
     simulation(const std::string& policy, const deployment_shape& shape, workload kind,
                const std::vector<arrival>& arrivals, double seconds, std::uint64_t seed)
         : m_shape(shape), m_kind(kind), m_arrivals(arrivals), m_seconds(seconds), m_random(seed),
-          m_residency(engines::make_residency_policy(policy, shape.stall_weight)),
+          m_residency(engines::make_residency_policy(policy)),
           m_store({shape.loads_per_second, milliseconds{250}, 8}), m_permits(budget_of(shape))
     {
         routing::placement_options options;
--- a/src/consensus/raft_node.cpp
+++ b/src/consensus/raft_node.cpp
@@ -244,7 +244,6 @@
 {
     m_role = role::leader;
     m_leader = m_self;
-    m_led_since = now;
     m_progress.clear();
     m_confirmed_round = 0;
     m_round = 0;
--- a/src/engines/policy.cpp
+++ b/src/engines/policy.cpp
@@ -65,7 +65,7 @@
     return victim;
 }
 
-std::unique_ptr<residency_policy> make_residency_policy(const std::string& name, double)
+std::unique_ptr<residency_policy> make_residency_policy(const std::string& name)
 {
     if (name == "naive") {
         return std::make_unique<naive_residency>();
--- a/src/log/data_folder.cpp
+++ b/src/log/data_folder.cpp
@@ -21,12 +21,6 @@
     return path.string() + ": " + std::string{what} + ": " + std::strerror(errno);
 }
 
-std::string read_whole(const fs::path& path)
-{
-    std::ifstream file{path, std::ios::binary};
-    return {std::istreambuf_iterator<char>{file}, {}};
-}
-
 bool holds_only_new_files(const fs::path& folder)
 {
     for (const auto& item : fs::directory_iterator{folder}) {
@@ -52,6 +46,12 @@
 
 } // namespace
 
+std::string read_whole(const fs::path& path)
+{
+    std::ifstream file{path, std::ios::binary};
+    return {std::istreambuf_iterator<char>{file}, {}};
+}
+
 bool sync_folder(const fs::path& path, core::last_reason& why)
 {
     const int folder = ::open(path.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
--- a/src/log/replica_store.cpp
+++ b/src/log/replica_store.cpp
@@ -6,7 +6,6 @@
 #include <cstdio>
 #include <cstring>
 #include <fcntl.h>
-#include <fstream>
 #include <unistd.h>
 #include <xxhash.h>
 
@@ -61,12 +60,6 @@
     return numbered_files(folder, "snapshot-", "");
 }
 
-std::string read_whole(const fs::path& path)
-{
-    std::ifstream file{path, std::ios::binary};
-    return {std::istreambuf_iterator<char>{file}, {}};
-}
-
 std::string seal(std::string_view payload)
 {
     const auto length = static_cast<std::uint32_t>(payload.size());
--- a/src/requests/entry_control.cpp
+++ b/src/requests/entry_control.cpp
@@ -18,8 +18,6 @@
 
 } // namespace
 
-// --- control ---
-
 bool entry_core::busy(purpose what, const std::string& subject) const
 {
     return std::any_of(m_pending.begin(), m_pending.end(), [&](const auto& item) {
@@ -235,6 +233,7 @@
     }
     if (page->revision > m_context.catalog.revision().value()) {
         m_context.catalog.apply(*page);
+        m_ingress.on_config_changed();
         m_context.out.store_config(*page);
         m_owner.sync_ownership();
     }
--- a/src/requests/entry_core.cpp
+++ b/src/requests/entry_core.cpp
@@ -29,6 +29,7 @@
 void entry_core::restore_config(const wire::config_page_t& stored)
 {
     m_context.catalog.apply(stored);
+    m_ingress.on_config_changed();
 }
 
 core::request_id entry_core::new_request_id()
--- a/src/requests/ingress.cpp
+++ b/src/requests/ingress.cpp
@@ -28,10 +28,10 @@
     : m_context(context), m_peers(peers), m_claims(claims),
       m_retries(context.options.retry_share, context.options.retry_burst)
 {
-    refresh_placement();
+    on_config_changed();
 }
 
-void ingress::refresh_placement()
+void ingress::on_config_changed()
 {
     const auto& deployment = m_context.catalog.deployment();
     const auto key = deployment.policy + std::to_string(deployment.stall_weight) +
@@ -299,7 +299,6 @@
 
 void ingress::tick()
 {
-    refresh_placement();
     for (auto& [id, entry] : m_calls) {
         if (!m_done.contains(id)) {
             tick(entry);
--- a/src/requests/ingress_attempts.cpp
+++ b/src/requests/ingress_attempts.cpp
@@ -119,7 +119,6 @@
     current.vm_incarnation = owned.incarnation;
     current.upstream = upstream;
     current.last_progress = now;
-    current.base_offset = entry.delivered.size();
     current.received = 0;
     current.early.clear();
     current.end.reset();
@@ -397,9 +396,6 @@
         if (gone) {
             abandon(entry, reason::vm_restarted);
         }
-        else if (entry.now_in == phase::placing) {
-            entry.retry_at = m_context.now();
-        }
     }
     remove_done();
 }
--- a/src/requests/owner.cpp
+++ b/src/requests/owner.cpp
@@ -422,8 +422,7 @@
     end(entry, result, refused ? wire::dispatch_event::refused : wire::dispatch_event::finished);
 }
 
-void owner::end(work& entry, outcome result, wire::dispatch_event event,
-                std::uint32_t retry_after_ms)
+void owner::end(work& entry, outcome result, wire::dispatch_event event)
 {
     const auto now = m_context.now();
     if (result.result != verdict::ran) {
@@ -440,7 +439,6 @@
     message.offset = static_cast<std::uint32_t>(entry.offset);
     message.status = entry.status;
     message.content_type = entry.content_type;
-    message.retry_after_ms = retry_after_ms;
     reply(entry, std::move(message));
     const auto upstream = entry.upstream;
     const auto id = entry.id;
--- a/src/requests/owner_engines.cpp
+++ b/src/requests/owner_engines.cpp
@@ -82,8 +82,7 @@
     const auto& name = m_context.catalog.deployment().policy;
     if (!m_policy || name != m_policy_name) {
         if (m_engines.empty()) {
-            m_policy =
-                engines::make_residency_policy(name, m_context.catalog.deployment().stall_weight);
+            m_policy = engines::make_residency_policy(name);
             m_policy_name = name;
         }
     }
--- a/src/standins/standin_process.cpp
+++ b/src/standins/standin_process.cpp
@@ -84,7 +84,7 @@
             continue;
         }
         done = target->inject(std::string{fault->as_string()},
-                              count == nullptr ? 1 : count->to_number<std::uint32_t>(), {});
+                              count == nullptr ? 1 : count->to_number<std::uint32_t>());
     }
     answer->respond(done ? 200 : 404, {}, "{}\n");
 }
--- a/src/standins/standin_upstream.cpp
+++ b/src/standins/standin_upstream.cpp
@@ -87,14 +87,13 @@
     return true;
 }
 
-bool standin_upstream::inject(const std::string& fault, std::uint32_t count, core::duration length)
+bool standin_upstream::inject(const std::string& fault, std::uint32_t count)
 {
     static const std::set<std::string> counted{"fail_load",     "hang_load", "refuse",
                                                "lose_answer",   "late",      "crossed",
                                                "wrong_adapter", "lose_order"};
     if (counted.contains(fault)) {
         m_faults[fault] += count;
-        m_fault_length = length;
         return true;
     }
     if (fault == "restart_empty") {
--- a/src/standins/standin_upstream.h
+++ b/src/standins/standin_upstream.h
@@ -23,7 +23,7 @@
 
     bool start(std::string& error);
     /// Arms a fault. Returns false for an unknown one.
-    bool inject(const std::string& fault, std::uint32_t count, core::duration length);
+    bool inject(const std::string& fault, std::uint32_t count);
 
 private:
     struct sequence {
@@ -82,7 +82,6 @@
     std::deque<std::uint64_t> m_waiting; ///< Exchanges beyond the batch.
     std::set<std::uint64_t> m_frozen;    ///< Exchanges whose connections went silent.
     std::map<std::string, std::uint32_t> m_faults;
-    core::duration m_fault_length{};
     std::string m_previous_id;
     std::string m_previous_adapter;
     std::deque<std::pair<core::time_point, std::string>> m_reports; ///< Lagging announcements.
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -194,10 +194,6 @@
     return lines
 
 
-def claim_memory_mb(s, share):
-    return REQUESTS_PER_S * share * 86400 / REGIONS * at_largest(s, "control_bytes_per_claim") / 1e6
-
-
 def render(text, s):
     tables = {"slopes": slope_table(s), "today": today_table(s), "planned": planned_table(s), "roles": role_table(s)}
     for name, lines in tables.items():
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -26,7 +26,7 @@
     return command + list(extra)
 
 
-def stall_quantiles(running, records):
+def stall_quantiles(running):
     """Waits between admission and start at the engines, from the VMs' histograms."""
     buckets = {}
     total = 0.0
@@ -94,7 +94,7 @@
         ledger = running.ledger()
         records = audit.read_records(running.folder / "records.jsonl")
         broken = audit.audit(records, ledger)
-        stalls = stall_quantiles(running, records)
+        stalls = stall_quantiles(running)
         loads = sum(1 for line in ledger if line["kind"] == "load")
         evictions = sum(1 for line in ledger if line["kind"] == "unload")
         print(f"requests {summary['requests']}: ran {summary['ran']}, not run {summary['not_run']}, "
--- a/tools/fleet_bench.py
+++ b/tools/fleet_bench.py
@@ -12,12 +12,11 @@
 import tempfile
 import threading
 import time
-import uuid
 
-import audit
 import demo
 import fleet
 import prove
+import uuid7
 
 
 def emit(name, measured, baseline=None, unit=""):
@@ -135,19 +134,13 @@
         return max(b - a for a, b in zip(times, times[1:]))
 
 
-def uuid7():
-    value = (int(time.time() * 1000) << 80) | (0x7 << 76) | (uuid.uuid4().int & ((1 << 76) - 1))
-    value = (value & ~(0xC000 << 48)) | (0x8000 << 48)
-    return str(uuid.UUID(int=value))
-
-
 def claim_call(run, vms):
     service = run.fleet.shape["services"][0]
 
     def call(worker):
         address = run.fleet.caller_address(vms[worker % len(vms)])
         status, _, _ = fleet.http("POST", f"http://{address}/v1/services/{service}/x", "{}", {
-            "Authorization": "Bearer " + run.fleet.team_key, "Idempotency-Key": uuid7(),
+            "Authorization": "Bearer " + run.fleet.team_key, "Idempotency-Key": uuid7.new(),
             "Siskindrift-Deadline-Ms": "8000"}, timeout=10)
         return status == 200
     return call
@@ -219,8 +212,7 @@
                 running.up()
                 done = subprocess.run(demo.load_command(running, seconds, 20), capture_output=True, text=True)
                 summary = json.loads(done.stdout)
-                records = audit.read_records(running.folder / "records.jsonl")
-                stalls = demo.stall_quantiles(running, records)
+                stalls = demo.stall_quantiles(running)
                 ledger = running.ledger()
                 print(json.dumps({"name": "real_processes", "deployment": deployment, "policy": policy,
                                   "ran": summary["ran"], "requests": summary["requests"],
--- a/tools/uuid7.py
+++ b/tools/uuid7.py
@@ -4,5 +4,11 @@
 import time
 import uuid
 
-value = (int(time.time() * 1000) << 80) | (0x7 << 76) | (uuid.uuid4().int & ((1 << 76) - 1))
-print(uuid.UUID(int=(value & ~(0xC000 << 48)) | (0x8000 << 48)))
+
+def new():
+    value = (int(time.time() * 1000) << 80) | (0x7 << 76) | (uuid.uuid4().int & ((1 << 76) - 1))
+    return str(uuid.UUID(int=(value & ~(0xC000 << 48)) | (0x8000 << 48)))
+
+
+if __name__ == "__main__":
+    print(new())
