--- /dev/null
+++ b/include/siskindrift/adapters/placer.h
@@ -0,0 +1,180 @@
+// Decides which engine holds which adapter, and the orders that bring it about.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "siskindrift/adapters/engine_report.h"
+#include "siskindrift/core/clock.h"
+#include "siskindrift/gateway/deployment.h"
+#include "siskindrift/wire/messages.h"
+
+namespace siskindrift::adapters {
+
+/// A model and one of its adapters; the model itself has an empty adapter.
+using adapter_name = std::pair<std::string, std::string>;
+
+/// An order to one engine.
+struct order {
+    std::uint64_t number = 0;
+    std::string upstream;
+    std::string address;
+    std::string model;
+    std::string adapter;               ///< Empty for the whole model.
+    std::uint64_t version = 0;         ///< 0 for the newest.
+    std::uint64_t orders_accepted = 0; ///< The engine refuses the order when it took others since.
+    bool unload = false;
+};
+
+/// What an engine said to an order.
+enum class order_result : std::uint8_t {
+    accepted, ///< It is being carried out.
+    holds,    ///< What it asks for holds already.
+    conflict, ///< Another order is under way, or others were accepted since.
+    fenced,   ///< A later holder gave orders.
+    refused,  ///< It can't be carried out, or the engine is another one.
+    unknown,  ///< No answer: it may be carried out, also later.
+};
+
+struct placer_options {
+    core::duration report_every = core::milliseconds{2000}; // announcements tell the same for free
+    core::duration report_lag = core::milliseconds{500};    // reports are some hundred ms old
+    core::duration store_load = core::milliseconds{255};    // an adapter from the weight store
+    core::duration near_load = core::milliseconds{30};      // one that the engine held lately
+    core::duration check_again = core::milliseconds{20};    // between two looks at a load
+    core::duration model_load_look = core::milliseconds{700}; // about the load of a whole model
+    core::duration quiet_before_eviction = core::milliseconds{400}; // a use may not be told yet
+    core::duration wish_life = core::milliseconds{3000};            // a gateway repeats its wishes
+    std::size_t store_loads_at_once = 8; // more would slow each other down
+    std::size_t loads_at_one_engine = 4; // engines take no more
+    std::size_t remembered_copies = 40;  // what engines keep at hand
+};
+
+/// Places adapters on engines. Pure: words and results go in, orders and views come out.
+///
+/// Answers the load of requests for many adapters of which each engine holds a few: loads of
+/// one adapter coalesce, an adapter goes where it loads fastest and pushes out least, and one
+/// that is in use is not pushed out.
+class placer {
+public:
+    explicit placer(placer_options options = {}) : m_options(options) {}
+
+    /// Begins a leadership; nothing is ordered before @p from.
+    void begin(core::time_point from);
+    /// Ends a leadership; no order is planned any more.
+    void end();
+    [[nodiscard]] bool active() const { return m_active; }
+
+    void set_deployment(const gateway::deployment& document);
+    void set_version(const adapter_name& name, std::uint64_t version);
+
+    /// Takes an announcement. An upstream that isn't ready gets no orders.
+    void note_upstream(const wire::fleet_upstream_t& word, bool usable);
+    /// Takes the answer to a report that was asked for at @p asked, or its absence.
+    void note_report(const std::string& upstream, const std::optional<engine_report>& report,
+                     core::time_point asked);
+    void note_gateway(const wire::gateway_report_t& report, core::time_point now);
+    void drop_gateway(const std::string& vm);
+
+    /// Returns the engines whose report is wanted now.
+    std::vector<std::string> wanted_reports(core::time_point now);
+    /// Returns the orders to give now, at most one for each engine.
+    std::vector<order> plan(core::time_point now);
+    void finished(std::uint64_t number, order_result result, core::time_point now);
+
+    /// Returns the views of engines that changed since the last call.
+    std::vector<wire::engine_view_t> take_changed();
+    [[nodiscard]] std::vector<wire::engine_view_t> all() const;
+    /// Returns when `plan` or `wanted_reports` next has something to do.
+    [[nodiscard]] core::time_point next_due() const;
+
+    [[nodiscard]] std::uint64_t orders_given() const { return m_next_order - 1; }
+
+private:
+    enum class copy_state : std::uint8_t { loaded, loading, unloading };
+    struct copy {
+        std::uint64_t version = 0;
+        copy_state state = copy_state::loaded;
+        bool from_store = false;
+        core::time_point check_at{};
+        core::time_point used{};
+    };
+    struct engine {
+        std::string id;
+        std::string address;
+        std::string service;
+        std::uint64_t born_ms = 0;
+        bool usable = false;
+        bool known = false; ///< Its count of orders and its copies are certain.
+        std::uint64_t orders_accepted = 0;
+        std::optional<order> open;   ///< Given, not answered yet.
+        std::optional<order> unsure; ///< Not answered; may be carried out later.
+        core::time_point last_order{};
+        core::time_point report_due{};
+        bool report_open = false;
+        std::map<adapter_name, copy> copies;
+        std::vector<adapter_name> remembered; ///< Held lately, newest last.
+        std::uint32_t running = 0;
+        std::uint32_t waiting = 0;
+        std::uint64_t kv_used = 0;
+        std::uint64_t kv_total = 0;
+    };
+    struct wish {
+        std::uint32_t waiting = 0;
+        core::duration time_left{};
+        bool crowded = false;
+        core::time_point told{};
+    };
+    struct gateway_word {
+        std::map<adapter_name, wish> wishes;
+        std::map<std::pair<std::string, adapter_name>, std::uint32_t> uses;
+    };
+    struct need {
+        adapter_name name;
+        std::uint32_t waiting = 0;
+        core::duration time_left{};
+        bool crowded = false;
+    };
+
+    [[nodiscard]] std::vector<need> needs(core::time_point now) const;
+    [[nodiscard]] bool coming_or_there(const need& wanted) const;
+    [[nodiscard]] std::uint64_t newest(const adapter_name& name) const;
+    [[nodiscard]] const gateway::engine_terms* terms_of(const engine& at) const;
+    [[nodiscard]] std::size_t places_taken(const engine& at) const;
+    [[nodiscard]] std::size_t store_loads() const;
+    [[nodiscard]] bool may_order(const engine& at) const;
+    [[nodiscard]] bool in_use(const engine& at, const adapter_name& name) const;
+    [[nodiscard]] std::optional<adapter_name> victim(const engine& at, core::time_point now) const;
+    [[nodiscard]] std::optional<double> cost(const engine& at, const adapter_name& name,
+                                             core::time_point now) const;
+    [[nodiscard]] bool remembers(const engine& at, const adapter_name& name) const;
+    void place(const need& wanted, core::time_point now, std::vector<order>& orders);
+    void check_loads(core::time_point now, std::vector<order>& orders);
+    void load_models(core::time_point now, std::vector<order>& orders);
+    order& give(engine& at, const adapter_name& name, std::uint64_t version, bool unload);
+    void took_effect(engine& at, const order& given, order_result result, core::time_point now);
+    void adopt(engine& at, const engine_report& report, core::time_point now);
+    void remember(engine& at, const adapter_name& name);
+    [[nodiscard]] wire::engine_view_t view(const engine& at) const;
+    engine* engine_of(std::uint64_t order_number);
+
+    placer_options m_options;
+    bool m_active = false;
+    bool m_fenced = false;
+    core::time_point m_from{};
+    gateway::deployment m_deployment;
+    std::map<adapter_name, std::uint64_t> m_named;
+    std::map<std::string, engine> m_engines;
+    std::map<std::string, gateway_word> m_gateways;
+    std::set<std::string> m_changed;
+    std::uint64_t m_next_order = 1;
+    core::time_point m_next_model_load{};
+    core::time_point m_next_check{};
+};
+
+} // namespace siskindrift::adapters
--- a/include/siskindrift/config/settings.h
+++ b/include/siskindrift/config/settings.h
@@ -40,6 +40,45 @@
     std::string log_level = "info";
 };
 
+/// Settings of one gateway.
+struct gateway_settings {
+    std::string vm;
+    std::string failure_domain;
+    std::string caller_address;     ///< IP:port for callers.
+    std::string readiness_address;  ///< IP:port for the platform's check.
+    std::string directory_address;  ///< IP:port for callers that ask which gateways to use.
+    std::vector<std::string> seeds; ///< Inner addresses of some coordinators, possibly old.
+    double retry_ratio = 0.2;
+    double retry_extra = 50;
+    core::duration retry_window = core::milliseconds{10'000};
+    core::duration stop_grace = core::milliseconds{8000};
+    std::uint32_t endpoints_ttl_s = 2;
+    core::duration announcement = core::milliseconds{1200};
+    std::string log_level = "info";
+};
+
+/// Settings of one coordinator.
+struct coordinator_settings {
+    std::string vm;
+    std::string failure_domain;
+    std::string control_address;    ///< IP:port for operators and upstreams.
+    std::string inner_address;      ///< IP:port for the system's own processes.
+    std::vector<std::string> seeds; ///< Inner addresses of some coordinators, possibly old.
+    std::string data_folder;
+    bool first_start = false;       ///< The whole deployment starts with empty disks.
+    std::uint32_t losses_borne = 1; ///< Coordinators that may be lost at once.
+    core::duration order_lease = core::milliseconds{3000};
+    core::duration announcement = core::milliseconds{1200};
+    std::string log_level = "info";
+};
+
+/// Parses and checks settings. @p why lists every fault with its JSON pointer.
+[[nodiscard]] std::optional<gateway_settings> read_gateway_settings(const std::string& text,
+                                                                    core::last_reason& why);
+/// Parses and checks settings. @p why lists every fault with its JSON pointer.
+[[nodiscard]] std::optional<coordinator_settings> read_coordinator_settings(const std::string& text,
+                                                                            core::last_reason& why);
+
 /// Parses and checks settings. @p why lists every fault with its JSON pointer.
 [[nodiscard]] std::optional<entry_settings> read_entry_settings(const std::string& text,
                                                                 core::last_reason& why);
--- a/include/siskindrift/consensus/raft_node.h
+++ b/include/siskindrift/consensus/raft_node.h
@@ -90,6 +90,20 @@
     /// Runs timers; expected every few milliseconds.
     void tick(core::time_point now);
 
+    /// Returns when `tick` next has something to do.
+    [[nodiscard]] core::time_point next_due() const
+    {
+        return m_role == role::leader ? m_heartbeat_due : m_election_due;
+    }
+
+    /// Returns until when no other replica can have become leader: a quorum answered a
+    /// heartbeat that left one shortest election time-out before. The past when unknown.
+    /// @param drift what the clocks of two replicas may differ over that time.
+    [[nodiscard]] core::time_point lease_end(core::duration drift) const;
+
+    /// Returns when this replica last heard from @p replica as its leader.
+    [[nodiscard]] std::optional<core::time_point> last_ack(std::uint64_t replica) const;
+
     /// Appends a command at the leader. Returns its index, or none when not leader.
     std::optional<std::uint64_t> propose(std::string data, std::uint64_t stamp_ms);
 
@@ -221,6 +235,7 @@
     bool m_self_vote_unsynced = false;
     std::uint64_t m_round = 0;
     std::uint64_t m_confirmed_round = 0;
+    std::map<std::uint64_t, core::time_point> m_round_starts; ///< From the confirmed round on.
     bool m_read_wanted = false;
     snapshot m_incoming;
 
--- a/include/siskindrift/control/control_core.h
+++ b/include/siskindrift/control/control_core.h
@@ -71,6 +71,9 @@
 
     std::vector<client_reply> take_replies();
 
+    /// Proposes @p members at the leader. Returns false while another change is open.
+    bool change_members(const consensus::member_list& members);
+
     /// Hands leadership over, as part of a graceful stop.
     void prepare_stop();
 
--- /dev/null
+++ b/include/siskindrift/gateway/upstream_pool.h
@@ -0,0 +1,106 @@
+// Chooses the upstream of a request.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "siskindrift/core/clock.h"
+#include "siskindrift/core/random.h"
+#include "siskindrift/fleet/roster.h"
+#include "siskindrift/gateway/request_facts.h"
+#include "siskindrift/wire/messages.h"
+
+namespace siskindrift::gateway {
+
+/// A model and one of its adapters; the model itself has an empty adapter.
+using adapter_name = std::pair<std::string, std::string>;
+
+struct pool_options {
+    core::duration failure_memory = core::milliseconds{2000}; // a faulty upstream is tried again
+    unsigned failures_before_ejection = 2;                    // one may be chance
+    double ejection_share = 0.35;                             // of the latest answers
+    core::duration old_version_grace =
+        core::milliseconds{3000}; // the time an engine needs for a new version
+    double crowded_share = 0.8;   // of an engine's slots; more makes its tokens slow
+};
+
+/// Where a request may go.
+struct pool_choice {
+    enum class kind : std::uint8_t {
+        send,       ///< To `upstream`.
+        load_first, ///< No engine holds the adapter.
+        none,       ///< No upstream of the service can be used.
+    };
+    kind what = kind::none;
+    std::string upstream;
+    std::string address;
+    std::optional<std::uint64_t> adapter_version; ///< Of the copy that was chosen.
+    bool crowded = false;                         ///< A further copy of the adapter would help.
+};
+
+/// What a gateway knows of the upstreams, with what it sent them. Pure; answers uneven load,
+/// adapters that few engines hold, and upstreams that fail behind a good health check.
+class upstream_pool {
+public:
+    upstream_pool(const fleet::roster& roster, std::uint64_t seed, pool_options options = {})
+        : m_roster(roster), m_random(seed), m_options(options)
+    {
+    }
+
+    void note_engine(const wire::engine_view_t& view);
+    void forget_engines() { m_views.clear(); }
+    void note_version(const adapter_name& name, std::uint64_t version, core::time_point now);
+
+    /// Chooses an upstream of @p service that is not among @p tried.
+    [[nodiscard]] pool_choice choose(const std::string& service, const adapter_name& wanted,
+                                     const std::set<std::string>& tried, core::time_point now);
+
+    void sent(const std::string& upstream, const adapter_name& name);
+    void ended(const std::string& upstream, const adapter_name& name);
+    /// Takes how an attempt went: whether the upstream failed it.
+    void note_outcome(const std::string& upstream, bool failed, core::time_point now);
+    void note_load(const std::string& upstream, const upstream_load& load);
+    /// The upstream said that it doesn't hold the adapter.
+    void note_missing(const std::string& upstream, const adapter_name& name);
+
+    /// Returns how many requests of this gateway run with each adapter at each engine.
+    [[nodiscard]] std::vector<wire::adapter_use_t> uses() const;
+    /// Drops what is known of upstreams that left the roster.
+    void forget_gone();
+
+private:
+    struct record {
+        std::uint32_t in_flight = 0;
+        std::uint32_t others = 0; ///< Requests of other gateways, at the last word.
+        double failing = 0;       ///< Share of failures, the latest weigh most.
+        unsigned failures = 0;    ///< In a row.
+        core::time_point failed{};
+        std::map<adapter_name, std::uint32_t> uses;
+    };
+    struct engine_copies {
+        std::uint64_t born_ms = 0;
+        std::uint32_t running = 0;
+        std::map<adapter_name, std::uint64_t> versions;
+    };
+
+    [[nodiscard]] bool ejected(const record& at, core::time_point now) const;
+    [[nodiscard]] double load(const fleet::roster_item& item, const record& at) const;
+    [[nodiscard]] std::optional<std::uint64_t> copy_at(const fleet::roster_item& item,
+                                                       const adapter_name& wanted) const;
+    [[nodiscard]] bool accepts_version(const adapter_name& name, std::uint64_t version,
+                                       bool newest_exists, core::time_point now) const;
+
+    const fleet::roster& m_roster;
+    core::random_source m_random;
+    pool_options m_options;
+    std::map<std::string, record> m_records;
+    std::map<std::string, engine_copies> m_views;
+    std::map<adapter_name, std::pair<std::uint64_t, core::time_point>> m_named;
+};
+
+} // namespace siskindrift::gateway
--- a/include/siskindrift/http/client.h
+++ b/include/siskindrift/http/client.h
@@ -36,6 +36,12 @@
     std::string body;
     header_list headers;
     bool repeatable = false; ///< May use an idle connection, which may be dead.
+    /// A call that isn't repeatable uses a connection that was idle for at most this long.
+    core::duration safe_idle{};
+    /// Answers whose header of this name has another value belong to somebody else and are
+    /// passed over; empty when answers carry no such name.
+    std::string match_header;
+    std::string match_value;
     core::duration connect_limit = core::milliseconds{1000};
     core::duration head_limit = core::milliseconds{5000};
     core::duration progress_limit = core::milliseconds{5000};
@@ -64,6 +70,8 @@
     client& operator=(const client&) = delete;
 
     void start(client_call call);
+    /// Closes the idle connections to @p address.
+    void forget_address(const std::string& address);
     /// Breaks the call's connection; `on_end` may no longer come.
     void cancel(std::uint64_t call);
     [[nodiscard]] std::size_t open_calls() const;
--- a/include/siskindrift/http/server.h
+++ b/include/siskindrift/http/server.h
@@ -89,6 +89,10 @@
 
     /// Starts listening. Returns false with the reason in @p error.
     bool listen(const std::string& address, std::string& error);
+    /// Changes the bounds; a connection takes them up with its next request.
+    void set_limits(const server_limits& limits);
+    /// Ends each connection with its next answer.
+    void close_after_answers();
     /// Stops accepting; open connections go on.
     void stop_accepting();
     [[nodiscard]] std::size_t connections() const;
--- a/include/siskindrift/net/mesh.h
+++ b/include/siskindrift/net/mesh.h
@@ -22,6 +22,9 @@
 [[nodiscard]] std::optional<boost::asio::ip::tcp::endpoint>
 parse_address(const std::string& address);
 
+/// Makes the kernel end a connection whose other end is gone or was forgotten on the way.
+void detect_dead_peer(boost::asio::ip::tcp::socket& socket);
+
 /// Durations and bounds of inner connections.
 struct mesh_options {
     core::duration heartbeat = core::milliseconds{400};
@@ -45,6 +48,8 @@
     virtual void on_message(connection_id from, wire::envelope_t message) = 0;
     /// Reports that an address that we connect to became reachable or silent.
     virtual void on_link(const std::string& address, bool up) = 0;
+    /// An accepted connection ended.
+    virtual void on_closed(connection_id) {}
     virtual void on_bad_frame(core::reason why) = 0;
 };
 
@@ -75,6 +80,9 @@
     /// Stops keeping the connection.
     void forget(const std::string& address);
 
+    /// Closes one connection.
+    void close(connection_id which);
+
     /// Closes everything.
     void stop();
 
--- a/include/siskindrift/state/control_state.h
+++ b/include/siskindrift/state/control_state.h
@@ -36,6 +36,15 @@
     std::string response;
 };
 
+/// The deployment document in force, exactly as the operator sent it.
+struct document {
+    std::uint64_t version = 0; ///< 0 until the first one is accepted.
+    std::string content;
+};
+
+/// An adapter of a base model; the model itself has an empty adapter.
+using adapter_name = std::pair<std::string, std::string>;
+
 using claim_key = std::pair<std::string, std::string>; ///< Team, then idempotency key.
 
 /// Deterministic state machine; equal logs give equal states on every replica.
@@ -61,6 +70,12 @@
         return m_ownerships;
     }
     [[nodiscard]] const std::deque<wire::history_item_t>& history() const { return m_history; }
+    [[nodiscard]] const document& current_document() const { return m_document; }
+    /// Returns the newest version named for each adapter.
+    [[nodiscard]] const std::map<adapter_name, std::uint64_t>& named_versions() const
+    {
+        return m_named;
+    }
     [[nodiscard]] std::size_t claim_count() const { return m_claims.size(); }
     [[nodiscard]] const claim* find_claim(const claim_key& key) const;
 
@@ -84,6 +99,8 @@
     wire::control_reply_t apply(const wire::release_upstream_t& order);
     wire::control_reply_t apply(const wire::take_claim_t& order);
     wire::control_reply_t apply(const wire::finish_claim_t& order);
+    wire::control_reply_t apply(const wire::put_document_t& order);
+    wire::control_reply_t apply(const wire::name_adapter_version_t& order);
 
     void accept_change(const wire::apply_change_t& change);
     void remember_answer(const std::string& change_id, change_answer answer);
@@ -103,6 +120,8 @@
     std::deque<wire::history_item_t> m_history;
     std::map<std::string, wire::vm_info_t> m_vms;
     std::map<std::string, wire::ownership_info_t> m_ownerships;
+    document m_document;
+    std::map<adapter_name, std::uint64_t> m_named;
     std::map<claim_key, claim> m_claims;
     std::set<std::pair<std::uint64_t, claim_key>> m_claims_by_time;
 };
--- /dev/null
+++ b/src/apps/gateway_main.cpp
@@ -0,0 +1,28 @@
+#include <iostream>
+
+#include "gateway_process.h"
+#include "options.h"
+#include "siskindrift/observe/log.h"
+
+int main(int argc, char** argv)
+{
+    using namespace siskindrift;
+    int status = 0;
+    const auto options = apps::read_options(
+        argc, argv, "siskindrift-gateway: callers' requests to upstreams", status);
+    if (!options) {
+        return status;
+    }
+    core::last_reason why;
+    const auto text = config::read_file(options->settings_path, why);
+    const auto settings = text ? config::read_gateway_settings(*text, why) : std::nullopt;
+    if (!settings) {
+        std::cerr << options->settings_path << ":\n" << why.text() << "\n";
+        return 2;
+    }
+    if (options->check_only) {
+        return 0;
+    }
+    observe::start_log("gateway", settings->vm, settings->log_level);
+    return apps::gateway_process{*settings, options->settings_path}.run();
+}
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -61,8 +61,83 @@
     }
 }
 
+void read_seconds(const json::object& from, std::string_view name, core::duration& to)
+{
+    if (const auto* value = from.if_contains(name)) {
+        to = std::chrono::duration_cast<core::duration>(
+            std::chrono::duration<double>{value->to_number<double>()});
+    }
+}
+
+// Every process of the deployment has the same inner port.
+std::string inner_address_at(const std::string& address, const json::object& from)
+{
+    const auto port = from.at("inner_port").to_number<std::uint32_t>();
+    return address.substr(0, address.find(':')) + ":" + std::to_string(port);
+}
+
+std::vector<std::string> read_seeds(const json::object& from)
+{
+    std::vector<std::string> seeds;
+    read(from, "seeds", seeds);
+    for (auto& seed : seeds) {
+        seed = inner_address_at(seed, from);
+    }
+    return seeds;
+}
+
 } // namespace
 
+std::optional<gateway_settings> read_gateway_settings(const std::string& text,
+                                                      core::last_reason& why)
+{
+    const auto object = checked_object(text, gateway_settings_schema, why);
+    if (!object) {
+        return std::nullopt;
+    }
+    gateway_settings settings;
+    read(*object, "vm", settings.vm);
+    read(*object, "failure_domain", settings.failure_domain);
+    read(*object, "caller_address", settings.caller_address);
+    read(*object, "readiness_address", settings.readiness_address);
+    read(*object, "directory_address", settings.directory_address);
+    settings.seeds = read_seeds(*object);
+    read(*object, "retry_ratio", settings.retry_ratio);
+    read(*object, "retry_extra", settings.retry_extra);
+    read_seconds(*object, "retry_window_s", settings.retry_window);
+    read_seconds(*object, "stop_grace_s", settings.stop_grace);
+    read(*object, "endpoints_ttl_s", settings.endpoints_ttl_s);
+    read(*object, "announcement_ms", settings.announcement);
+    read(*object, "log_level", settings.log_level);
+    return settings;
+}
+
+std::optional<coordinator_settings> read_coordinator_settings(const std::string& text,
+                                                              core::last_reason& why)
+{
+    const auto object = checked_object(text, coordinator_settings_schema, why);
+    if (!object) {
+        return std::nullopt;
+    }
+    coordinator_settings settings;
+    read(*object, "vm", settings.vm);
+    read(*object, "failure_domain", settings.failure_domain);
+    read(*object, "control_address", settings.control_address);
+    std::string ip;
+    read(*object, "ip", ip);
+    settings.inner_address = inner_address_at(ip, *object);
+    settings.seeds = read_seeds(*object);
+    read(*object, "data_folder", settings.data_folder);
+    if (const auto* first = object->if_contains("first_start")) {
+        settings.first_start = first->as_bool();
+    }
+    read(*object, "losses_borne", settings.losses_borne);
+    read(*object, "order_lease_ms", settings.order_lease);
+    read(*object, "announcement_ms", settings.announcement);
+    read(*object, "log_level", settings.log_level);
+    return settings;
+}
+
 std::optional<entry_settings> read_entry_settings(const std::string& text, core::last_reason& why)
 {
     const auto object = checked_object(text, entry_settings_schema, why);
--- a/src/consensus/raft_node.cpp
+++ b/src/consensus/raft_node.cpp
@@ -112,6 +112,21 @@
     return found == m_progress.end() ? 0 : found->second.match;
 }
 
+core::time_point raft_node::lease_end(core::duration drift) const
+{
+    const auto start = m_round_starts.find(m_confirmed_round);
+    if (m_role != role::leader || start == m_round_starts.end()) {
+        return {};
+    }
+    return start->second + m_options.election_min - drift;
+}
+
+std::optional<core::time_point> raft_node::last_ack(std::uint64_t replica) const
+{
+    const auto found = m_progress.find(replica);
+    return found == m_progress.end() ? std::nullopt : std::optional{found->second.last_ack};
+}
+
 bool raft_node::is_voter() const
 {
     const auto* own = member(m_self);
@@ -247,6 +262,7 @@
     m_progress.clear();
     m_confirmed_round = 0;
     m_round = 0;
+    m_round_starts.clear();
     for (const auto& peer : m_members) {
         if (peer.id != m_self) {
             m_progress[peer.id].next = m_log.last_index() + 1;
--- a/src/consensus/raft_replication.cpp
+++ b/src/consensus/raft_replication.cpp
@@ -123,6 +123,7 @@
 {
     if (heartbeat) {
         ++m_round;
+        m_round_starts[m_round] = now;
         m_read_wanted = false;
         m_heartbeat_due = now + m_options.heartbeat;
     }
@@ -438,6 +439,7 @@
     }
     std::sort(rounds.begin(), rounds.end(), std::greater<>{});
     m_confirmed_round = std::max(m_confirmed_round, rounds[rounds.size() / 2]);
+    m_round_starts.erase(m_round_starts.begin(), m_round_starts.lower_bound(m_confirmed_round));
 }
 
 std::shared_ptr<const snapshot> raft_node::compact(std::uint64_t index, std::string state)
--- a/src/control/control_core.cpp
+++ b/src/control/control_core.cpp
@@ -21,6 +21,8 @@
     case wire::control_body::release_upstream:
     case wire::control_body::take_claim:
     case wire::control_body::finish_claim:
+    case wire::control_body::put_document:
+    case wire::control_body::name_adapter_version:
         return true;
     default:
         return false;
@@ -58,6 +60,11 @@
     }
 }
 
+bool control_core::change_members(const consensus::member_list& members)
+{
+    return m_raft.propose_members(members).has_value();
+}
+
 void control_core::prepare_stop()
 {
     m_raft.transfer_leadership(m_clock.now());
@@ -220,6 +227,15 @@
         send(read.client, read.request.id, std::move(answer));
         return;
     }
+    if (body.Asread_document() != nullptr) {
+        wire::document_page_t page;
+        page.version = m_state.current_document().version;
+        page.content = m_state.current_document().content;
+        wire::control_reply_t answer;
+        answer.body.Set(std::move(page));
+        send(read.client, read.request.id, std::move(answer));
+        return;
+    }
     if (const auto* wish = body.Asrequest_permit()) {
         const auto ticket = m_next_ticket++;
         m_permit_tickets[ticket] = {read.client, read.request.id};
--- /dev/null
+++ b/src/control/member_keeper.cpp
@@ -0,0 +1,89 @@
+#include "siskindrift/control/member_keeper.h"
+
+#include <algorithm>
+
+namespace siskindrift::control {
+namespace {
+
+using consensus::member_list;
+
+member_list without(member_list members, std::uint64_t id)
+{
+    std::erase_if(members, [&](const auto& info) { return info.id == id; });
+    return members;
+}
+
+core::duration silence(const consensus::raft_node& raft, std::uint64_t id, core::time_point now)
+{
+    const auto heard = raft.last_ack(id);
+    return heard ? now - *heard : core::duration::max();
+}
+
+} // namespace
+
+void member_keeper::note_join(const wire::join_request_t& wish, core::time_point now)
+{
+    if (wish.id != 0 && !wish.address.empty()) {
+        m_joiners[wish.id] = {wish, now};
+    }
+}
+
+std::optional<member_list> member_keeper::next_members(const consensus::raft_node& raft,
+                                                       core::time_point now)
+{
+    std::erase_if(m_joiners,
+                  [&](const auto& item) { return now - item.second.heard > m_options.join_life; });
+    if (!raft.leads_committed()) {
+        return std::nullopt;
+    }
+    auto members = raft.members();
+    for (const auto& [id, item] : m_joiners) {
+        const auto known = std::find_if(members.begin(), members.end(),
+                                        [&](const auto& info) { return info.id == item.wish.id; });
+        if (known != members.end()) {
+            continue;
+        }
+        const auto former = std::find_if(members.begin(), members.end(), [&](const auto& info) {
+            return info.address == item.wish.address && info.id != item.wish.id;
+        });
+        if (former != members.end()) {
+            return without(members, former->id);
+        }
+        wire::replica_info_t learner;
+        learner.id = item.wish.id;
+        learner.vm = item.wish.vm;
+        learner.address = item.wish.address;
+        members.push_back(std::move(learner));
+        return members;
+    }
+    const auto voters =
+        std::count_if(members.begin(), members.end(), [](const auto& info) { return info.voter; });
+    for (auto& info : members) {
+        if (info.voter || info.id == raft.self().value()) {
+            continue;
+        }
+        const auto quiet = silence(raft, info.id, now);
+        if (quiet > m_options.forget_learner) {
+            return without(members, info.id);
+        }
+        const auto lag = raft.last_index() - std::min(raft.last_index(), raft.match_index(info.id));
+        if (quiet > m_options.dead_after || lag > m_options.caught_up_entries ||
+            raft.match_index(info.id) == 0) {
+            continue;
+        }
+        if (static_cast<std::size_t>(voters) < m_options.voters_wanted) {
+            info.voter = true;
+            return members;
+        }
+        const auto dead = std::find_if(members.begin(), members.end(), [&](const auto& other) {
+            return other.voter && other.id != raft.self().value() &&
+                   silence(raft, other.id, now) > m_options.dead_after;
+        });
+        if (dead != members.end()) {
+            return without(members, dead->id);
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace siskindrift::control
--- a/src/core/clock.cpp
+++ b/src/core/clock.cpp
@@ -1,13 +1,16 @@
 #include "siskindrift/core/clock.h"
 
-#include <boost/asio/steady_timer.hpp>
 #include <ctime>
 
 namespace siskindrift::core {
 
 time_point runtime_clock::now() const
 {
-    return boost::asio::steady_timer::clock_type::now();
+    // Counts the time that a machine was suspended: leases of others ran out meanwhile.
+    std::timespec now{};
+    ::clock_gettime(CLOCK_BOOTTIME, &now);
+    return time_point{std::chrono::duration_cast<duration>(std::chrono::seconds{now.tv_sec} +
+                                                           std::chrono::nanoseconds{now.tv_nsec})};
 }
 
 std::uint64_t runtime_clock::wall_ms() const
--- /dev/null
+++ b/src/gateway/forward_policy.cpp
@@ -0,0 +1,47 @@
+#include "siskindrift/gateway/forward_policy.h"
+
+namespace siskindrift::gateway {
+namespace {
+
+constexpr std::uint16_t first_success = 200;
+constexpr std::uint16_t first_redirect = 300;
+constexpr std::uint16_t first_server_error = 500;
+
+} // namespace
+
+attempt_end end_of(const answer_facts& facts, std::uint16_t status)
+{
+    const bool success = status >= first_success && status < first_redirect;
+    if (facts.not_executed && !success) {
+        return attempt_end::not_executed;
+    }
+    // A success without its seal, or with a changed body, is not the upstream's answer.
+    if (success && (!facts.sealed || facts.encoded)) {
+        return attempt_end::broken;
+    }
+    return attempt_end::answered;
+}
+
+next_step step_after(attempt_end end, const forward_state& state, const forward_options& options)
+{
+    const bool time = state.time_left >= options.retry_floor;
+    const bool sends = state.sent < options.sends_limit;
+    const bool another_run = state.repeatable && state.may_have_run < state.max_attempts;
+    // A request that may have run must not run again unless it is repeatable.
+    const bool may_repeat = time && sends && (state.may_have_run == 0 || another_run);
+    switch (end) {
+    case attempt_end::answered:
+        return state.status >= first_server_error && may_repeat ? next_step::retry
+                                                                : next_step::pass_on;
+    case attempt_end::not_sent:
+    case attempt_end::not_executed:
+    case attempt_end::broken:
+        break;
+    }
+    if (may_repeat) {
+        return next_step::retry;
+    }
+    return state.may_have_run == 0 ? next_step::refuse : next_step::fail;
+}
+
+} // namespace siskindrift::gateway
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -1,8 +1,10 @@
 #include "siskindrift/http/client.h"
 
+#include <algorithm>
 #include <boost/asio/strand.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <charconv>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -23,6 +25,24 @@
 constexpr std::size_t idle_per_address = 64;
 constexpr std::size_t read_piece_bytes = 16 * 1024;
 constexpr auto idle_life = std::chrono::seconds{10};
+constexpr auto idle_margin = std::chrono::milliseconds{300}; // a request on its way as it closes
+constexpr int max_foreign_answers = 2; // more than that is no slip of the other end
+
+// Returns how long the other end keeps an idle connection, less a margin.
+core::duration stated_idle_life(std::string_view keep_alive)
+{
+    constexpr std::string_view parameter = "timeout=";
+    const auto at = keep_alive.find(parameter);
+    if (at == std::string_view::npos) {
+        return idle_life;
+    }
+    std::uint32_t seconds = 0;
+    const auto* begin = keep_alive.data() + at + parameter.size();
+    std::from_chars(begin, keep_alive.data() + keep_alive.size(), seconds);
+    const core::duration stated = std::chrono::seconds{seconds};
+    return std::min<core::duration>(stated - std::min<core::duration>(stated, idle_margin),
+                                    idle_life);
+}
 
 } // namespace
 
@@ -60,7 +80,8 @@
         m_open.erase(call);
     }
 
-    std::unique_ptr<beast::tcp_stream> take_idle(const std::string& address)
+    // Takes a connection that was idle for at most @p longest.
+    std::unique_ptr<beast::tcp_stream> take_idle(const std::string& address, core::duration longest)
     {
         const std::lock_guard lock{m_mutex};
         auto& idle = m_idle[address];
@@ -68,19 +89,20 @@
         while (!idle.empty()) {
             auto last = std::move(idle.back());
             idle.pop_back();
-            if (now - last.since < idle_life && still_open(*last.stream)) {
+            if (now - last.since < std::min(longest, last.life) && still_open(*last.stream)) {
                 return std::move(last.stream);
             }
         }
         return nullptr;
     }
 
-    void give_idle(const std::string& address, std::unique_ptr<beast::tcp_stream> stream)
+    void give_idle(const std::string& address, std::unique_ptr<beast::tcp_stream> stream,
+                   core::duration life)
     {
         const std::lock_guard lock{m_mutex};
         auto& idle = m_idle[address];
         if (idle.size() < idle_per_address) {
-            idle.push_back({std::move(stream), asio::steady_timer::clock_type::now()});
+            idle.push_back({std::move(stream), asio::steady_timer::clock_type::now(), life});
         }
     }
 
@@ -98,6 +120,7 @@
     struct idle_stream {
         std::unique_ptr<beast::tcp_stream> stream;
         core::time_point since;
+        core::duration life;
     };
 
     static bool still_open(beast::tcp_stream& stream)
@@ -125,8 +148,9 @@
     // Chooses the connection; before anyone else can reach this exchange.
     void prepare()
     {
-        if (m_call.repeatable) {
-            m_stream = m_owner->take_idle(m_call.address);
+        if (m_call.repeatable || m_call.safe_idle > core::duration::zero()) {
+            m_stream = m_owner->take_idle(m_call.address,
+                                          m_call.repeatable ? idle_life : m_call.safe_idle);
         }
         m_reused = m_stream != nullptr;
         if (!m_reused) {
@@ -170,6 +194,7 @@
             }
             error_code ignored;
             self->m_stream->socket().set_option(tcp::no_delay{true}, ignored);
+            net::detect_dead_peer(self->m_stream->socket());
             self->send();
         });
     }
@@ -182,27 +207,28 @@
         }
         m_request.method_string(m_call.method);
         m_request.target(m_call.path);
-        m_request.set(beast::http::field::host, m_call.address);
         for (const auto& [name, value] : m_call.headers) {
-            m_request.set(name, value);
+            m_request.insert(name, value);
+        }
+        if (m_request.find(beast::http::field::host) == m_request.end()) {
+            m_request.set(beast::http::field::host, m_call.address);
         }
         m_request.body() = std::move(m_call.body);
         m_request.prepare_payload();
         m_stream->expires_after(m_call.head_limit);
         beast::http::async_write(*m_stream, m_request,
                                  [self = shared_from_this()](error_code error, std::size_t) {
-                                     if (error) {
-                                         self->fail(error);
-                                         return;
-                                     }
-                                     self->read_head();
+                                     // An answer may come before the whole request has left.
+                                     self->m_written = !error;
                                  });
+        read_head();
     }
 
     void read_head()
     {
-        m_parser.body_limit(boost::none);
-        beast::http::async_read_header(*m_stream, m_buffer, m_parser,
+        m_parser.emplace();
+        m_parser->body_limit(boost::none);
+        beast::http::async_read_header(*m_stream, m_buffer, *m_parser,
                                        [self = shared_from_this()](error_code error, std::size_t) {
                                            if (error) {
                                                self->fail(error);
@@ -215,11 +241,13 @@
     void on_head()
     {
         client_head head;
-        head.status = static_cast<std::uint16_t>(m_parser.get().result_int());
-        for (const auto& field : m_parser.get()) {
+        head.status = static_cast<std::uint16_t>(m_parser->get().result_int());
+        for (const auto& field : m_parser->get()) {
             head.headers.emplace_back(field.name_string(), field.value());
         }
-        if (!m_cancelled) {
+        m_foreign =
+            !m_call.match_header.empty() && head.header(m_call.match_header) != m_call.match_value;
+        if (!m_cancelled && !m_foreign) {
             m_owner->handler().on_head(m_call.id, head);
         }
         m_piece.resize(read_piece_bytes);
@@ -228,23 +256,27 @@
 
     void read_body()
     {
-        if (m_parser.is_done()) {
+        if (m_parser->is_done()) {
+            if (m_foreign) {
+                pass_over();
+                return;
+            }
             end(client_end::complete);
             return;
         }
-        m_parser.get().body().data = m_piece.data();
-        m_parser.get().body().size = m_piece.size();
-        m_parser.get().body().more = true;
+        m_parser->get().body().data = m_piece.data();
+        m_parser->get().body().size = m_piece.size();
+        m_parser->get().body().more = true;
         m_stream->expires_after(m_call.progress_limit);
         beast::http::async_read_some(
-            *m_stream, m_buffer, m_parser,
+            *m_stream, m_buffer, *m_parser,
             [self = shared_from_this()](error_code error, std::size_t) { self->on_body(error); });
     }
 
     void on_body(error_code error)
     {
-        const auto got = m_piece.size() - m_parser.get().body().size;
-        if (got > 0 && !m_cancelled) {
+        const auto got = m_piece.size() - m_parser->get().body().size;
+        if (got > 0 && !m_cancelled && !m_foreign) {
             m_owner->handler().on_data(m_call.id, m_piece.substr(0, got));
         }
         if (error && error != beast::http::error::need_buffer) {
@@ -254,6 +286,18 @@
         read_body();
     }
 
+    // The answer to an earlier request came late; our own follows on this connection.
+    void pass_over()
+    {
+        const bool follows =
+            m_parser->get().keep_alive() && ++m_foreign_answers <= max_foreign_answers;
+        if (!follows) {
+            end(client_end::lost);
+            return;
+        }
+        read_head();
+    }
+
     void fail(error_code error)
     {
         if (error == beast::error::timeout) {
@@ -270,11 +314,13 @@
             return;
         }
         m_owner->forget(m_call.id);
-        const bool reusable = how == client_end::complete && m_parser.get().keep_alive() &&
-                              m_buffer.size() == 0 && !m_cancelled;
+        const bool reusable = how == client_end::complete && m_parser->get().keep_alive() &&
+                              m_buffer.size() == 0 && m_written && m_foreign_answers == 0 &&
+                              !m_cancelled;
         if (reusable) {
             m_stream->expires_never();
-            m_owner->give_idle(m_call.address, std::move(m_stream));
+            const std::string_view keep_alive{m_parser->get()[beast::http::field::keep_alive]};
+            m_owner->give_idle(m_call.address, std::move(m_stream), stated_idle_life(keep_alive));
         }
         else {
             m_stream->close();
@@ -290,9 +336,12 @@
     asio::any_io_executor m_executor;
     bool m_reused = false;
     beast::http::request<beast::http::string_body> m_request;
-    beast::http::response_parser<beast::http::buffer_body> m_parser;
+    std::optional<beast::http::response_parser<beast::http::buffer_body>> m_parser;
     beast::flat_buffer m_buffer;
     std::string m_piece;
+    bool m_written = false;
+    bool m_foreign = false; ///< The answer being read belongs to somebody else.
+    int m_foreign_answers = 0;
     bool m_cancelled = false;
     bool m_ended = false;
 };
@@ -342,6 +391,11 @@
     m_implementation->cancel(call);
 }
 
+void client::forget_address(const std::string& address)
+{
+    m_implementation->drop_idle(address);
+}
+
 std::size_t client::open_calls() const
 {
     return m_implementation->open_calls();
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -59,6 +59,7 @@
 struct server_shared {
     server_limits limits;
     server_handler& handler;
+    std::atomic<bool> closing{false}; ///< Every answer is the last of its connection.
     std::atomic<std::size_t> connections{0};
     std::atomic<std::uint64_t> next_exchange{1};
 };
@@ -79,6 +80,7 @@
     {
         error_code ignored;
         m_stream.socket().set_option(tcp::no_delay{true}, ignored);
+        net::detect_dead_peer(m_stream.socket());
         m_remote = m_stream.socket().remote_endpoint(ignored).address().to_string(ignored);
         asio::dispatch(m_stream.get_executor(),
                        [self = shared_from_this()] { self->await_request(true); });
@@ -103,6 +105,7 @@
         });
     }
 
+    [[nodiscard]] bool closing() const { return m_shared->closing; }
     [[nodiscard]] std::size_t backlog() const { return m_backlog; }
     [[nodiscard]] const server_limits& limits() const { return m_shared->limits; }
 
@@ -125,6 +128,12 @@
             refuse(error, false);
             return;
         }
+        // Any other coding would leave the end of the body to guesswork.
+        const auto coding = m_parser->get()[beast::http::field::transfer_encoding];
+        if (!coding.empty() && !beast::iequals(coding, "chunked")) {
+            refuse(beast::http::error::bad_transfer_encoding, false);
+            return;
+        }
         if (beast::iequals(m_parser->get()[beast::http::field::expect], "100-continue")) {
             static const std::string go_on = "HTTP/1.1 100 Continue\r\n\r\n";
             error_code ignored;
@@ -248,7 +257,7 @@
         m_answering = false;
         m_last_queued = false;
         m_exchange = 0;
-        if (m_close_after) {
+        if (m_close_after || m_shared->closing) {
             error_code ignored;
             m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
             close();
@@ -327,7 +336,7 @@
 private:
     void add_connection(header_list& headers) const
     {
-        if (m_close_after) {
+        if (m_close_after || m_connection->closing()) {
             headers.emplace_back("Connection", "close");
         }
     }
@@ -368,7 +377,7 @@
 public:
     implementation(asio::io_context& context, server_limits limits, server_handler& handler)
         : m_context(context), m_acceptor(context),
-          m_shared(new server_shared{limits, handler, {}, {1}})
+          m_shared(new server_shared{limits, handler, {}, {}, {1}})
     {
     }
 
@@ -403,6 +412,8 @@
     }
 
     [[nodiscard]] std::size_t connections() const { return m_shared->connections; }
+    void set_limits(const server_limits& limits) { m_shared->limits = limits; }
+    void close_after_answers() { m_shared->closing = true; }
 
 private:
     void accept()
@@ -441,6 +452,16 @@
     return m_implementation->listen(address, error);
 }
 
+void server::set_limits(const server_limits& limits)
+{
+    m_implementation->set_limits(limits);
+}
+
+void server::close_after_answers()
+{
+    m_implementation->close_after_answers();
+}
+
 void server::stop_accepting()
 {
     m_implementation->stop();
--- a/src/net/mesh.cpp
+++ b/src/net/mesh.cpp
@@ -9,6 +9,8 @@
 #include <boost/asio/write.hpp>
 #include <charconv>
 #include <deque>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 
 #include "siskindrift/wire/frame.h"
 
@@ -35,6 +37,22 @@
     return tcp::endpoint{ip, port};
 }
 
+void detect_dead_peer(tcp::socket& socket)
+{
+    constexpr int unacknowledged_limit_ms = 2000; // above a few retransmissions on a lossy link
+    constexpr int probe_after_s = 2;
+    constexpr int probe_every_s = 1;
+    constexpr int probe_count = 2;
+    const int file = socket.native_handle();
+    const int on = 1;
+    // Best effort: without them a dead connection is found by the deadline of its request.
+    ::setsockopt(file, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledged_limit_ms, sizeof(int));
+    ::setsockopt(file, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(int));
+    ::setsockopt(file, IPPROTO_TCP, TCP_KEEPIDLE, &probe_after_s, sizeof(int));
+    ::setsockopt(file, IPPROTO_TCP, TCP_KEEPINTVL, &probe_every_s, sizeof(int));
+    ::setsockopt(file, IPPROTO_TCP, TCP_KEEPCNT, &probe_count, sizeof(int));
+}
+
 /// One connection. All members are used on its strand.
 class mesh_connection : public std::enable_shared_from_this<mesh_connection> {
 public:
@@ -160,14 +178,20 @@
         if (m_queue.empty() || m_closed) {
             return;
         }
-        asio::async_write(m_socket, asio::buffer(*m_queue.front()),
-                          [self = shared_from_this()](error_code error, std::size_t) {
+        // The connection may be closed, and its queue cleared, before a write that succeeded
+        // is told.
+        const auto frame = m_queue.front();
+        asio::async_write(m_socket, asio::buffer(*frame),
+                          [self = shared_from_this(), frame](error_code error, std::size_t) {
+                              if (self->m_closed) {
+                                  return;
+                              }
                               if (error) {
                                   self->close();
                                   return;
                               }
-                              self->m_owner->m_sent_bytes += self->m_queue.front()->size();
-                              self->m_queued_bytes -= self->m_queue.front()->size();
+                              self->m_owner->m_sent_bytes += frame->size();
+                              self->m_queued_bytes -= frame->size();
                               self->m_queue.pop_front();
                               self->write_next();
                           });
@@ -348,6 +372,9 @@
     if (!address.empty()) {
         m_handler.on_link(address, false);
     }
+    else {
+        m_handler.on_closed(id);
+    }
     if (keep_open) {
         retry(address);
     }
@@ -368,6 +395,20 @@
     });
 }
 
+void mesh::close(connection_id which)
+{
+    std::shared_ptr<mesh_connection> connection;
+    {
+        const std::lock_guard lock{m_mutex};
+        const auto found = m_connections.find(which);
+        if (found == m_connections.end()) {
+            return;
+        }
+        connection = found->second;
+    }
+    connection->shut();
+}
+
 void mesh::stop()
 {
     std::map<connection_id, std::shared_ptr<mesh_connection>> connections;
--- a/src/net/mesh_test.cpp
+++ b/src/net/mesh_test.cpp
@@ -1,6 +1,8 @@
 #include "siskindrift/net/mesh.h"
 
+#include <atomic>
 #include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <condition_variable>
@@ -144,6 +146,26 @@
     client->forget("127.0.0.9:39428");
 }
 
+TEST(Mesh, OutlivesAStopBehindAWriteThatSucceeded)
+{
+    expect_alive();
+    // On the worker itself, so that the stop is queued between the write and its completion.
+    std::atomic<bool> done{false};
+    asio::post(context, [&] {
+        const auto frame = wire::make_envelope(wire::explain_query_t{});
+        client->send(address, frame);
+        client->send(address, frame);
+        client->stop();
+        asio::post(context, [&] { done = true; });
+    });
+    CHECK_TRUE(seen.wait([&] { return seen.downs > 0; }));
+    while (!done) {
+        std::this_thread::yield();
+    }
+    client = std::make_shared<mesh>(context, mesh_options{}, seen);
+    expect_alive();
+}
+
 TEST(Mesh, RefusesWhatIsNoAddress)
 {
     CHECK_FALSE(parse_address("localhost").has_value());
--- a/src/state/control_state.cpp
+++ b/src/state/control_state.cpp
@@ -65,9 +65,31 @@
     if (const auto* order = body.Asfinish_claim()) {
         return apply(*order);
     }
+    if (const auto* order = body.Asput_document()) {
+        return apply(*order);
+    }
+    if (const auto* order = body.Asname_adapter_version()) {
+        return apply(*order);
+    }
     return refused("not a logged command");
 }
 
+wire::control_reply_t control_state::apply(const wire::put_document_t& order)
+{
+    // The highest version wins; a resend and an overtaken change are acknowledged alike.
+    if (order.version > m_document.version) {
+        m_document = {order.version, order.content};
+    }
+    return {};
+}
+
+wire::control_reply_t control_state::apply(const wire::name_adapter_version_t& order)
+{
+    auto& named = m_named[{order.model, order.adapter}];
+    named = std::max(named, order.version);
+    return {};
+}
+
 wire::control_reply_t control_state::answer_of(const change_answer& answer)
 {
     wire::control_reply_t reply;
--- a/src/state/control_state_snapshot.cpp
+++ b/src/state/control_state_snapshot.cpp
@@ -71,6 +71,16 @@
     for (const auto& [key, held] : m_claims) {
         wire::append(image.claims, stored(key, held));
     }
+    image.document = std::make_unique<wire::document_page_t>();
+    image.document->version = m_document.version;
+    image.document->content = m_document.content;
+    for (const auto& [name, version] : m_named) {
+        wire::adapter_copy_t item;
+        item.model = name.first;
+        item.adapter = name.second;
+        item.version = version;
+        wire::append(image.named, item);
+    }
     return wire::encode_table(image);
 }
 
@@ -101,6 +111,12 @@
     for (const auto& item : image->ownerships) {
         fresh.m_ownerships[item->upstream] = *item;
     }
+    if (image->document) {
+        fresh.m_document = {image->document->version, image->document->content};
+    }
+    for (const auto& item : image->named) {
+        fresh.m_named[{item->model, item->adapter}] = item->version;
+    }
     for (const auto& item : image->claims) {
         const claim_key key{item->team, item->key};
         fresh.m_claims.emplace(key, loaded(*item));
