Tests of the new packages; a lost identity's wish no longer comes back

A replica that lost its disk and came back under a new identity was removed under the old one, and the old wish then admitted the dead identity again as a learner.

--- /dev/null
+++ b/src/adapters/placer_test.cpp
@@ -0,0 +1,281 @@
+#include "siskindrift/adapters/placer.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace siskindrift;
+using namespace siskindrift::adapters;
+
+TEST_GROUP(Placer)
+{
+    core::manual_clock clock;
+    placer places;
+    const std::string model = "base";
+
+    void setup() override
+    {
+        gateway::deployment document;
+        gateway::service engines;
+        engines.name = "llm";
+        engines.engine.emplace();
+        engines.engine->slots = 96;
+        engines.engine->adapter_places = 2;
+        engines.engine->loads_per_second = 2;
+        engines.engine->models.push_back({model, 100, 3000, 1});
+        document.services["llm"] = engines;
+        places.set_deployment(document);
+        places.begin(clock.now());
+    }
+
+    void announce(const std::string& id, std::uint64_t born = 100, bool usable = true)
+    {
+        wire::fleet_upstream_t word;
+        word.id = id;
+        word.service = "llm";
+        word.address = id + ":1";
+        word.born_ms = born;
+        places.note_upstream(word, usable);
+    }
+
+    void report(const std::string& id, std::uint64_t accepted,
+                const std::vector<std::string>& adapters, const std::string& loading = "",
+                std::uint64_t version = 1)
+    {
+        engine_report word;
+        word.orders_accepted = accepted;
+        word.copies.push_back(copy("", 1));
+        for (const auto& name : adapters) {
+            word.copies.push_back(copy(name, version));
+        }
+        if (!loading.empty()) {
+            word.loading.push_back(copy(loading, version));
+        }
+        clock.advance(core::milliseconds{1000});
+        places.note_report(id, word, clock.now());
+    }
+
+    wire::adapter_copy_t copy(const std::string& adapter, std::uint64_t version) const
+    {
+        wire::adapter_copy_t made;
+        made.model = model;
+        made.adapter = adapter;
+        made.version = version;
+        return made;
+    }
+
+    void engine(const std::string& id, const std::vector<std::string>& adapters = {})
+    {
+        announce(id);
+        report(id, 0, adapters);
+    }
+
+    void wish(const std::string& adapter, bool crowded = false, const std::string& used_at = "",
+              const std::string& used = "")
+    {
+        wire::gateway_report_t word;
+        word.vm = "g";
+        wire::adapter_wish_t item;
+        item.model = model;
+        item.adapter = adapter;
+        item.waiting = 1;
+        item.left_ms = 3000;
+        item.crowded = crowded;
+        wire::append(word.wishes, item);
+        if (!used.empty()) {
+            wire::adapter_use_t use;
+            use.upstream = used_at;
+            use.model = model;
+            use.adapter = used;
+            use.running = 1;
+            wire::append(word.uses, use);
+        }
+        places.note_gateway(word, clock.now());
+    }
+
+    std::vector<order> plan()
+    {
+        return places.plan(clock.now());
+    }
+
+    void finish(const order& given, order_result result)
+    {
+        places.finished(given.number, result, clock.now());
+    }
+};
+
+TEST(Placer, LoadsAWishedAdapterOnce)
+{
+    engine("a");
+    wish("x");
+    const auto orders = plan();
+    LONGS_EQUAL(1, static_cast<long>(orders.size()));
+    STRCMP_EQUAL("x", orders[0].adapter.c_str());
+    CHECK_FALSE(orders[0].unload);
+    finish(orders[0], order_result::accepted);
+    LONGS_EQUAL(0, static_cast<long>(plan().size()));
+}
+
+TEST(Placer, TellsOfACopyOnlyOnceTheEngineSaysThatItHolds)
+{
+    engine("a");
+    wish("x");
+    finish(plan()[0], order_result::accepted);
+    places.take_changed();
+    clock.advance(core::milliseconds{300});
+    const auto look = plan();
+    LONGS_EQUAL(1, static_cast<long>(look.size()));
+    LONGS_EQUAL(1, static_cast<long>(look[0].orders_accepted));
+    finish(look[0], order_result::holds);
+    const auto views = places.take_changed();
+    LONGS_EQUAL(2, static_cast<long>(views.at(0).copies.size()));
+}
+
+TEST(Placer, OrdersNothingBeforeThePredecessorsLeaseHasRunOut)
+{
+    places.begin(clock.now() + core::milliseconds{5000});
+    engine("a");
+    wish("x");
+    LONGS_EQUAL(0, static_cast<long>(plan().size()));
+    clock.advance(core::milliseconds{5000});
+    wish("x");
+    LONGS_EQUAL(1, static_cast<long>(plan().size()));
+}
+
+TEST(Placer, OrdersNothingOfAnEngineBeforeItsReport)
+{
+    announce("a");
+    wish("x");
+    LONGS_EQUAL(0, static_cast<long>(plan().size()));
+}
+
+TEST(Placer, MakesRoomAtAFullEngineByItsIdlestAdapter)
+{
+    engine("a", {"p", "q"});
+    wish("x", false, "a", "q");
+    const auto orders = plan();
+    LONGS_EQUAL(1, static_cast<long>(orders.size()));
+    CHECK_TRUE(orders[0].unload);
+    STRCMP_EQUAL("p", orders[0].adapter.c_str());
+    finish(orders[0], order_result::holds);
+    const auto load = plan();
+    LONGS_EQUAL(1, static_cast<long>(load.size()));
+    LONGS_EQUAL(1, static_cast<long>(load[0].orders_accepted));
+}
+
+TEST(Placer, NeverPushesOutAnAdapterInUse)
+{
+    announce("a");
+    report("a", 0, {"p"}, "q"); // the other place is on its way
+    wish("x", false, "a", "p");
+    for (const auto& given : plan()) {
+        CHECK_FALSE_TEXT(given.unload, given.adapter.c_str());
+    }
+}
+
+TEST(Placer, KeepsAPlaceForALoadThatMayBeCarriedOutLater)
+{
+    engine("a", {"p"});
+    wish("x");
+    finish(plan()[0], order_result::unknown);
+    report("a", 0, {"p"}); // not carried out so far
+    wish("y");
+    const auto orders = plan();
+    CHECK_TRUE(!orders.empty());
+    // One place is held by p, one is kept for x: there is no room for y without an unload.
+    CHECK_TRUE(orders[0].unload || orders[0].adapter == "x");
+}
+
+TEST(Placer, TrustsAnEngineAgainAfterAConflictOnlyWithANewReport)
+{
+    engine("a");
+    wish("x");
+    finish(plan()[0], order_result::conflict);
+    wish("x");
+    LONGS_EQUAL(0, static_cast<long>(plan().size()));
+    report("a", 4, {});
+    wish("x");
+    const auto orders = plan();
+    LONGS_EQUAL(1, static_cast<long>(orders.size()));
+    LONGS_EQUAL(4, static_cast<long>(orders[0].orders_accepted));
+}
+
+TEST(Placer, StopsOnceALaterHolderGaveOrders)
+{
+    engine("a");
+    engine("b");
+    wish("x");
+    finish(plan()[0], order_result::fenced);
+    wish("y");
+    LONGS_EQUAL(0, static_cast<long>(plan().size()));
+}
+
+TEST(Placer, LoadsAFurtherCopyOfACrowdedAdapter)
+{
+    engine("a", {"x"});
+    engine("b");
+    wish("x");
+    LONGS_EQUAL(0, static_cast<long>(plan().size()));
+    wish("x", true);
+    const auto orders = plan();
+    LONGS_EQUAL(1, static_cast<long>(orders.size()));
+    STRCMP_EQUAL("b", orders[0].upstream.c_str());
+}
+
+TEST(Placer, ReplacesAnOlderVersion)
+{
+    engine("a", {"x"});
+    places.set_version({model, "x"}, 2);
+    wish("x");
+    const auto orders = plan();
+    LONGS_EQUAL(1, static_cast<long>(orders.size()));
+    LONGS_EQUAL(2, static_cast<long>(orders[0].version));
+}
+
+TEST(Placer, LoadsTheModelOfAnEngineThatRestartedEmpty)
+{
+    announce("a", 200);
+    engine_report empty;
+    clock.advance(core::milliseconds{1000});
+    places.note_report("a", empty, clock.now());
+    const auto orders = plan();
+    LONGS_EQUAL(1, static_cast<long>(orders.size()));
+    STRCMP_EQUAL("", orders[0].adapter.c_str());
+    STRCMP_EQUAL("base", orders[0].model.c_str());
+}
+
+TEST(Placer, SpacesLoadsOfWholeModelsByTheStoresRate)
+{
+    for (const auto* id : {"a", "b", "c"}) {
+        announce(id, 200);
+        clock.advance(core::milliseconds{1000});
+        places.note_report(id, engine_report{}, clock.now());
+    }
+    LONGS_EQUAL(1, static_cast<long>(plan().size()));
+    LONGS_EQUAL(0, static_cast<long>(plan().size()));
+    clock.advance(core::milliseconds{500});
+    LONGS_EQUAL(1, static_cast<long>(plan().size()));
+}
+
+TEST(Placer, BoundsTheLoadsFromTheStore)
+{
+    for (int i = 0; i < 12; ++i) {
+        engine("e" + std::to_string(i));
+    }
+    std::size_t loads = 0;
+    for (int i = 0; i < 12; ++i) {
+        wish("x" + std::to_string(i));
+        loads += plan().size();
+    }
+    LONGS_EQUAL(8, static_cast<long>(loads));
+}
+
+TEST(Placer, IgnoresAReportFromBeforeTheLastOrder)
+{
+    engine("a");
+    wish("x");
+    const auto given = plan()[0];
+    finish(given, order_result::accepted);
+    engine_report old;
+    old.copies.push_back(copy("", 1));
+    places.note_report("a", old, clock.now());
+    LONGS_EQUAL(0, static_cast<long>(plan().size())); // x is still on its way
+}
--- a/src/apps/gateway_process.cpp
+++ b/src/apps/gateway_process.cpp
@@ -10,10 +10,9 @@
 namespace siskindrift::apps {
 namespace {
 
-constexpr core::milliseconds report_pause{40};     // gathers the wishes of a burst
-constexpr core::milliseconds report_repeat{1000};  // well within the life of a wish
-constexpr core::milliseconds crowded_life{1000};   // a further copy is loaded within that
-constexpr core::milliseconds document_answer{300}; // several round trips and a large document
+constexpr core::milliseconds report_pause{40};    // gathers the wishes of a burst
+constexpr core::milliseconds report_repeat{1000}; // well within the life of a wish
+constexpr core::milliseconds crowded_life{1000};  // a further copy is loaded within that
 constexpr core::milliseconds stop_poll{100};
 constexpr core::milliseconds stop_first{2500};  // callers keep an older list of gateways
 constexpr core::milliseconds stop_refuse{2800}; // what begins later may not end in time
@@ -205,7 +204,7 @@
         report_soon();
     }
     else {
-        m_document_asked = 0; // the answer may have been lost with the connection
+        m_document.note_lost(address);
         found->second.leader_term = 0;
         found->second.gateways.clear();
     }
@@ -241,7 +240,7 @@
         m_told_wishes.clear();
         report_soon();
     }
-    from.document_version = update.document_version;
+    m_document.note_offer(update.address, update.document_version);
     if (update.gateways_included) {
         from.gateways.clear();
         for (const auto& info : update.gateways) {
@@ -273,17 +272,8 @@
 
 void gateway_process::ask_document()
 {
-    const auto held = m_deployment ? m_deployment->version : 0;
-    const auto now = m_clock.now();
-    const bool unanswered = now - m_document_asked_at > document_answer;
-    for (const auto& [address, state] : m_coordinators) {
-        const bool newer = state.document_version > std::max(held, m_document_asked);
-        if (state.up && state.document_version > held && (newer || unanswered)) {
-            m_document_asked = state.document_version;
-            m_document_asked_at = now;
-            m_mesh->send(address, wire::make_envelope(wire::document_query_t{}));
-            return;
-        }
+    if (const auto address = m_document.next_question(m_clock.now())) {
+        m_mesh->send(*address, wire::make_envelope(wire::document_query_t{}));
     }
 }
 
@@ -299,6 +289,7 @@
         return;
     }
     m_deployment = std::move(document);
+    m_document.note_held(m_deployment->version);
     m_routes = gateway::route_table{*m_deployment};
     http::server_limits limits;
     limits.max_header_bytes = m_deployment->limits.max_header_bytes;
--- a/src/apps/gateway_process.h
+++ b/src/apps/gateway_process.h
@@ -17,6 +17,7 @@
 #include "siskindrift/core/verdict.h"
 #include "siskindrift/fleet/roster.h"
 #include "siskindrift/gateway/deployment.h"
+#include "siskindrift/gateway/document_follower.h"
 #include "siskindrift/gateway/event_splitter.h"
 #include "siskindrift/gateway/forward_policy.h"
 #include "siskindrift/gateway/retry_budget.h"
@@ -65,7 +66,6 @@
     struct coordinator {
         bool up = false;
         std::uint64_t leader_term = 0;
-        std::uint64_t document_version = 0;
         std::vector<wire::gateway_info_t> gateways;
     };
 
@@ -174,8 +174,7 @@
     std::vector<wire::gateway_info_t> m_last_gateways;
     fleet::roster m_roster;
     std::optional<gateway::deployment> m_deployment;
-    std::uint64_t m_document_asked = 0; ///< Version that was asked for last.
-    core::time_point m_document_asked_at{};
+    gateway::document_follower m_document;
     gateway::route_table m_routes;
     gateway::upstream_pool m_pool;
     std::map<std::string, gateway::retry_budget> m_budgets;
--- a/src/control/member_keeper.cpp
+++ b/src/control/member_keeper.cpp
@@ -23,9 +23,14 @@
 
 void member_keeper::note_join(const wire::join_request_t& wish, core::time_point now)
 {
-    if (wish.id != 0 && !wish.address.empty()) {
-        m_joiners[wish.id] = {wish, now};
+    if (wish.id == 0 || wish.address.empty()) {
+        return;
     }
+    // Only one identity can live at an address; what an earlier one asked for is void.
+    std::erase_if(m_joiners, [&](const auto& item) {
+        return item.first != wish.id && item.second.wish.address == wish.address;
+    });
+    m_joiners[wish.id] = {wish, now};
 }
 
 std::optional<member_list> member_keeper::next_members(const consensus::raft_node& raft,
--- /dev/null
+++ b/src/gateway/document_follower_test.cpp
@@ -0,0 +1,64 @@
+#include "siskindrift/gateway/document_follower.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace siskindrift;
+using namespace siskindrift::gateway;
+
+TEST_GROUP(DocumentFollower)
+{
+    core::manual_clock clock;
+    document_follower follower;
+
+    std::string asked()
+    {
+        return follower.next_question(clock.now()).value_or("nobody");
+    }
+};
+
+TEST(DocumentFollower, AsksWhoeverHoldsTheNewest)
+{
+    follower.note_offer("a", 3);
+    follower.note_offer("b", 5);
+    STRCMP_EQUAL("b", asked().c_str());
+}
+
+TEST(DocumentFollower, AsksOnceWhileTheAnswerIsAwaited)
+{
+    follower.note_offer("a", 3);
+    asked();
+    clock.advance(core::milliseconds{100});
+    STRCMP_EQUAL("nobody", asked().c_str());
+}
+
+TEST(DocumentFollower, AsksAgainWhenNoAnswerComes)
+{
+    follower.note_offer("a", 3);
+    asked();
+    clock.advance(core::milliseconds{400});
+    STRCMP_EQUAL("a", asked().c_str());
+}
+
+TEST(DocumentFollower, AsksAgainWhenTheConnectionIsLost)
+{
+    follower.note_offer("a", 3);
+    asked();
+    follower.note_lost("a");
+    follower.note_offer("b", 3);
+    STRCMP_EQUAL("b", asked().c_str());
+}
+
+TEST(DocumentFollower, AsksForANewerVersionAtOnce)
+{
+    follower.note_offer("a", 3);
+    asked();
+    follower.note_offer("b", 4);
+    STRCMP_EQUAL("b", asked().c_str());
+}
+
+TEST(DocumentFollower, NeverAsksForWhatIsNoNewer)
+{
+    follower.note_held(7);
+    follower.note_offer("a", 7);
+    STRCMP_EQUAL("nobody", asked().c_str());
+}
--- /dev/null
+++ b/src/gateway/forward_policy_test.cpp
@@ -0,0 +1,87 @@
+#include "siskindrift/gateway/forward_policy.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace siskindrift;
+using namespace siskindrift::gateway;
+
+TEST_GROUP(ForwardPolicy)
+{
+    forward_state state;
+
+    void setup() override
+    {
+        state.sent = 1;
+        state.time_left = core::milliseconds{500};
+        state.max_attempts = 2;
+    }
+
+    void expect(next_step wanted, attempt_end end)
+    {
+        LONGS_EQUAL(static_cast<int>(wanted), static_cast<int>(step_after(end, state)));
+    }
+};
+
+TEST(ForwardPolicy, SendsWhatWasNotExecutedElsewhereWhateverItsKind)
+{
+    expect(next_step::retry, attempt_end::not_executed);
+    expect(next_step::retry, attempt_end::not_sent);
+}
+
+TEST(ForwardPolicy, NeverRepeatsAnUnsafeRequestThatMayHaveRun)
+{
+    state.may_have_run = 1;
+    expect(next_step::fail, attempt_end::broken);
+    state.status = 500;
+    expect(next_step::pass_on, attempt_end::answered);
+}
+
+TEST(ForwardPolicy, NeverRepeatsAnUnsafeRequestAfterALaterProofOfAnotherUpstream)
+{
+    state.sent = 2;
+    state.may_have_run = 1; // the first may have, the second states that it did not
+    expect(next_step::fail, attempt_end::not_executed);
+}
+
+TEST(ForwardPolicy, RepeatsARepeatableRequestUpToItsAttempts)
+{
+    state.repeatable = true;
+    state.may_have_run = 1;
+    expect(next_step::retry, attempt_end::broken);
+    state.may_have_run = 2;
+    expect(next_step::fail, attempt_end::broken);
+}
+
+TEST(ForwardPolicy, TriesASecondUpstreamAfterTheFirstFailedASafeRequest)
+{
+    state.repeatable = true;
+    state.may_have_run = 1;
+    state.status = 500;
+    expect(next_step::retry, attempt_end::answered);
+    state.status = 404;
+    expect(next_step::pass_on, attempt_end::answered);
+}
+
+TEST(ForwardPolicy, RefusesWithoutTimeWhatNobodyRan)
+{
+    state.time_left = core::milliseconds{5};
+    expect(next_step::refuse, attempt_end::not_executed);
+}
+
+TEST(ForwardPolicy, TakesASuccessWithoutItsSealForNoAnswer)
+{
+    answer_facts facts;
+    LONGS_EQUAL(static_cast<int>(attempt_end::broken), static_cast<int>(end_of(facts, 200)));
+    facts.sealed = true;
+    LONGS_EQUAL(static_cast<int>(attempt_end::answered), static_cast<int>(end_of(facts, 200)));
+    facts.encoded = true;
+    LONGS_EQUAL(static_cast<int>(attempt_end::broken), static_cast<int>(end_of(facts, 200)));
+}
+
+TEST(ForwardPolicy, BelievesNoStatusWithoutTheWordThatItDidNotRun)
+{
+    answer_facts facts;
+    LONGS_EQUAL(static_cast<int>(attempt_end::answered), static_cast<int>(end_of(facts, 503)));
+    facts.not_executed = true;
+    LONGS_EQUAL(static_cast<int>(attempt_end::not_executed), static_cast<int>(end_of(facts, 503)));
+}
--- /dev/null
+++ b/src/gateway/retry_budget_test.cpp
@@ -0,0 +1,54 @@
+#include "siskindrift/gateway/retry_budget.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace siskindrift;
+using namespace siskindrift::gateway;
+
+TEST_GROUP(RetryBudget)
+{
+    core::manual_clock clock;
+    retry_budget budget{{0.2, 50, core::milliseconds{10'000}, 1.0}};
+
+    int taken(int wanted, std::size_t gateways)
+    {
+        int count = 0;
+        for (int i = 0; i < wanted; ++i) {
+            count += budget.take(clock.now(), gateways) ? 1 : 0;
+        }
+        return count;
+    }
+};
+
+TEST(RetryBudget, SharesTheExtraAmongGateways)
+{
+    LONGS_EQUAL(50, taken(100, 1));
+    retry_budget other{{0.2, 50, core::milliseconds{10'000}, 1.0}};
+    budget = other;
+    LONGS_EQUAL(5, taken(100, 10));
+}
+
+TEST(RetryBudget, GrowsWithRequests)
+{
+    for (int i = 0; i < 100; ++i) {
+        budget.request(clock.now());
+    }
+    LONGS_EQUAL(25, taken(100, 10));
+}
+
+TEST(RetryBudget, ForgetsWhatLiesBeforeTheWindow)
+{
+    LONGS_EQUAL(50, taken(100, 1));
+    clock.advance(core::milliseconds{10'600});
+    LONGS_EQUAL(50, taken(100, 1));
+}
+
+TEST(RetryBudget, HoldsInEverySpanOfItsWindow)
+{
+    int within = 0;
+    for (int i = 0; i < 20; ++i) {
+        within += taken(10, 1);
+        clock.advance(core::milliseconds{450});
+    }
+    CHECK_TRUE_TEXT(within <= 50, std::to_string(within).c_str());
+}
--- /dev/null
+++ b/src/gateway/upstream_pool_test.cpp
@@ -0,0 +1,154 @@
+#include "siskindrift/gateway/upstream_pool.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace siskindrift;
+using namespace siskindrift::gateway;
+
+TEST_GROUP(UpstreamPool)
+{
+    core::manual_clock clock;
+    fleet::roster roster;
+    upstream_pool pool{roster, 1};
+    const adapter_name wanted{"base", "a1"};
+    const adapter_name none{};
+
+    void announce(const std::string& id, const std::string& service = "llm")
+    {
+        wire::fleet_upstream_t word;
+        word.id = id;
+        word.service = service;
+        word.address = id + ":1";
+        word.born_ms = 100;
+        word.sequence = 1;
+        word.slots = 10;
+        roster.note(std::move(word), clock.now());
+    }
+
+    void holds(const std::string& id, std::uint64_t version)
+    {
+        wire::engine_view_t view;
+        view.upstream = id;
+        view.born_ms = 100;
+        wire::adapter_copy_t copy;
+        copy.model = wanted.first;
+        copy.adapter = wanted.second;
+        copy.version = version;
+        wire::append(view.copies, std::move(copy));
+        pool.note_engine(view);
+    }
+
+    pool_choice choose(const adapter_name& name, const std::set<std::string>& tried = {})
+    {
+        return pool.choose("llm", name, tried, clock.now());
+    }
+};
+
+TEST(UpstreamPool, ChoosesTheLeastLoaded)
+{
+    announce("a");
+    announce("b");
+    for (int i = 0; i < 3; ++i) {
+        pool.sent("a", none);
+    }
+    STRCMP_EQUAL("b", choose(none).upstream.c_str());
+}
+
+TEST(UpstreamPool, CountsWhatOthersSent)
+{
+    announce("a");
+    announce("b");
+    pool.note_load("a", {8, 4, 10});
+    STRCMP_EQUAL("b", choose(none).upstream.c_str());
+}
+
+TEST(UpstreamPool, ChoosesOnlyHoldersOfTheAdapter)
+{
+    announce("a");
+    announce("b");
+    holds("b", 1);
+    const auto choice = choose(wanted);
+    STRCMP_EQUAL("b", choice.upstream.c_str());
+    LONGS_EQUAL(1, static_cast<long>(*choice.adapter_version));
+}
+
+TEST(UpstreamPool, ExpectsNoVersionOfACopyWhoseVersionIsUnknown)
+{
+    announce("a");
+    holds("a", 0);
+    CHECK_FALSE(choose(wanted).adapter_version.has_value());
+}
+
+TEST(UpstreamPool, AsksForALoadWhenNobodyHoldsTheAdapter)
+{
+    announce("a");
+    CHECK_TRUE(choose(wanted).what == pool_choice::kind::load_first);
+    pool.note_missing("a", wanted);
+    CHECK_TRUE(choose(wanted).what == pool_choice::kind::load_first);
+}
+
+TEST(UpstreamPool, HasNoChoiceWithoutUpstreams)
+{
+    CHECK_TRUE(choose(wanted).what == pool_choice::kind::none);
+}
+
+TEST(UpstreamPool, PrefersTheNewestVersionAndSoonAcceptsNoOther)
+{
+    announce("a");
+    holds("a", 1);
+    pool.note_version(wanted, 2, clock.now());
+    STRCMP_EQUAL("a", choose(wanted).upstream.c_str());
+    clock.advance(core::milliseconds{3100});
+    roster.heard("a", clock.now());
+    CHECK_TRUE(choose(wanted).what == pool_choice::kind::load_first);
+    announce("b");
+    holds("b", 2);
+    STRCMP_EQUAL("b", choose(wanted).upstream.c_str());
+}
+
+TEST(UpstreamPool, IgnoresWhatAnEarlierRunOfAnEngineHeld)
+{
+    announce("a");
+    holds("a", 1);
+    wire::fleet_upstream_t restarted;
+    restarted.id = "a";
+    restarted.service = "llm";
+    restarted.address = "a:1";
+    restarted.born_ms = 200;
+    restarted.sequence = 1;
+    roster.note(std::move(restarted), clock.now());
+    CHECK_TRUE(choose(wanted).what == pool_choice::kind::load_first);
+}
+
+TEST(UpstreamPool, LeavesOutAnUpstreamThatKeepsFailingAndTriesItAgain)
+{
+    announce("a");
+    announce("b");
+    pool.note_outcome("a", true, clock.now());
+    pool.note_outcome("a", true, clock.now());
+    for (int i = 0; i < 9; ++i) {
+        pool.sent("b", none);
+    }
+    STRCMP_EQUAL("b", choose(none).upstream.c_str());
+    clock.advance(core::milliseconds{2100});
+    roster.heard("a", clock.now());
+    roster.heard("b", clock.now());
+    STRCMP_EQUAL("a", choose(none).upstream.c_str());
+}
+
+TEST(UpstreamPool, UsesAFailingUpstreamBeforeNone)
+{
+    announce("a");
+    pool.note_outcome("a", true, clock.now());
+    pool.note_outcome("a", true, clock.now());
+    STRCMP_EQUAL("a", choose(none).upstream.c_str());
+}
+
+TEST(UpstreamPool, TellsWhichAdaptersAreInUse)
+{
+    announce("a");
+    pool.sent("a", wanted);
+    LONGS_EQUAL(1, static_cast<long>(pool.uses().size()));
+    pool.ended("a", wanted);
+    LONGS_EQUAL(0, static_cast<long>(pool.uses().size()));
+}
--- a/src/state/control_state_test.cpp
+++ b/src/state/control_state_test.cpp
@@ -238,3 +238,68 @@
     });
     CHECK_TRUE(agreed);
 }
+
+TEST_GROUP(ControlStateDocument)
+{
+    control_state state;
+    std::uint64_t index = 0;
+
+    template <class Body>
+    wire::control_outcome apply(Body body)
+    {
+        wire::log_entry_t entry;
+        entry.kind = wire::entry_kind::command;
+        entry.index = ++index;
+        const auto bytes = wire::encode_table(wire::make_control_request(std::move(body)));
+        entry.data.assign(bytes.begin(), bytes.end());
+        return state.apply(entry).outcome;
+    }
+
+    wire::control_outcome put(std::uint64_t version, const std::string& content)
+    {
+        wire::put_document_t order;
+        order.version = version;
+        order.content = content;
+        return apply(order);
+    }
+
+    wire::control_outcome name(std::uint64_t version)
+    {
+        wire::name_adapter_version_t order;
+        order.model = "m";
+        order.adapter = "a";
+        order.version = version;
+        return apply(order);
+    }
+};
+
+TEST(ControlStateDocument, TheHighestVersionWins)
+{
+    put(5, "five");
+    CHECK_TRUE(put(3, "three") == wire::control_outcome::ok);
+    STRCMP_EQUAL("five", state.current_document().content.c_str());
+}
+
+TEST(ControlStateDocument, OtherContentUnderTheVersionHeldChangesNothing)
+{
+    put(5, "five");
+    put(5, "other");
+    STRCMP_EQUAL("five", state.current_document().content.c_str());
+}
+
+TEST(ControlStateDocument, VersionsOfAdaptersOnlyGrow)
+{
+    name(4);
+    name(2);
+    LONGS_EQUAL(4, static_cast<long>(state.named_versions().at({"m", "a"})));
+}
+
+TEST(ControlStateDocument, SurvivesASnapshot)
+{
+    put(5, "five");
+    name(4);
+    control_state restored;
+    CHECK_TRUE(restored.restore(state.save()));
+    STRCMP_EQUAL("five", restored.current_document().content.c_str());
+    LONGS_EQUAL(4, static_cast<long>(restored.named_versions().at({"m", "a"})));
+}
