Placement by the prompt that is left to read; orders at once under checked fences

Cause: (1) engines were chosen by requests in flight, though a review's 9,000 prompt tokens delay a first token sixty times as much as a note's decoding; one adapter takes a fifth of all requests, so its one engine queued. (2) A new leader waited LeaseMs + 0.6 s before its first order, 4 s without loads after each core fault.

Ruled out for (2): that a waiting leader protects anything where upstreams check fences; the rule on turns counts only holders in touch there, and Expect guards late orders. Where fences are not checked the wait stays.

Change: gateways tell the leader the prompt tokens they sent that are not read yet, the leader tells the sums; choice and further copies go by the wait that follows. An old version is used for 1.5 s and only if its turn comes within 2.5 s; meanwhile the new one is wished for.

--- a/include/siskindrift/adapters/placer.h
+++ b/include/siskindrift/adapters/placer.h
@@ -49,10 +49,12 @@
     core::duration check_again = core::milliseconds{20};    // between two looks at a load
     core::duration model_load_look = core::milliseconds{700}; // about the load of a whole model
     core::duration quiet_before_eviction = core::milliseconds{400}; // a use may not be told yet
-    core::duration wish_life = core::milliseconds{3000};            // a gateway repeats its wishes
-    std::size_t store_loads_at_once = 8; // more would slow each other down
-    std::size_t loads_at_one_engine = 4; // engines take no more
-    std::size_t remembered_copies = 40;  // what engines keep at hand
+    core::duration home_patience = core::milliseconds{150}; // less than a load from the store
+    core::duration wish_life = core::milliseconds{3000};    // a gateway repeats its wishes
+    double prompt_tokens_per_ms = 38;                       // what engines of this size read
+    std::size_t store_loads_at_once = 8;                    // more would slow each other down
+    std::size_t loads_at_one_engine = 4;                    // engines take no more
+    std::size_t remembered_copies = 40;                     // what engines keep at hand
 };
 
 /// Places adapters on engines. Pure: words and results go in, orders and views come out.
@@ -87,8 +89,10 @@
     std::vector<order> plan(core::time_point now);
     void finished(std::uint64_t number, order_result result, core::time_point now);
 
-    /// Returns the views of engines that changed since the last call.
+    /// Returns the views of engines whose copies changed since the last call.
     std::vector<wire::engine_view_t> take_changed();
+    /// Returns the views, without copies, of engines whose load changed since the last call.
+    std::vector<wire::engine_view_t> take_loads();
     [[nodiscard]] std::vector<wire::engine_view_t> all() const;
     /// Returns when `plan` or `wanted_reports` next has something to do.
     [[nodiscard]] core::time_point next_due() const;
@@ -121,28 +125,34 @@
         std::vector<adapter_name> remembered; ///< Held lately, newest last.
         std::uint32_t running = 0;
         std::uint32_t waiting = 0;
-        std::uint64_t kv_used = 0;
-        std::uint64_t kv_total = 0;
+        std::uint64_t pending_tokens = 0; ///< Of all gateways.
+        bool load_changed = false;
     };
     struct wish {
         std::uint32_t waiting = 0;
         core::duration time_left{};
         bool crowded = false;
+        core::time_point since{}; ///< When it was first told.
         core::time_point told{};
     };
     struct gateway_word {
         std::map<adapter_name, wish> wishes;
         std::map<std::pair<std::string, adapter_name>, std::uint32_t> uses;
+        std::map<std::string, std::uint64_t> pending; ///< Prompt tokens not read yet, by engine.
     };
     struct need {
         adapter_name name;
         std::uint32_t waiting = 0;
         core::duration time_left{};
         bool crowded = false;
+        core::time_point since{};
     };
 
     [[nodiscard]] std::vector<need> needs(core::time_point now) const;
-    [[nodiscard]] bool coming_or_there(const need& wanted) const;
+    [[nodiscard]] bool coming(const need& wanted) const;
+    [[nodiscard]] std::optional<double> wait_at_copies(const need& wanted) const;
+    [[nodiscard]] bool home_is_busy(const need& wanted, core::time_point now) const;
+    void sum_pending();
     [[nodiscard]] std::uint64_t newest(const adapter_name& name) const;
     [[nodiscard]] const gateway::engine_terms* terms_of(const engine& at) const;
     [[nodiscard]] std::size_t places_taken(const engine& at) const;
--- a/include/siskindrift/config/settings.h
+++ b/include/siskindrift/config/settings.h
@@ -68,6 +68,7 @@
     bool first_start = false;       ///< The whole deployment starts with empty disks.
     std::uint32_t losses_borne = 1; ///< Coordinators that may be lost at once.
     core::duration order_lease = core::milliseconds{3000};
+    bool upstreams_check_fences = false; ///< They refuse the orders of a former holder.
     core::duration announcement = core::milliseconds{1200};
     std::string log_level = "info";
 };
--- a/include/siskindrift/consensus/raft_node.h
+++ b/include/siskindrift/consensus/raft_node.h
@@ -24,6 +24,7 @@
     core::duration election_min =
         core::milliseconds{400}; // above several heartbeats and a slow sync
     core::duration election_max = core::milliseconds{800};
+    core::duration first_election = core::milliseconds{200}; // after a restart of the whole group
     std::size_t max_entries_per_message = 512;
     std::size_t snapshot_chunk_bytes = 1024UL * 1024;
 };
--- a/include/siskindrift/gateway/deployment.h
+++ b/include/siskindrift/gateway/deployment.h
@@ -33,7 +33,9 @@
     core::duration timeout{};       ///< Longest time that a caller is kept waiting.
     core::duration objective{};     ///< Time within which an answer, or its first event, is due.
     core::duration gap_objective{}; ///< Longest pause between two events of a stream.
-    int priority = 0;               ///< 0 is the highest.
+    /// Callers give a stream up when nothing comes for this long, also before its first event.
+    core::duration stream_patience = core::duration::max();
+    int priority = 0; ///< 0 is the highest.
     std::vector<service_share> services;
     unsigned max_attempts = 1; ///< Most upstreams that may run one attempt of the caller.
     bool session_affinity = false;
--- a/include/siskindrift/gateway/upstream_pool.h
+++ b/include/siskindrift/gateway/upstream_pool.h
@@ -25,8 +25,12 @@
     unsigned failures_before_ejection = 2;                    // one may be chance
     double ejection_share = 0.35;                             // of the latest answers
     core::duration old_version_grace =
-        core::milliseconds{3000}; // the time an engine needs for a new version
-    double crowded_share = 0.8;   // of an engine's slots; more makes its tokens slow
+        core::milliseconds{1500};      // a load from the store and the word of it, with room
+    double old_version_wait_ms = 2500; // since the new one was named, until an old one begins
+    double prompt_tokens_per_ms = 38;  // what engines of this size read
+    double crowded_ms = 300;           // a wait that a copy from the store would spare
+    double full_ms = 400;              // what a full batch delays a first token
+    double failing_ms = 1000;          // what a failure costs a caller
 };
 
 /// Where a request may go.
@@ -60,7 +64,10 @@
     [[nodiscard]] pool_choice choose(const std::string& service, const adapter_name& wanted,
                                      const std::set<std::string>& tried, core::time_point now);
 
-    void sent(const std::string& upstream, const adapter_name& name);
+    /// @param tokens of the prompt that the upstream has to read first.
+    void sent(const std::string& upstream, const adapter_name& name, std::uint32_t tokens = 0);
+    /// The upstream has read the prompt, or the request is over.
+    void prompt_read(const std::string& upstream, std::uint32_t tokens);
     void ended(const std::string& upstream, const adapter_name& name);
     /// Takes how an attempt went: whether the upstream failed it.
     void note_outcome(const std::string& upstream, bool failed, core::time_point now);
@@ -70,6 +77,9 @@
 
     /// Returns how many requests of this gateway run with each adapter at each engine.
     [[nodiscard]] std::vector<wire::adapter_use_t> uses() const;
+    /// Returns the prompt tokens that this gateway sent and that are not read yet.
+    /// Others are told these; see `note_engine`.
+    [[nodiscard]] std::vector<wire::engine_share_t> take_shares();
     /// Drops what is known of upstreams that left the roster.
     void forget_gone();
 
@@ -77,8 +87,11 @@
     struct record {
         std::uint32_t in_flight = 0;
         std::uint32_t others = 0; ///< Requests of other gateways, at the last word.
-        double failing = 0;       ///< Share of failures, the latest weigh most.
-        unsigned failures = 0;    ///< In a row.
+        std::uint64_t pending_tokens = 0;
+        std::uint64_t told_tokens = 0; ///< Of `pending_tokens`, at the last word to others.
+        std::uint64_t other_tokens = 0;
+        double failing = 0;    ///< Share of failures, the latest weigh most.
+        unsigned failures = 0; ///< In a row.
         core::time_point failed{};
         std::map<adapter_name, std::uint32_t> uses;
     };
@@ -89,11 +102,12 @@
     };
 
     [[nodiscard]] bool ejected(const record& at, core::time_point now) const;
-    [[nodiscard]] double load(const fleet::roster_item& item, const record& at) const;
+    [[nodiscard]] double load(const fleet::roster_item& item, const record& at, bool engine) const;
     [[nodiscard]] std::optional<std::uint64_t> copy_at(const fleet::roster_item& item,
                                                        const adapter_name& wanted) const;
     [[nodiscard]] bool accepts_version(const adapter_name& name, std::uint64_t version,
-                                       bool newest_exists, core::time_point now) const;
+                                       bool newest_exists, double wait_ms,
+                                       core::time_point now) const;
 
     const fleet::roster& m_roster;
     core::random_source m_random;
--- a/src/adapters/placer.cpp
+++ b/src/adapters/placer.cpp
@@ -90,16 +90,15 @@
     }
     at.running = report->running;
     at.waiting = report->waiting;
-    at.kv_used = report->kv_used;
-    at.kv_total = report->kv_total;
+    at.load_changed = true;
     // A report from before the last order says nothing of its effect.
     const bool fresh = asked - m_options.report_lag > at.last_order && !at.open;
     const bool ahead = report->orders_accepted > at.orders_accepted;
     if ((fresh && (!at.known || report->orders_accepted == at.orders_accepted)) ||
         (ahead && !at.open)) {
         adopt(at, *report, asked);
+        m_changed.insert(upstream);
     }
-    m_changed.insert(upstream);
 }
 
 void placer::adopt(engine& at, const engine_report& report, core::time_point now)
@@ -144,8 +143,9 @@
     auto& word = m_gateways[report.vm];
     word.uses.clear();
     for (const auto& item : report.wishes) {
-        word.wishes[{item->model, item->adapter}] = {
-            item->waiting, core::milliseconds{item->left_ms}, item->crowded, now};
+        auto& told = word.wishes[{item->model, item->adapter}];
+        const auto since = told.waiting > 0 ? told.since : now;
+        told = {item->waiting, core::milliseconds{item->left_ms}, item->crowded, since, now};
     }
     for (const auto& item : report.uses) {
         const adapter_name name{item->model, item->adapter};
@@ -158,6 +158,11 @@
             held->second.used = now;
         }
     }
+    word.pending.clear();
+    for (const auto& item : report.shares) {
+        word.pending[item->upstream] = item->pending_tokens;
+    }
+    sum_pending();
     std::erase_if(word.wishes, [&](const auto& item) {
         return item.second.waiting == 0 || now - item.second.told > m_options.wish_life;
     });
@@ -166,6 +171,20 @@
 void placer::drop_gateway(const std::string& vm)
 {
     m_gateways.erase(vm);
+    sum_pending();
+}
+
+void placer::sum_pending()
+{
+    for (auto& [id, at] : m_engines) {
+        std::uint64_t sum = 0;
+        for (const auto& [vm, word] : m_gateways) {
+            const auto found = word.pending.find(id);
+            sum += found == word.pending.end() ? 0 : found->second;
+        }
+        at.load_changed = at.load_changed || sum != at.pending_tokens;
+        at.pending_tokens = sum;
+    }
 }
 
 std::vector<std::string> placer::wanted_reports(core::time_point now)
@@ -195,6 +214,7 @@
             const auto left = item.time_left - (now - item.told);
             sum.time_left = sum.waiting == 0 ? left : std::min(sum.time_left, left);
             sum.name = name;
+            sum.since = sum.waiting == 0 ? item.since : std::min(sum.since, item.since);
             sum.waiting += item.waiting;
             sum.crowded = sum.crowded || item.crowded;
         }
@@ -251,21 +271,45 @@
     });
 }
 
-bool placer::coming_or_there(const need& wanted) const
+bool placer::coming(const need& wanted) const
 {
-    std::size_t copies = 0;
+    return std::any_of(m_engines.begin(), m_engines.end(), [&](const auto& item) {
+        const auto held = item.second.copies.find(wanted.name);
+        return held != item.second.copies.end() && item.second.usable &&
+               held->second.state == copy_state::loading &&
+               held->second.version >= newest(wanted.name);
+    });
+}
+
+// Returns how long a request waits, in ms, behind others at the copy that is least busy.
+std::optional<double> placer::wait_at_copies(const need& wanted) const
+{
+    std::optional<double> least;
     for (const auto& [id, at] : m_engines) {
         const auto held = at.copies.find(wanted.name);
-        if (held == at.copies.end() || !at.usable || held->second.state == copy_state::unloading ||
-            held->second.version < newest(wanted.name)) {
+        const bool there = held != at.copies.end() && at.usable &&
+                           held->second.state == copy_state::loaded &&
+                           held->second.version >= newest(wanted.name);
+        if (!there) {
             continue;
         }
-        if (held->second.state == copy_state::loading) {
-            return true;
-        }
-        ++copies;
+        const auto ms = static_cast<double>(at.pending_tokens) / m_options.prompt_tokens_per_ms;
+        least = least ? std::min(*least, ms) : ms;
+    }
+    return least;
+}
+
+// An engine that held the adapter lately loads it ten times as fast as any other, so a short
+// wait for it costs less.
+bool placer::home_is_busy(const need& wanted, core::time_point now) const
+{
+    if (now - wanted.since > m_options.home_patience) {
+        return false;
     }
-    return copies > 0 && !wanted.crowded;
+    return std::any_of(m_engines.begin(), m_engines.end(), [&](const auto& item) {
+        return item.second.usable && remembers(item.second, wanted.name) &&
+               !item.second.copies.contains(wanted.name);
+    });
 }
 
 bool placer::remembers(const engine& at, const adapter_name& name) const
@@ -322,7 +366,8 @@
         ms += fresh_victim_ms / std::max(idle_s, 1.0);
     }
     const double busy = static_cast<double>(at.running + at.waiting) / std::max(1U, terms->slots);
-    return ms + full_engine_ms * busy + home_spread_ms * stable_share(name, at.id);
+    const double reading = static_cast<double>(at.pending_tokens) / m_options.prompt_tokens_per_ms;
+    return ms + reading + full_engine_ms * busy + home_spread_ms * stable_share(name, at.id);
 }
 
 order& placer::give(engine& at, const adapter_name& name, std::uint64_t version, bool unload)
@@ -354,7 +399,7 @@
     load_models(now, orders);
     check_loads(now, orders);
     for (const auto& wanted : needs(now)) {
-        if (!coming_or_there(wanted)) {
+        if (!coming(wanted)) {
             place(wanted, now, orders);
         }
     }
@@ -363,7 +408,8 @@
 
 void placer::place(const need& wanted, core::time_point now, std::vector<order>& orders)
 {
-    if (wanted.name.second.empty()) {
+    const auto wait = wait_at_copies(wanted);
+    if (wanted.name.second.empty() || (wait && !wanted.crowded)) {
         return;
     }
     engine* best = nullptr;
@@ -382,7 +428,9 @@
         }
     }
     const bool near = best != nullptr && remembers(*best, wanted.name);
-    if (best == nullptr || (!near && store_loads() >= m_options.store_loads_at_once)) {
+    const bool no_gain = best != nullptr && wait && best_cost >= *wait;
+    if (best == nullptr || no_gain || (!near && home_is_busy(wanted, now)) ||
+        (!near && store_loads() >= m_options.store_loads_at_once)) {
         return;
     }
     const bool replaces = best->copies.contains(wanted.name);
@@ -528,8 +576,8 @@
     to.born_ms = at.born_ms;
     to.running = at.running;
     to.waiting = at.waiting;
-    to.kv_used = at.kv_used;
-    to.kv_total = at.kv_total;
+    to.pending_tokens = at.pending_tokens;
+    to.copies_included = true;
     for (const auto& [name, held] : at.copies) {
         if (held.state == copy_state::loaded) {
             wire::adapter_copy_t word;
@@ -554,6 +602,19 @@
     return views;
 }
 
+std::vector<wire::engine_view_t> placer::take_loads()
+{
+    std::vector<wire::engine_view_t> views;
+    for (auto& [id, at] : m_engines) {
+        if (std::exchange(at.load_changed, false)) {
+            views.push_back(view(at));
+            views.back().copies.clear();
+            views.back().copies_included = false;
+        }
+    }
+    return views;
+}
+
 std::vector<wire::engine_view_t> placer::all() const
 {
     std::vector<wire::engine_view_t> views;
--- a/src/apps/coordinator_fleet.cpp
+++ b/src/apps/coordinator_fleet.cpp
@@ -13,6 +13,7 @@
 constexpr core::milliseconds order_connect{300}; // several round trips
 constexpr core::milliseconds order_answer{1000}; // an engine answers at once
 constexpr core::milliseconds usable_every{500};
+constexpr core::milliseconds loads_every{60}; // a quarter of the time that one prompt takes
 
 template <class Items>
 void append_all(std::vector<std::unique_ptr<wire::fleet_upstream_t>>& to, Items items)
@@ -226,6 +227,13 @@
     for (auto& view : m_placer.take_changed()) {
         wire::append(update.engines, std::move(view));
     }
+    const auto now = m_clock.now();
+    if (now >= m_loads_due) {
+        m_loads_due = now + loads_every;
+        for (auto& view : m_placer.take_loads()) {
+            wire::append(update.engines, std::move(view));
+        }
+    }
     if (update.engines.empty() || m_placing_term == 0) {
         return;
     }
--- a/src/apps/coordinator_process.cpp
+++ b/src/apps/coordinator_process.cpp
@@ -319,13 +319,14 @@
         observe::info("leadership_ended", {});
         return;
     }
-    // Nobody else led between two terms in a row; otherwise a predecessor may have given an
-    // order a moment ago.
+    // A predecessor may have given an order a moment ago, unless nobody led between two terms
+    // in a row. Upstreams that check fences refuse its orders from our first one on.
     const bool unbroken = m_placed_term + 1 == term;
+    const bool waits = !unbroken && !m_settings.upstreams_check_fences;
     m_placed_term = term;
     const auto now = m_clock.now();
-    m_placer.begin(unbroken ? now : now + m_settings.order_lease + order_margin);
-    observe::info("leadership_begun", {{"term", term}, {"unbroken", unbroken}});
+    m_placer.begin(waits ? now + m_settings.order_lease + order_margin : now);
+    observe::info("leadership_begun", {{"term", term}, {"waits", waits}});
     tell_engines();
 }
 
--- a/src/apps/coordinator_process.h
+++ b/src/apps/coordinator_process.h
@@ -125,6 +125,7 @@
     bool m_place_wanted = false;
     core::time_point m_flush_due{};
     core::time_point m_usable_due{};
+    core::time_point m_loads_due{};
 };
 
 } // namespace siskindrift::apps
--- a/src/apps/gateway_exchanges.cpp
+++ b/src/apps/gateway_exchanges.cpp
@@ -170,8 +170,9 @@
     call.connect_limit = std::min<core::duration>(connect_limit, time_left(item));
     call.head_limit = time_left(item) + connect_limit;
     call.progress_limit = call.head_limit;
-    m_pool.sent(choice.upstream, item.adapter);
-    if (!item.adapter.second.empty()) {
+    item.unread_tokens = item.adapter.first.empty() ? 0 : item.facts.prompt_tokens;
+    m_pool.sent(choice.upstream, item.adapter, item.unread_tokens);
+    if (!item.adapter.first.empty()) {
         report_soon();
     }
     m_client.start(std::move(call));
@@ -184,7 +185,8 @@
         m_crowded[item.adapter] = m_clock.now();
         item.tried.clear();
     }
-    const auto total = item.deadline - item.arrived;
+    const auto total =
+        std::min<core::duration>(item.deadline - item.arrived, item.route.stream_patience);
     const auto patience = std::chrono::duration_cast<core::duration>(total * parked_share) -
                           (m_clock.now() - item.arrived);
     if (!item.parked) {
@@ -257,6 +259,7 @@
         return;
     }
     item->head = head;
+    prompt_read(*item);
     item->answer = platform::decode_answer(head);
     if (item->answer.load) {
         m_pool.note_load(item->upstream, *item->answer.load);
@@ -312,6 +315,7 @@
     }
     m_calls.erase(call);
     item->call = 0;
+    prompt_read(*item);
     m_pool.ended(item->upstream, item->adapter);
     if (item->began && item->head && item->head->status < first_redirect) {
         stream_ended(*item, how);
@@ -454,6 +458,15 @@
     forget(item);
 }
 
+void gateway_process::prompt_read(exchange& item)
+{
+    if (item.unread_tokens == 0) {
+        return;
+    }
+    m_pool.prompt_read(item.upstream, std::exchange(item.unread_tokens, 0));
+    report_soon();
+}
+
 // Breaks off the open attempt, so that the upstream stops working on it.
 void gateway_process::close_attempt(exchange& item)
 {
@@ -461,6 +474,7 @@
         return;
     }
     m_client.cancel(item.call);
+    prompt_read(item);
     m_calls.erase(item.call);
     item.call = 0;
     m_pool.ended(item.upstream, item.adapter);
--- a/src/apps/gateway_process.cpp
+++ b/src/apps/gateway_process.cpp
@@ -439,6 +439,9 @@
     for (auto& use : m_pool.uses()) {
         wire::append(word.uses, std::move(use));
     }
+    for (auto& share : m_pool.take_shares()) {
+        wire::append(word.shares, std::move(share));
+    }
     const auto leader = leader_address();
     if (!leader.empty()) {
         m_mesh->send(leader, wire::make_envelope(std::move(word)));
--- a/src/apps/gateway_process.h
+++ b/src/apps/gateway_process.h
@@ -90,6 +90,7 @@
         std::uint64_t call = 0;
         std::string upstream;
         std::string address;
+        std::uint32_t unread_tokens = 0; ///< Of the prompt, until the first byte comes.
         std::optional<http::client_head> head;
         gateway::answer_facts answer;
         std::string body;
@@ -144,6 +145,7 @@
     void pass_on(exchange& item);
     void finish(exchange& item, std::uint16_t status, core::reason why,
                 std::optional<core::duration> retry_after);
+    void prompt_read(exchange& item);
     void close_attempt(exchange& item);
     void forget(exchange& item);
     exchange* exchange_of(std::uint64_t call);
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -132,6 +132,9 @@
         settings.first_start = first->as_bool();
     }
     read(*object, "losses_borne", settings.losses_borne);
+    if (const auto* checked = object->if_contains("upstreams_check_fences")) {
+        settings.upstreams_check_fences = checked->as_bool();
+    }
     read(*object, "order_lease_ms", settings.order_lease);
     read(*object, "announcement_ms", settings.announcement);
     read(*object, "log_level", settings.log_level);
--- a/src/gateway/upstream_pool.cpp
+++ b/src/gateway/upstream_pool.cpp
@@ -14,11 +14,15 @@
     auto& at = m_views[view.upstream];
     at.born_ms = view.born_ms;
     at.running = view.running + view.waiting;
-    at.versions.clear();
-    for (const auto& held : view.copies) {
-        at.versions[{held->model, held->adapter}] = held->version;
+    if (view.copies_included) {
+        at.versions.clear();
+        for (const auto& held : view.copies) {
+            at.versions[{held->model, held->adapter}] = held->version;
+        }
     }
     auto& known = m_records[view.upstream];
+    known.other_tokens =
+        view.pending_tokens > known.told_tokens ? view.pending_tokens - known.told_tokens : 0;
     known.others = at.running > known.in_flight ? at.running - known.in_flight : 0;
 }
 
@@ -37,10 +41,18 @@
            at.failing > m_options.ejection_share && now - at.failed < m_options.failure_memory;
 }
 
-double upstream_pool::load(const fleet::roster_item& item, const record& at) const
+// Returns, for an engine, the time before a further prompt's first token in ms; for others the
+// share of slots in use.
+double upstream_pool::load(const fleet::roster_item& item, const record& at, bool engine) const
 {
     const double slots = std::max(1U, item.info.slots);
-    return static_cast<double>(at.in_flight + at.others) / slots + at.failing;
+    const double busy = static_cast<double>(at.in_flight + at.others) / slots;
+    if (!engine) {
+        return busy + at.failing;
+    }
+    const auto tokens = static_cast<double>(at.pending_tokens + at.other_tokens);
+    return tokens / m_options.prompt_tokens_per_ms + m_options.full_ms * busy +
+           m_options.failing_ms * at.failing;
 }
 
 std::optional<std::uint64_t> upstream_pool::copy_at(const fleet::roster_item& item,
@@ -60,13 +72,16 @@
 }
 
 bool upstream_pool::accepts_version(const adapter_name& name, std::uint64_t version,
-                                    bool newest_exists, core::time_point now) const
+                                    bool newest_exists, double wait_ms, core::time_point now) const
 {
     const auto named = m_named.find(name);
     if (named == m_named.end() || version >= named->second.first) {
         return true;
     }
-    return !newest_exists && now - named->second.second < m_options.old_version_grace;
+    const auto since = now - named->second.second;
+    const double begins_ms = static_cast<double>(core::to_ms(since)) + wait_ms;
+    return !newest_exists && since < m_options.old_version_grace &&
+           begins_ms < m_options.old_version_wait_ms;
 }
 
 pool_choice upstream_pool::choose(const std::string& service, const adapter_name& wanted,
@@ -94,11 +109,13 @@
         }
         newest_exists = newest_exists || (version && *version >= newest);
         const auto& at = m_records[id];
-        candidates.push_back({&item, version, load(item, at), ejected(at, now)});
+        candidates.push_back(
+            {&item, version, load(item, at, !wanted.first.empty()), ejected(at, now)});
     }
     std::erase_if(candidates, [&](const candidate& one) {
         return tried.contains(one.item->info.id) ||
-               (one.version && !accepts_version(wanted, *one.version, newest_exists, now));
+               (one.version &&
+                !accepts_version(wanted, *one.version, newest_exists, one.load, now));
     });
     pool_choice choice;
     if (candidates.empty()) {
@@ -121,20 +138,44 @@
         if (*best->version != 0) {
             choice.adapter_version = best->version; // unknown until the engine reports it
         }
-        choice.crowded = best->ejected || best->load > m_options.crowded_share;
+        choice.crowded =
+            best->ejected || best->load > m_options.crowded_ms || *best->version < newest;
     }
     return choice;
 }
 
-void upstream_pool::sent(const std::string& upstream, const adapter_name& name)
+void upstream_pool::sent(const std::string& upstream, const adapter_name& name,
+                         std::uint32_t tokens)
 {
     auto& at = m_records[upstream];
+    at.pending_tokens += tokens;
     ++at.in_flight;
     if (!name.second.empty()) {
         ++at.uses[name];
     }
 }
 
+void upstream_pool::prompt_read(const std::string& upstream, std::uint32_t tokens)
+{
+    auto& at = m_records[upstream];
+    at.pending_tokens -= std::min<std::uint64_t>(at.pending_tokens, tokens);
+}
+
+std::vector<wire::engine_share_t> upstream_pool::take_shares()
+{
+    std::vector<wire::engine_share_t> list;
+    for (auto& [id, at] : m_records) {
+        at.told_tokens = at.pending_tokens;
+        if (at.pending_tokens > 0) {
+            wire::engine_share_t item;
+            item.upstream = id;
+            item.pending_tokens = at.pending_tokens;
+            list.push_back(std::move(item));
+        }
+    }
+    return list;
+}
+
 void upstream_pool::ended(const std::string& upstream, const adapter_name& name)
 {
     auto& at = m_records[upstream];
