Fewer copies of adapters: one further at a time, homes remembered, looks spaced

Change: a further copy is made only where the wait exceeds 550 ms and not within 1.5 s of the last; looks at a load back off to 480 ms; all coordinators remember what announcements show, so a successor places adapters where they load fast.

--- a/include/siskindrift/adapters/placer.h
+++ b/include/siskindrift/adapters/placer.h
@@ -46,15 +46,17 @@
     core::duration report_lag = core::milliseconds{500};    // reports are some hundred ms old
     core::duration store_load = core::milliseconds{255};    // an adapter from the weight store
     core::duration near_load = core::milliseconds{30};      // one that the engine held lately
-    core::duration check_again = core::milliseconds{20};    // between two looks at a load
+    core::duration check_again = core::milliseconds{30};    // between two looks at a load, first
+    core::duration check_most = core::milliseconds{480};    // and at most
     core::duration model_load_look = core::milliseconds{700}; // about the load of a whole model
     core::duration quiet_before_eviction = core::milliseconds{400}; // a use may not be told yet
-    core::duration home_patience = core::milliseconds{150}; // less than a load from the store
-    core::duration wish_life = core::milliseconds{3000};    // a gateway repeats its wishes
-    double prompt_tokens_per_ms = 38;                       // what engines of this size read
-    std::size_t store_loads_at_once = 8;                    // more would slow each other down
-    std::size_t loads_at_one_engine = 4;                    // engines take no more
-    std::size_t remembered_copies = 40;                     // what engines keep at hand
+    core::duration further_pause = core::milliseconds{1500}; // until a copy has drawn its share
+    core::duration home_patience = core::milliseconds{150};  // less than a load from the store
+    core::duration wish_life = core::milliseconds{3000};     // a gateway repeats its wishes
+    double prompt_tokens_per_ms = 38;                        // what engines of this size read
+    std::size_t store_loads_at_once = 8;                     // more would slow each other down
+    std::size_t loads_at_one_engine = 4;                     // engines take no more
+    std::size_t remembered_copies = 40;                      // what engines keep at hand
 };
 
 /// Places adapters on engines. Pure: words and results go in, orders and views come out.
@@ -75,7 +77,8 @@
     void set_deployment(const gateway::deployment& document);
     void set_version(const adapter_name& name, std::uint64_t version);
 
-    /// Takes an announcement. An upstream that isn't ready gets no orders.
+    /// Takes an announcement. An upstream that isn't ready gets no orders. What it holds is
+    /// remembered also without leadership, for a successor places where copies are at hand.
     void note_upstream(const wire::fleet_upstream_t& word, bool usable);
     /// Takes the answer to a report that was asked for at @p asked, or its absence.
     void note_report(const std::string& upstream, const std::optional<engine_report>& report,
@@ -106,6 +109,7 @@
         copy_state state = copy_state::loaded;
         bool from_store = false;
         core::time_point check_at{};
+        core::duration check_pause{}; ///< Doubles while the engine is not done.
         core::time_point used{};
     };
     struct engine {
@@ -181,6 +185,7 @@
     std::map<adapter_name, std::uint64_t> m_named;
     std::map<std::string, engine> m_engines;
     std::map<std::string, gateway_word> m_gateways;
+    std::map<adapter_name, core::time_point> m_further; ///< When a further copy was begun.
     std::set<std::string> m_changed;
     std::uint64_t m_next_order = 1;
     core::time_point m_next_model_load{};
--- a/include/siskindrift/gateway/upstream_pool.h
+++ b/include/siskindrift/gateway/upstream_pool.h
@@ -28,7 +28,7 @@
         core::milliseconds{1500};      // a load from the store and the word of it, with room
     double old_version_wait_ms = 2500; // since the new one was named, until an old one begins
     double prompt_tokens_per_ms = 38;  // what engines of this size read
-    double crowded_ms = 300;           // a wait that a copy from the store would spare
+    double crowded_ms = 550;           // with the reading, more than callers of chats await
     double full_ms = 400;              // what a full batch delays a first token
     double failing_ms = 1000;          // what a failure costs a caller
 };
--- a/src/adapters/placer.cpp
+++ b/src/adapters/placer.cpp
@@ -72,6 +72,12 @@
     }
     at.address = word.address;
     at.service = word.service;
+    for (const auto& held : word.copies) {
+        const adapter_name name{held->model, held->adapter};
+        if (!held->adapter.empty() && !remembers(at, name)) {
+            remember(at, name);
+        }
+    }
     at.usable = usable;
 }
 
@@ -409,7 +415,10 @@
 void placer::place(const need& wanted, core::time_point now, std::vector<order>& orders)
 {
     const auto wait = wait_at_copies(wanted);
-    if (wanted.name.second.empty() || (wait && !wanted.crowded)) {
+    const auto further = m_further.find(wanted.name);
+    const bool just_made =
+        further != m_further.end() && now - further->second < m_options.further_pause;
+    if (wanted.name.second.empty() || (wait && (!wanted.crowded || just_made))) {
         return;
     }
     engine* best = nullptr;
@@ -441,7 +450,11 @@
         orders.push_back(give(*best, out, 0, true));
         return;
     }
+    if (wait) {
+        m_further[wanted.name] = now;
+    }
     auto& held = best->copies[wanted.name];
+    held.check_pause = {};
     held.version = newest(wanted.name);
     held.state = copy_state::loading;
     held.from_store = !near;
@@ -565,8 +578,11 @@
     if (name.second.empty()) {
         at.report_due = now + m_options.model_load_look;
     }
-    held->second.check_at =
-        now + (remembers(at, name) ? m_options.near_load : m_options.store_load);
+    auto& pause = held->second.check_pause;
+    const auto usual = remembers(at, name) ? m_options.near_load : m_options.store_load;
+    // Still not done: a replacement waits for the requests that run.
+    held->second.check_at = now + (pause == core::duration::zero() ? usual : pause);
+    pause = std::min(std::max(pause * 2, m_options.check_again), m_options.check_most);
 }
 
 wire::engine_view_t placer::view(const engine& at) const
--- a/src/adapters/placer_test.cpp
+++ b/src/adapters/placer_test.cpp
@@ -237,6 +237,57 @@
     STRCMP_EQUAL("b", orders[0].upstream.c_str());
 }
 
+TEST(Placer, LetsAFurtherCopyDrawItsShareBeforeTheNext)
+{
+    engine("a", {"x"});
+    engine("b");
+    engine("c");
+    wish("x", true, "", "", 30'000);
+    auto orders = plan();
+    LONGS_EQUAL(1, static_cast<long>(orders.size()));
+    finish(orders[0], order_result::holds);
+    wish("x", true, "", "", 30'000);
+    LONGS_EQUAL(0, static_cast<long>(plan().size()));
+}
+
+TEST(Placer, AsksLessOftenForALoadThatIsNotDone)
+{
+    engine("a");
+    wish("x");
+    finish(plan()[0], order_result::accepted);
+    int looks = 0;
+    for (int i = 0; i < 100; ++i) {
+        clock.advance(core::milliseconds{20});
+        wish("x");
+        for (const auto& given : plan()) {
+            finish(given, order_result::accepted);
+            ++looks;
+        }
+    }
+    CHECK_TRUE_TEXT(looks >= 3 && looks <= 8, std::to_string(looks).c_str());
+}
+
+TEST(Placer, PlacesAnAdapterWhereAnAnnouncementShowedItBefore)
+{
+    places.end();
+    for (const auto* id : {"a", "b", "c"}) {
+        announce(id);
+    }
+    wire::fleet_upstream_t word;
+    word.id = "c";
+    word.service = "llm";
+    word.address = "c:1";
+    word.born_ms = 100;
+    wire::append(word.copies, copy("x", 1));
+    places.note_upstream(word, true);
+    places.begin(clock.now());
+    for (const auto* id : {"a", "b", "c"}) {
+        report(id, 0, {});
+    }
+    wish("x");
+    STRCMP_EQUAL("c", plan().at(0).upstream.c_str());
+}
+
 TEST(Placer, LoadsNoFurtherCopyThatWouldComeTooLate)
 {
     engine("a", {"x"});
--- a/src/apps/coordinator_fleet.cpp
+++ b/src/apps/coordinator_fleet.cpp
@@ -50,6 +50,7 @@
     if (change != fleet::roster_change::none) {
         m_own_words.insert(id);
     }
+    note_upstream(id);
     if (change == fleet::roster_change::changed) {
         m_news = true;
         flush();
@@ -57,6 +58,13 @@
     responder->respond(200, {{"Content-Type", "application/json"}}, "{}");
 }
 
+void coordinator_process::note_upstream(const std::string& id)
+{
+    if (const auto* item = m_roster.find(id)) {
+        m_placer.note_upstream(item->info, m_roster.usable(*item, m_clock.now()));
+    }
+}
+
 void coordinator_process::withdraw(const platform::incoming_call& call,
                                    const std::shared_ptr<http::responder>& responder)
 {
@@ -74,6 +82,7 @@
     for (const auto& word : update.upstreams) {
         const auto age = core::milliseconds{word->age_ms};
         m_roster.note(*word, now, age);
+        note_upstream(word->id);
     }
     for (const auto& id : update.heard) {
         m_roster.heard(id, now);
@@ -252,7 +261,7 @@
     if (now >= m_usable_due || m_place_wanted) {
         m_usable_due = now + usable_every;
         for (const auto& [id, item] : m_roster.items()) {
-            m_placer.note_upstream(item.info, m_roster.usable(item, now));
+            note_upstream(id);
         }
     }
     m_place_wanted = false;
--- a/src/apps/coordinator_process.h
+++ b/src/apps/coordinator_process.h
@@ -76,6 +76,7 @@
                   const std::shared_ptr<http::responder>& responder);
     void withdraw(const platform::incoming_call& call,
                   const std::shared_ptr<http::responder>& responder);
+    void note_upstream(const std::string& id);
     void take_peer_update(const wire::fleet_update_t& update);
     void take_document();
     void attach(net::connection_id from, const wire::gateway_attach_t& word);
--- a/src/apps/gateway_process.cpp
+++ b/src/apps/gateway_process.cpp
@@ -12,7 +12,7 @@
 
 constexpr core::milliseconds report_pause{40};    // gathers the wishes of a burst
 constexpr core::milliseconds report_repeat{1000}; // well within the life of a wish
-constexpr core::milliseconds crowded_life{1000};  // a further copy is loaded within that
+constexpr core::milliseconds crowded_life{300};   // the wait changes as fast
 constexpr core::milliseconds stop_poll{100};
 constexpr core::milliseconds stop_first{2500};  // callers keep an older list of gateways
 constexpr core::milliseconds stop_refuse{2800}; // what begins later may not end in time
