--- a/src/apps/gateway_exchanges.cpp
+++ b/src/apps/gateway_exchanges.cpp
@@ -7,13 +7,15 @@
 namespace siskindrift::apps {
 namespace {
 
-constexpr core::milliseconds default_deadline{30'000}; // where neither caller nor route has one
-constexpr core::milliseconds answer_margin{15};        // for the way back to the caller
-constexpr core::milliseconds connect_limit{400};       // several round trips
-constexpr core::milliseconds safe_idle{800};           // upstreams keep idle connections longer
-constexpr core::milliseconds come_back{300};           // an adapter's load, or an ejection's end
-constexpr core::milliseconds come_back_sooner{100};    // a configuration or a peer is on its way
-constexpr double parked_share = 0.5;                   // of its time; the rest is for a new try
+constexpr core::milliseconds default_deadline{30'000};  // where neither caller nor route has one
+constexpr core::milliseconds answer_margin{15};         // for the way back to the caller
+constexpr core::milliseconds connect_limit{400};        // several round trips
+constexpr core::milliseconds safe_idle{800};            // upstreams keep idle connections longer
+constexpr core::milliseconds come_back{300};            // an adapter's load, or an ejection's end
+constexpr core::milliseconds come_back_sooner{100};     // a configuration or a peer is on its way
+constexpr core::milliseconds first_document_wait{1500}; // an election and a look at the disk
+constexpr double first_document_share = 0.5;            // of its time; the rest is for a new try
+constexpr double parked_share = 0.5;                    // of its time; the rest is for a new try
 constexpr std::uint16_t first_redirect = 300;
 
 core::reason reason_of(http::client_end how)
@@ -58,10 +60,20 @@
         finish(item, 503, core::reason::vm_draining, come_back_sooner);
         return;
     }
-    if (!m_deployment) {
-        finish(item, 503, core::reason::config_unconfirmed, come_back);
+    if (m_deployment) {
+        route_request(item);
         return;
     }
+    // The document comes within a moment of a start, unless the coordinators are down.
+    const auto patience = item.facts.deadline.value_or(default_deadline) * first_document_share;
+    item.deadline = item.arrived + std::min(std::chrono::duration_cast<core::duration>(patience),
+                                            core::duration{first_document_wait});
+    m_unrouted.insert(id);
+    arm_deadline(item, time_left(item));
+}
+
+void gateway_process::route_request(exchange& item)
+{
     const auto* found = m_routes.find(item.request.header("Host"), item.request.target);
     if (found == nullptr) {
         finish(item, 404, core::reason::unknown_route, std::nullopt);
@@ -113,6 +125,10 @@
     case gateway::pool_choice::kind::none:
         break;
     }
+    if (item.sent == 0) {
+        park(item); // upstreams announce themselves again within a moment of a restart
+        return;
+    }
     if (item.began) {
         item.responder->abort();
         forget(item);
@@ -181,7 +197,7 @@
 
 void gateway_process::park(exchange& item)
 {
-    if (!item.tried.empty()) {
+    if (!item.tried.empty() && !item.adapter.first.empty()) {
         m_crowded[item.adapter] = m_clock.now();
         item.tried.clear();
     }
@@ -197,7 +213,14 @@
     report_soon();
 }
 
-// Looks again at every request that waits for an adapter.
+void gateway_process::route_waiting()
+{
+    for (const auto id : std::exchange(m_unrouted, {})) {
+        route_request(*m_exchanges.at(id));
+    }
+}
+
+// Looks again at every request that waits for an adapter or an upstream.
 void gateway_process::unpark()
 {
     for (const auto id : std::set<std::uint64_t>{m_parked}) {
@@ -236,7 +259,13 @@
         return;
     }
     const bool ran = item.may_have_run > 0;
-    const auto why = item.parked ? core::reason::load_failed : core::reason::deadline_passed;
+    auto why = core::reason::deadline_passed;
+    if (m_unrouted.contains(id)) {
+        why = core::reason::config_unconfirmed;
+    }
+    else if (item.parked) {
+        why = core::reason::load_failed;
+    }
     close_attempt(item);
     finish(item, ran ? 504 : 503, why,
            ran ? std::nullopt : std::optional<core::duration>{come_back_sooner});
@@ -483,6 +512,7 @@
 void gateway_process::forget(exchange& item)
 {
     m_parked.erase(item.id);
+    m_unrouted.erase(item.id);
     m_exchanges.erase(item.id);
 }
 
--- a/src/apps/gateway_process.cpp
+++ b/src/apps/gateway_process.cpp
@@ -302,6 +302,7 @@
             {m_settings.retry_ratio, m_settings.retry_extra, m_settings.retry_window});
     }
     observe::info("document_in_force", {{"version", m_deployment->version}});
+    route_waiting();
 }
 
 void gateway_process::take_engines(const wire::engine_update_t& update)
@@ -411,6 +412,9 @@
     std::map<gateway::adapter_name, wire::adapter_wish_t> wishes;
     for (const auto id : m_parked) {
         const auto& item = *m_exchanges.at(id);
+        if (item.adapter.first.empty()) {
+            continue; // waits for any upstream
+        }
         auto& wish = wishes[item.adapter];
         const auto left =
             static_cast<std::uint32_t>(std::max<std::int64_t>(core::to_ms(time_left(item)), 0));
--- a/src/apps/gateway_process.h
+++ b/src/apps/gateway_process.h
@@ -129,6 +129,8 @@
     void begin(std::uint64_t id, http::server_request request,
                std::shared_ptr<http::responder> responder);
     void left(std::uint64_t id);
+    void route_request(exchange& item);
+    void route_waiting();
     void dispatch(exchange& item);
     void send(exchange& item, const gateway::pool_choice& choice);
     void park(exchange& item);
@@ -186,6 +188,7 @@
     std::map<std::uint64_t, std::unique_ptr<exchange>> m_exchanges;
     std::map<std::uint64_t, std::uint64_t> m_calls; ///< Exchange by call.
     std::set<std::uint64_t> m_parked;
+    std::set<std::uint64_t> m_unrouted; ///< Came before the first document.
     std::map<gateway::adapter_name, core::time_point> m_crowded;
     std::set<gateway::adapter_name> m_told_wishes;
     std::uint64_t m_next_call = 1;
