Words to many gateways are encoded once and batched; dead connections to upstreams in 0.8 s

Each change at an engine was encoded and sent at once for each of 91 gateways.

Change: one encoding for all gateways; copies are told every 0.3 ms a gateway, loads and reports every 4 ms a gateway (as before with seven); after a lost or failed connection all idle ones to that address go, and sent bytes may stay unacknowledged for 0.8 s instead of 2 s.

--- a/include/siskindrift/net/mesh.h
+++ b/include/siskindrift/net/mesh.h
@@ -11,6 +11,7 @@
 #include <mutex>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "siskindrift/core/clock.h"
 #include "siskindrift/core/verdict.h"
@@ -23,7 +24,9 @@
 parse_address(const std::string& address);
 
 /// Makes the kernel end a connection whose other end is gone or was forgotten on the way.
-void detect_dead_peer(boost::asio::ip::tcp::socket& socket);
+/// @param unacknowledged how long sent bytes may stay unacknowledged.
+void detect_dead_peer(boost::asio::ip::tcp::socket& socket,
+                      core::duration unacknowledged = core::milliseconds{2000});
 
 /// Durations and bounds of inner connections.
 struct mesh_options {
@@ -75,6 +78,9 @@
     /// Sends over an existing connection; nothing happens when it is gone.
     void reply(connection_id to, const wire::envelope_t& message);
 
+    /// Sends one message over several existing connections; it is encoded once.
+    void reply_all(const std::vector<connection_id>& to, const wire::envelope_t& message);
+
     /// Keeps a connection to @p address open, so that its state is known.
     void keep(const std::string& address);
     /// Stops keeping the connection.
--- a/src/apps/coordinator_fleet.cpp
+++ b/src/apps/coordinator_fleet.cpp
@@ -13,6 +13,9 @@
 constexpr core::milliseconds order_connect{300}; // several round trips
 constexpr core::milliseconds order_answer{1000}; // an engine answers at once
 constexpr core::milliseconds usable_every{500};
+constexpr std::chrono::microseconds copies_pause_a_gateway{300}; // 27 ms at 91 gateways
+constexpr std::chrono::microseconds plan_pause_a_gateway{100};
+constexpr core::milliseconds loads_pause_a_gateway{4};
 constexpr core::milliseconds loads_every{60}; // a quarter of the time that one prompt takes
 
 template <class Items>
@@ -223,22 +226,33 @@
             wire::append(update.named, std::move(item));
         }
     }
-    const auto envelope = wire::make_envelope(std::move(update));
+    m_mesh->reply_all(gateway_connections(), wire::make_envelope(std::move(update)));
+}
+
+std::vector<net::connection_id> coordinator_process::gateway_connections() const
+{
+    std::vector<net::connection_id> connections;
     for (const auto& [connection, gateway] : m_gateways) {
-        m_mesh->reply(connection, envelope);
+        connections.push_back(connection);
     }
+    return connections;
 }
 
+// Tells gateways what engines hold and how busy they are, the less often the more there are.
 void coordinator_process::tell_engines()
 {
+    const auto now = m_clock.now();
     wire::engine_update_t update;
     update.term = m_placing_term;
-    for (auto& view : m_placer.take_changed()) {
-        wire::append(update.engines, std::move(view));
+    if (now >= m_copies_due) {
+        m_copies_due = now + copies_pause_a_gateway * m_gateways.size();
+        for (auto& view : m_placer.take_changed()) {
+            wire::append(update.engines, std::move(view));
+        }
     }
-    const auto now = m_clock.now();
     if (now >= m_loads_due) {
-        m_loads_due = now + loads_every;
+        m_loads_due =
+            now + std::max<core::duration>(loads_every, loads_pause_a_gateway * m_gateways.size());
         for (auto& view : m_placer.take_loads()) {
             wire::append(update.engines, std::move(view));
         }
@@ -246,10 +260,7 @@
     if (update.engines.empty() || m_placing_term == 0) {
         return;
     }
-    const auto envelope = wire::make_envelope(std::move(update));
-    for (const auto& [connection, gateway] : m_gateways) {
-        m_mesh->reply(connection, envelope);
-    }
+    m_mesh->reply_all(gateway_connections(), wire::make_envelope(std::move(update)));
 }
 
 void coordinator_process::place_adapters()
@@ -258,16 +269,18 @@
         return;
     }
     const auto now = m_clock.now();
-    if (now >= m_usable_due || m_place_wanted) {
+    if (now >= m_usable_due) {
         m_usable_due = now + usable_every;
         for (const auto& [id, item] : m_roster.items()) {
             note_upstream(id);
         }
     }
-    m_place_wanted = false;
     ask_reports();
     // Orders are given only while nobody else can have become leader.
-    if (now < m_core->raft().lease_end(lease_drift)) {
+    if (now >= m_plan_due && now < m_core->raft().lease_end(lease_drift)) {
+        m_plan_due = now + (m_place_wanted ? plan_pause_a_gateway * m_gateways.size()
+                                           : core::duration::zero());
+        m_place_wanted = false;
         for (const auto& order : m_placer.plan(now)) {
             give(order);
         }
--- a/src/apps/coordinator_process.cpp
+++ b/src/apps/coordinator_process.cpp
@@ -189,7 +189,10 @@
     }
     due = std::min(due, m_join_due);
     if (m_placing_term != 0) {
-        due = std::min(due, m_placer.next_due());
+        due = std::min({due, m_placer.next_due(), m_copies_due > now ? m_copies_due : due});
+        if (m_place_wanted) {
+            due = std::min(due, m_plan_due);
+        }
     }
     if (m_stopping) {
         due = std::min(due, m_stop_at);
--- a/src/apps/coordinator_process.h
+++ b/src/apps/coordinator_process.h
@@ -85,6 +85,7 @@
     void fill_common(wire::fleet_update_t& update) const;
     [[nodiscard]] wire::fleet_update_t full_update() const;
     void tell_engines();
+    [[nodiscard]] std::vector<net::connection_id> gateway_connections() const;
     void place_adapters();
     void ask_reports();
     void give(const adapters::order& order);
@@ -127,6 +128,8 @@
     core::time_point m_flush_due{};
     core::time_point m_usable_due{};
     core::time_point m_loads_due{};
+    core::time_point m_copies_due{};
+    core::time_point m_plan_due{};
 };
 
 } // namespace siskindrift::apps
--- a/src/apps/gateway_exchanges.cpp
+++ b/src/apps/gateway_exchanges.cpp
@@ -142,7 +142,7 @@
 void gateway_process::send(exchange& item, const gateway::pool_choice& choice)
 {
     const auto now = m_clock.now();
-    if (item.sent > 0 && !m_budgets[item.service].take(now, gateway_addresses().size())) {
+    if (item.sent > 0 && !m_budgets[item.service].take(now, gateway_count())) {
         count(core::reason::retry_budget);
         if (item.began) {
             item.responder->abort();
@@ -189,7 +189,7 @@
     item.unread_tokens = item.adapter.first.empty() ? 0 : item.facts.prompt_tokens;
     m_pool.sent(choice.upstream, item.adapter, item.unread_tokens);
     if (!item.adapter.first.empty()) {
-        report_soon();
+        report_later();
     }
     m_client.start(std::move(call));
     arm_deadline(item, time_left(item));
@@ -389,6 +389,9 @@
                         end == gateway::attempt_end::not_sent ||
                         (end == gateway::attempt_end::answered && status >= 500);
     m_pool.note_outcome(item.upstream, failed, now);
+    if (why == core::reason::upstream_unreachable || why == core::reason::upstream_lost) {
+        m_client.forget_address(item.address); // others may lead nowhere too
+    }
     if (end != gateway::attempt_end::answered) {
         count(why);
         item.last_reason = why;
@@ -493,7 +496,7 @@
         return;
     }
     m_pool.prompt_read(item.upstream, std::exchange(item.unread_tokens, 0));
-    report_soon();
+    report_later();
 }
 
 // Breaks off the open attempt, so that the upstream stops working on it.
--- a/src/apps/gateway_process.cpp
+++ b/src/apps/gateway_process.cpp
@@ -10,9 +10,10 @@
 namespace siskindrift::apps {
 namespace {
 
-constexpr core::milliseconds report_pause{40};    // gathers the wishes of a burst
-constexpr core::milliseconds report_repeat{1000}; // well within the life of a wish
-constexpr core::milliseconds crowded_life{300};   // the wait changes as fast
+constexpr core::milliseconds report_pause{40};          // gathers the wishes of a burst
+constexpr core::milliseconds report_pause_a_gateway{4}; // loads of the whole deployment
+constexpr core::milliseconds report_repeat{1000};       // well within the life of a wish
+constexpr core::milliseconds crowded_life{300};         // the wait changes as fast
 constexpr core::milliseconds stop_poll{100};
 constexpr core::milliseconds stop_first{2500};  // callers keep an older list of gateways
 constexpr core::milliseconds stop_refuse{2800}; // what begins later may not end in time
@@ -386,6 +387,23 @@
     report_at(std::max(m_clock.now(), m_reported + report_pause));
 }
 
+// Loads are told the less often, the more gateways tell them to one leader.
+void gateway_process::report_later()
+{
+    const auto pause =
+        std::max<core::duration>(report_pause, report_pause_a_gateway * gateway_count());
+    report_at(std::max(m_clock.now(), m_reported + pause));
+}
+
+std::size_t gateway_process::gateway_count() const
+{
+    std::size_t most = 1;
+    for (const auto& [address, state] : m_coordinators) {
+        most = std::max(most, state.gateways.size());
+    }
+    return most;
+}
+
 void gateway_process::report_at(core::time_point due)
 {
     if (m_report_due && *m_report_due <= due) {
--- a/src/apps/gateway_process.h
+++ b/src/apps/gateway_process.h
@@ -122,6 +122,8 @@
     [[nodiscard]] std::vector<std::string> gateway_addresses() const;
     [[nodiscard]] std::string leader_address() const;
     void report_soon();
+    void report_later();
+    [[nodiscard]] std::size_t gateway_count() const;
     void report_at(core::time_point due);
     void report();
 
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -26,6 +26,7 @@
 constexpr std::size_t read_piece_bytes = 16 * 1024;
 constexpr auto idle_life = std::chrono::seconds{10};
 constexpr auto idle_margin = std::chrono::milliseconds{300}; // a request on its way as it closes
+constexpr core::milliseconds unacknowledged_limit{800};      // two retransmissions
 constexpr int max_foreign_answers = 2; // more than that is no slip of the other end
 
 // Returns how long the other end keeps an idle connection, less a margin.
@@ -194,7 +195,7 @@
             }
             error_code ignored;
             self->m_stream->socket().set_option(tcp::no_delay{true}, ignored);
-            net::detect_dead_peer(self->m_stream->socket());
+            net::detect_dead_peer(self->m_stream->socket(), unacknowledged_limit);
             self->send();
         });
     }
--- a/src/net/mesh.cpp
+++ b/src/net/mesh.cpp
@@ -37,9 +37,9 @@
     return tcp::endpoint{ip, port};
 }
 
-void detect_dead_peer(tcp::socket& socket)
+void detect_dead_peer(tcp::socket& socket, core::duration unacknowledged)
 {
-    constexpr int unacknowledged_limit_ms = 2000; // above a few retransmissions on a lossy link
+    const auto unacknowledged_limit_ms = static_cast<int>(core::to_ms(unacknowledged));
     constexpr int probe_after_s = 2;
     constexpr int probe_every_s = 1;
     constexpr int probe_count = 2;
@@ -340,6 +340,23 @@
     connection->send(std::make_shared<std::string>(wire::encode_frame(message)));
 }
 
+void mesh::reply_all(const std::vector<connection_id>& to, const wire::envelope_t& message)
+{
+    const auto frame = std::make_shared<std::string>(wire::encode_frame(message));
+    std::vector<std::shared_ptr<mesh_connection>> connections;
+    {
+        const std::lock_guard lock{m_mutex};
+        for (const auto id : to) {
+            if (const auto found = m_connections.find(id); found != m_connections.end()) {
+                connections.push_back(found->second);
+            }
+        }
+    }
+    for (const auto& connection : connections) {
+        connection->send(frame);
+    }
+}
+
 void mesh::keep(const std::string& address)
 {
     {
