Uses and loads of gateways are summed as they change; store loads grow with the engines

Eight loads from the store at once served 9 engines well and starved 60.

Change: counts per engine that each report takes back and adds; at most 0.45 loads an engine at once, eight at least.

--- a/include/siskindrift/adapters/placer.h
+++ b/include/siskindrift/adapters/placer.h
@@ -55,8 +55,9 @@
     core::duration wish_life = core::milliseconds{3000};     // a gateway repeats its wishes
     double prompt_tokens_per_ms = 38;                        // what engines of this size read
     std::size_t store_loads_at_once = 8;                     // more would slow each other down
-    std::size_t loads_at_one_engine = 4;                     // engines take no more
-    std::size_t remembered_copies = 40;                      // what engines keep at hand
+    double store_loads_an_engine = 0.45; // larger deployments have larger stores
+    std::size_t loads_at_one_engine = 4; // engines take no more
+    std::size_t remembered_copies = 40;  // what engines keep at hand
 };
 
 /// Places adapters on engines. Pure: words and results go in, orders and views come out.
@@ -129,7 +130,8 @@
         std::vector<adapter_name> remembered; ///< Held lately, newest last.
         std::uint32_t running = 0;
         std::uint32_t waiting = 0;
-        std::uint64_t pending_tokens = 0; ///< Of all gateways.
+        std::uint64_t pending_tokens = 0;            ///< Of all gateways.
+        std::map<adapter_name, std::uint32_t> users; ///< Gateways that use each adapter.
         bool load_changed = false;
     };
     struct wish {
@@ -141,7 +143,7 @@
     };
     struct gateway_word {
         std::map<adapter_name, wish> wishes;
-        std::map<std::pair<std::string, adapter_name>, std::uint32_t> uses;
+        std::vector<std::pair<std::string, adapter_name>> uses; ///< Engine and adapter.
         std::map<std::string, std::uint64_t> pending; ///< Prompt tokens not read yet, by engine.
     };
     struct need {
@@ -156,11 +158,13 @@
     [[nodiscard]] bool coming(const need& wanted) const;
     [[nodiscard]] std::optional<double> wait_at_copies(const need& wanted) const;
     [[nodiscard]] bool home_is_busy(const need& wanted, core::time_point now) const;
-    void sum_pending();
+    void add_word(gateway_word& word, const wire::gateway_report_t& report);
+    void take_back_word(gateway_word& word);
     [[nodiscard]] std::uint64_t newest(const adapter_name& name) const;
     [[nodiscard]] const gateway::engine_terms* terms_of(const engine& at) const;
     [[nodiscard]] std::size_t places_taken(const engine& at) const;
     [[nodiscard]] std::size_t store_loads() const;
+    [[nodiscard]] std::size_t most_store_loads() const;
     [[nodiscard]] bool may_order(const engine& at) const;
     [[nodiscard]] bool in_use(const engine& at, const adapter_name& name) const;
     [[nodiscard]] std::optional<adapter_name> victim(const engine& at, core::time_point now) const;
--- a/src/adapters/placer.cpp
+++ b/src/adapters/placer.cpp
@@ -147,7 +147,8 @@
 void placer::note_gateway(const wire::gateway_report_t& report, core::time_point now)
 {
     auto& word = m_gateways[report.vm];
-    word.uses.clear();
+    take_back_word(word);
+    add_word(word, report);
     for (const auto& item : report.wishes) {
         auto& told = word.wishes[{item->model, item->adapter}];
         const auto since = told.waiting > 0 ? told.since : now;
@@ -155,7 +156,6 @@
     }
     for (const auto& item : report.uses) {
         const adapter_name name{item->model, item->adapter};
-        word.uses[{item->upstream, name}] = item->running;
         const auto at = m_engines.find(item->upstream);
         if (at == m_engines.end()) {
             continue;
@@ -164,11 +164,6 @@
             held->second.used = now;
         }
     }
-    word.pending.clear();
-    for (const auto& item : report.shares) {
-        word.pending[item->upstream] = item->pending_tokens;
-    }
-    sum_pending();
     std::erase_if(word.wishes, [&](const auto& item) {
         return item.second.waiting == 0 || now - item.second.told > m_options.wish_life;
     });
@@ -176,20 +171,50 @@
 
 void placer::drop_gateway(const std::string& vm)
 {
-    m_gateways.erase(vm);
-    sum_pending();
+    if (const auto found = m_gateways.find(vm); found != m_gateways.end()) {
+        take_back_word(found->second);
+        m_gateways.erase(found);
+    }
 }
 
-void placer::sum_pending()
+void placer::add_word(gateway_word& word, const wire::gateway_report_t& report)
 {
-    for (auto& [id, at] : m_engines) {
-        std::uint64_t sum = 0;
-        for (const auto& [vm, word] : m_gateways) {
-            const auto found = word.pending.find(id);
-            sum += found == word.pending.end() ? 0 : found->second;
+    for (const auto& item : report.uses) {
+        const auto at = m_engines.find(item->upstream);
+        if (item->running > 0 && at != m_engines.end()) {
+            const adapter_name name{item->model, item->adapter};
+            ++at->second.users[name];
+            word.uses.emplace_back(item->upstream, name);
+        }
+    }
+    for (const auto& item : report.shares) {
+        const auto at = m_engines.find(item->upstream);
+        if (at != m_engines.end()) {
+            at->second.pending_tokens += item->pending_tokens;
+            at->second.load_changed = true;
+            word.pending[item->upstream] = item->pending_tokens;
+        }
+    }
+}
+
+void placer::take_back_word(gateway_word& word)
+{
+    for (const auto& [id, name] : std::exchange(word.uses, {})) {
+        const auto at = m_engines.find(id);
+        if (at == m_engines.end()) {
+            continue;
+        }
+        const auto users = at->second.users.find(name);
+        if (users != at->second.users.end() && --users->second == 0) {
+            at->second.users.erase(users);
+        }
+    }
+    for (const auto& [id, tokens] : std::exchange(word.pending, {})) {
+        const auto at = m_engines.find(id);
+        if (at != m_engines.end()) {
+            at->second.pending_tokens -= std::min(at->second.pending_tokens, tokens);
+            at->second.load_changed = true;
         }
-        at.load_changed = at.load_changed || sum != at.pending_tokens;
-        at.pending_tokens = sum;
     }
 }
 
@@ -264,6 +289,13 @@
     return loads;
 }
 
+std::size_t placer::most_store_loads() const
+{
+    const auto by_engines = static_cast<std::size_t>(m_options.store_loads_an_engine *
+                                                     static_cast<double>(m_engines.size()));
+    return std::max(m_options.store_loads_at_once, by_engines);
+}
+
 bool placer::may_order(const engine& at) const
 {
     return at.usable && at.known && !at.open && terms_of(at) != nullptr;
@@ -271,10 +303,7 @@
 
 bool placer::in_use(const engine& at, const adapter_name& name) const
 {
-    return std::any_of(m_gateways.begin(), m_gateways.end(), [&](const auto& item) {
-        const auto found = item.second.uses.find({at.id, name});
-        return found != item.second.uses.end() && found->second > 0;
-    });
+    return at.users.contains(name);
 }
 
 bool placer::coming(const need& wanted) const
@@ -439,7 +468,7 @@
     const bool near = best != nullptr && remembers(*best, wanted.name);
     const bool no_gain = best != nullptr && wait && best_cost >= *wait;
     if (best == nullptr || no_gain || (!near && home_is_busy(wanted, now)) ||
-        (!near && store_loads() >= m_options.store_loads_at_once)) {
+        (!near && store_loads() >= most_store_loads())) {
         return;
     }
     const bool replaces = best->copies.contains(wanted.name);
