--- a/include/siskindrift/gateway/deployment.h
+++ b/include/siskindrift/gateway/deployment.h
@@ -76,8 +76,8 @@
 
 /// What callers may send.
 struct caller_limits {
-    std::size_t max_header_bytes = 16 * 1024;
-    std::size_t max_body_bytes = 4 * 1024 * 1024;
+    std::size_t max_header_bytes = 16UL * 1024;
+    std::size_t max_body_bytes = 4UL * 1024 * 1024;
     core::duration header_timeout = core::milliseconds{3000};
     core::duration idle_timeout = core::milliseconds{15'000};
 };
--- a/src/adapters/placer.cpp
+++ b/src/adapters/placer.cpp
@@ -251,6 +251,7 @@
         }
     }
     std::vector<need> list;
+    list.reserve(gathered.size());
     for (auto& [name, item] : gathered) {
         list.push_back(std::move(item));
     }
--- a/src/consensus/raft_node.cpp
+++ b/src/consensus/raft_node.cpp
@@ -25,10 +25,9 @@
     recompute_members();
     reset_election_timer(now);
     // A leader that is there is heard sooner, and the vote before the vote disturbs none.
-    m_election_due =
-        now + options.first_election +
-        core::duration{core::uniform_below(
-            m_random, static_cast<std::uint64_t>(options.first_election.count()) + 1)};
+    m_election_due = now + options.first_election +
+                     core::duration{core::uniform_below(
+                         m_random, static_cast<std::uint64_t>(options.first_election.count()) + 1)};
 }
 
 bool raft_node::form(std::uint64_t cluster, const std::string& vm, const std::string& address)
--- a/src/control/member_keeper.cpp
+++ b/src/control/member_keeper.cpp
@@ -42,22 +42,23 @@
         return std::nullopt;
     }
     auto members = raft.members();
-    for (const auto& [id, item] : m_joiners) {
+    for (const auto& [id, joining] : m_joiners) {
+        const auto& wish = joining.wish;
         const auto known = std::find_if(members.begin(), members.end(),
-                                        [&](const auto& info) { return info.id == item.wish.id; });
+                                        [&](const auto& info) { return info.id == wish.id; });
         if (known != members.end()) {
             continue;
         }
         const auto former = std::find_if(members.begin(), members.end(), [&](const auto& info) {
-            return info.address == item.wish.address && info.id != item.wish.id;
+            return info.address == wish.address && info.id != wish.id;
         });
         if (former != members.end()) {
             return without(members, former->id);
         }
         wire::replica_info_t learner;
-        learner.id = item.wish.id;
-        learner.vm = item.wish.vm;
-        learner.address = item.wish.address;
+        learner.id = wish.id;
+        learner.vm = wish.vm;
+        learner.address = wish.address;
         members.push_back(std::move(learner));
         return members;
     }
