--- a/include/siskindrift/adapters/placer.h
+++ b/include/siskindrift/adapters/placer.h
@@ -50,6 +50,7 @@
     core::duration check_most = core::milliseconds{480};    // and at most
     core::duration model_load_look = core::milliseconds{700}; // about the load of a whole model
     core::duration quiet_before_eviction = core::milliseconds{400}; // a use may not be told yet
+    core::duration quiet_a_gateway = core::milliseconds{6};  // many gateways tell their uses rarely
     core::duration further_pause = core::milliseconds{1500}; // until a copy has drawn its share
     core::duration home_patience = core::milliseconds{150};  // less than a load from the store
     core::duration wish_life = core::milliseconds{3000};     // a gateway repeats its wishes
@@ -165,6 +166,7 @@
     [[nodiscard]] std::size_t places_taken(const engine& at) const;
     [[nodiscard]] std::size_t store_loads() const;
     [[nodiscard]] std::size_t most_store_loads() const;
+    [[nodiscard]] core::duration quiet_before_eviction() const;
     [[nodiscard]] bool may_order(const engine& at) const;
     [[nodiscard]] bool in_use(const engine& at, const adapter_name& name) const;
     [[nodiscard]] std::optional<adapter_name> victim(const engine& at, core::time_point now) const;
--- a/src/adapters/placer_test.cpp
+++ b/src/adapters/placer_test.cpp
@@ -188,6 +188,24 @@
     }
 }
 
+TEST(Placer, LeavesACopyAloneThatMayBeInUseUntoldWhereGatewaysAreMany)
+{
+    for (int i = 0; i < 200; ++i) {
+        wire::gateway_report_t word;
+        word.vm = "g" + std::to_string(i);
+        places.note_gateway(word, clock.now());
+    }
+    engine("a", {"p", "q"});
+    wish("w", false, "a", "p");
+    wish("x", false, "a", "q"); // both were used a moment ago
+    clock.advance(core::milliseconds{900});
+    wish("x");
+    LONGS_EQUAL(0, static_cast<long>(plan().size()));
+    clock.advance(core::milliseconds{1000});
+    wish("x");
+    LONGS_EQUAL(1, static_cast<long>(plan().size()));
+}
+
 TEST(Placer, KeepsAPlaceForALoadThatMayBeCarriedOutLater)
 {
     engine("a", {"p"});
--- a/src/apps/control_process.cpp
+++ b/src/apps/control_process.cpp
@@ -56,27 +56,11 @@
 
 bool control_process::start()
 {
-    core::last_reason why;
-    auto folder = log::data_folder::open(m_settings.data_folder, core::fresh_number(), why);
-    if (!folder) {
-        observe::error("data_folder_refused", {{"reason", why.text()}});
+    std::optional<consensus::recovered_state> recovered;
+    m_folder = replica_folder::open(m_settings.data_folder, recovered);
+    if (!m_folder) {
         return false;
     }
-    m_folder.emplace(std::move(*folder));
-    m_store.emplace(m_folder->path(), m_opener);
-    log::recovery_report report;
-    auto recovered = m_store->open(report, why);
-    if (!recovered) {
-        observe::error("storage_failed", {{"reason", why.text()}});
-        return false;
-    }
-    if (recovered->damaged) {
-        observe::error("log_damaged", {{"reason", report.damage},
-                                       {"advice", "this replica does not vote; replace it"}});
-    }
-    observe::info("recovered", {{"replica", m_folder->identity().value()},
-                                {"records", report.records},
-                                {"cut_bytes", report.cut_bytes}});
     control::control_options options;
     options.compact_after = m_settings.compact_after;
     m_core =
@@ -156,13 +140,13 @@
     core::last_reason why;
     const auto work = m_core->take_ready();
     send(work.early);
-    if (!m_store->persist(work, m_core->raft(), why)) {
+    if (!m_folder->store().persist(work, m_core->raft(), why)) {
         observe::error("storage_failed", {{"reason", why.text()}});
         return false;
     }
     send(work.messages);
     const auto made = m_core->complete(work);
-    if (made && !m_store->store_snapshot(*made, m_core->raft(), why)) {
+    if (made && !m_folder->store().store_snapshot(*made, m_core->raft(), why)) {
         observe::error("storage_failed", {{"reason", why.text()}});
         return false;
     }
--- a/src/apps/control_process.h
+++ b/src/apps/control_process.h
@@ -10,10 +10,9 @@
 #include <string>
 #include <vector>
 
+#include "replica_folder.h"
 #include "siskindrift/config/settings.h"
 #include "siskindrift/control/control_core.h"
-#include "siskindrift/log/data_folder.h"
-#include "siskindrift/log/replica_store.h"
 #include "siskindrift/net/mesh.h"
 
 namespace siskindrift::apps {
@@ -58,9 +57,7 @@
     catalog_checker m_checker;
     boost::asio::io_context m_context;
     std::shared_ptr<net::mesh> m_mesh;
-    std::optional<log::data_folder> m_folder;
-    log::system_file_opener m_opener;
-    std::optional<log::replica_store> m_store;
+    std::unique_ptr<replica_folder> m_folder;
     std::unique_ptr<control::control_core> m_core;
 
     std::mutex m_mutex; ///< Guards the two below; a leaf of the lock order.
--- a/src/apps/coordinator_process.cpp
+++ b/src/apps/coordinator_process.cpp
@@ -54,28 +54,11 @@
 
 bool coordinator_process::open_storage()
 {
-    core::last_reason why;
-    auto folder = log::data_folder::open(m_settings.data_folder, core::fresh_number(), why);
-    if (!folder) {
-        observe::error("data_folder_refused", {{"reason", why.text()}});
+    std::optional<consensus::recovered_state> recovered;
+    m_folder = replica_folder::open(m_settings.data_folder, recovered);
+    if (!m_folder) {
         return false;
     }
-    m_folder.emplace(std::move(*folder));
-    m_store.emplace(m_folder->path(), m_opener);
-    log::recovery_report report;
-    auto recovered = m_store->open(report, why);
-    if (!recovered) {
-        observe::error("storage_failed", {{"reason", why.text()}});
-        m_store.reset();
-        m_folder.reset();
-        return false;
-    }
-    if (recovered->damaged) {
-        observe::error("log_damaged", {{"reason", report.damage}});
-    }
-    observe::info("recovered", {{"replica", m_folder->identity().value()},
-                                {"records", report.records},
-                                {"cut_bytes", report.cut_bytes}});
     m_core = std::make_unique<control::control_core>(m_folder->identity(), std::move(*recovered),
                                                      core_options(), core::fresh_number(), m_clock,
                                                      nullptr);
@@ -250,13 +233,13 @@
     core::last_reason why;
     const auto work = m_core->take_ready();
     send(work.early);
-    if (!m_store->persist(work, m_core->raft(), why)) {
+    if (!m_folder->store().persist(work, m_core->raft(), why)) {
         observe::error("storage_failed", {{"reason", why.text()}});
         return false;
     }
     send(work.messages);
     const auto made = m_core->complete(work);
-    if (made && !m_store->store_snapshot(*made, m_core->raft(), why)) {
+    if (made && !m_folder->store().store_snapshot(*made, m_core->raft(), why)) {
         observe::error("storage_failed", {{"reason", why.text()}});
         return false;
     }
--- a/src/apps/coordinator_process.h
+++ b/src/apps/coordinator_process.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "platform/calls.h"
+#include "replica_folder.h"
 #include "siskindrift/adapters/placer.h"
 #include "siskindrift/config/settings.h"
 #include "siskindrift/control/control_core.h"
@@ -19,8 +20,6 @@
 #include "siskindrift/fleet/roster.h"
 #include "siskindrift/http/server.h"
 #include "siskindrift/http/whole_calls.h"
-#include "siskindrift/log/data_folder.h"
-#include "siskindrift/log/replica_store.h"
 #include "siskindrift/net/mesh.h"
 
 namespace siskindrift::apps {
@@ -100,9 +99,7 @@
     std::shared_ptr<net::mesh> m_mesh;
     http::server m_server;
     http::whole_calls m_calls;
-    std::optional<log::data_folder> m_folder;
-    log::system_file_opener m_opener;
-    std::optional<log::replica_store> m_store;
+    std::unique_ptr<replica_folder> m_folder;
     std::unique_ptr<control::control_core> m_core;
     control::member_keeper m_keeper;
     std::map<std::uint64_t, std::shared_ptr<http::responder>> m_waiting; ///< By client id.
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -20,6 +20,8 @@
 
 namespace {
 
+constexpr core::milliseconds unread_limit{10'000}; // a caller may pause its reading
+
 std::string status_line(std::uint16_t status)
 {
     const auto known = beast::http::int_to_status(status);
@@ -80,7 +82,7 @@
     {
         error_code ignored;
         m_stream.socket().set_option(tcp::no_delay{true}, ignored);
-        net::detect_dead_peer(m_stream.socket());
+        net::detect_dead_peer(m_stream.socket(), unread_limit);
         m_remote = m_stream.socket().remote_endpoint(ignored).address().to_string(ignored);
         asio::dispatch(m_stream.get_executor(),
                        [self = shared_from_this()] { self->await_request(true); });
