One cycle of a control replica on its disk; members that nobody uses

Cause: read once more.

Behaviour and tests are as they were.

Ruled out: folding the two drivers' loops into one; one waits on a condition with its own thread, the other on the runtime's timer.

--- a/include/siskindrift/adapters/engine_report.h
+++ b/include/siskindrift/adapters/engine_report.h
@@ -16,8 +16,6 @@
     bool busy = false;                 ///< An order on a whole model is under way.
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
-    std::uint64_t kv_used = 0;
-    std::uint64_t kv_total = 0;
     std::vector<wire::adapter_copy_t> copies;  ///< Models, and adapters, that are loaded.
     std::vector<wire::adapter_copy_t> loading; ///< Adapters on their way.
 };
--- a/include/siskindrift/adapters/placer.h
+++ b/include/siskindrift/adapters/placer.h
@@ -102,8 +102,6 @@
     /// Returns when `plan` or `wanted_reports` next has something to do.
     [[nodiscard]] core::time_point next_due() const;
 
-    [[nodiscard]] std::uint64_t orders_given() const { return m_next_order - 1; }
-
 private:
     enum class copy_state : std::uint8_t { loaded, loading, unloading };
     struct copy {
--- a/include/siskindrift/gateway/upstream_pool.h
+++ b/include/siskindrift/gateway/upstream_pool.h
@@ -57,7 +57,6 @@
     }
 
     void note_engine(const wire::engine_view_t& view);
-    void forget_engines() { m_views.clear(); }
     void note_version(const adapter_name& name, std::uint64_t version, core::time_point now);
 
     /// Chooses an upstream of @p service that is not among @p tried.
--- a/src/adapters/placer.cpp
+++ b/src/adapters/placer.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 namespace siskindrift::adapters {
+
 void placer::begin(core::time_point from)
 {
     m_active = true;
--- a/src/apps/coordinator_process.cpp
+++ b/src/apps/coordinator_process.cpp
@@ -230,17 +230,7 @@
 
 bool coordinator_process::run_replica_once()
 {
-    core::last_reason why;
-    const auto work = m_core->take_ready();
-    send(work.early);
-    if (!m_folder->store().persist(work, m_core->raft(), why)) {
-        observe::error("storage_failed", {{"reason", why.text()}});
-        return false;
-    }
-    send(work.messages);
-    const auto made = m_core->complete(work);
-    if (made && !m_folder->store().store_snapshot(*made, m_core->raft(), why)) {
-        observe::error("storage_failed", {{"reason", why.text()}});
+    if (!m_folder->run_cycle(*m_core, [this](const auto& messages) { send(messages); })) {
         return false;
     }
     for (auto& reply : m_core->take_replies()) {
--- a/src/apps/replica_folder.cpp
+++ b/src/apps/replica_folder.cpp
@@ -31,4 +31,22 @@
     return opened;
 }
 
+bool replica_folder::run_cycle(control::control_core& core, const send_function& send)
+{
+    core::last_reason why;
+    const auto work = core.take_ready();
+    send(work.early);
+    if (!m_store.persist(work, core.raft(), why)) {
+        observe::error("storage_failed", {{"reason", why.text()}});
+        return false;
+    }
+    send(work.messages);
+    const auto made = core.complete(work);
+    if (made && !m_store.store_snapshot(*made, core.raft(), why)) {
+        observe::error("storage_failed", {{"reason", why.text()}});
+        return false;
+    }
+    return true;
+}
+
 } // namespace siskindrift::apps
--- a/src/apps/replica_folder.h
+++ b/src/apps/replica_folder.h
@@ -1,10 +1,13 @@
 // The data folder of a control replica, opened and read.
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
+#include "siskindrift/control/control_core.h"
 #include "siskindrift/log/data_folder.h"
 #include "siskindrift/log/replica_store.h"
 
@@ -19,7 +22,13 @@
                                                 std::optional<consensus::recovered_state>& state);
 
     [[nodiscard]] core::replica_id identity() const { return m_folder.identity(); }
-    [[nodiscard]] log::replica_store& store() { return m_store; }
+
+    /// Sends messages of the consensus protocol.
+    using send_function = std::function<void(const std::vector<consensus::outgoing_message>&)>;
+
+    /// Runs one cycle of @p core: what may leave before the disk, the disk, the rest.
+    /// @return false, logged, when the disk failed; what is on it is then unknown.
+    bool run_cycle(control::control_core& core, const send_function& send);
 
 private:
     explicit replica_folder(log::data_folder folder)
