A stopping gateway waits until its last answers have left

The stop looked for open exchanges; an exchange is over once its last piece is handed to the server, before it is written, and the poll fell into that gap.

Change: the server counts answers that have not left, and the stop waits for these. Server.CountsAnAnswerAsOpenUntilItHasLeft.

--- a/include/siskindrift/http/server.h
+++ b/include/siskindrift/http/server.h
@@ -96,6 +96,8 @@
     /// Stops accepting; open connections go on.
     void stop_accepting();
     [[nodiscard]] std::size_t connections() const;
+    /// Returns how many requests were read whose answers have not left entirely.
+    [[nodiscard]] std::size_t open_answers() const;
 
 private:
     class implementation;
--- a/src/apps/gateway_process.cpp
+++ b/src/apps/gateway_process.cpp
@@ -164,7 +164,8 @@
     if (!takes_requests() && std::exchange(m_accepting, false)) {
         m_callers.stop_accepting();
     }
-    const bool idle = m_exchanges.empty() && passed >= stop_first;
+    // An exchange may be over while its last bytes still wait to be written.
+    const bool idle = m_callers.open_answers() == 0 && passed >= stop_first;
     if (idle || passed >= m_settings.stop_grace - stop_margin) {
         m_context.stop();
         return;
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -62,6 +62,7 @@
     server_limits limits;
     server_handler& handler;
     std::atomic<bool> closing{false}; ///< Every answer is the last of its connection.
+    std::atomic<std::size_t> open_answers{0};
     std::atomic<std::size_t> connections{0};
     std::atomic<std::uint64_t> next_exchange{1};
 };
@@ -256,7 +257,7 @@
 
     void finish_answer()
     {
-        m_answering = false;
+        end_answering();
         m_last_queued = false;
         m_exchange = 0;
         if (m_close_after || m_shared->closing) {
@@ -270,6 +271,13 @@
         await_request(false);
     }
 
+    void end_answering()
+    {
+        if (std::exchange(m_answering, false)) {
+            --m_shared->open_answers;
+        }
+    }
+
     void close()
     {
         if (m_closed) {
@@ -279,7 +287,7 @@
         error_code ignored;
         m_stream.socket().close(ignored);
         if (m_answering) {
-            m_answering = false;
+            end_answering();
             m_shared->handler.on_left(m_exchange);
         }
     }
@@ -369,6 +377,7 @@
     request.body = std::move(message.body());
     m_exchange = m_shared->next_exchange++;
     m_answering = true;
+    ++m_shared->open_answers;
     watch_caller();
     m_shared->handler.on_request(
         m_exchange, std::move(request),
@@ -379,7 +388,7 @@
 public:
     implementation(asio::io_context& context, server_limits limits, server_handler& handler)
         : m_context(context), m_acceptor(context),
-          m_shared(new server_shared{limits, handler, {}, {}, {1}})
+          m_shared(new server_shared{limits, handler, {}, {}, {}, {1}})
     {
     }
 
@@ -414,6 +423,7 @@
     }
 
     [[nodiscard]] std::size_t connections() const { return m_shared->connections; }
+    [[nodiscard]] std::size_t open_answers() const { return m_shared->open_answers; }
     void set_limits(const server_limits& limits) { m_shared->limits = limits; }
     void close_after_answers() { m_shared->closing = true; }
 
@@ -469,6 +479,11 @@
     m_implementation->stop();
 }
 
+std::size_t server::open_answers() const
+{
+    return m_implementation->open_answers();
+}
+
 std::size_t server::connections() const
 {
     return m_implementation->connections();
--- a/src/http/server_test.cpp
+++ b/src/http/server_test.cpp
@@ -23,10 +23,13 @@
                     std::shared_ptr<responder> answer) override
     {
         answer->respond(200, {}, request.body);
+        open_behind_answer = watched->open_answers();
     }
     void on_left(std::uint64_t) override {}
     void on_refused(core::reason why) override { last_refusal = why; }
 
+    const server* watched = nullptr;
+    std::atomic<std::size_t> open_behind_answer{0};
     std::atomic<core::reason> last_refusal{core::reason::none};
 };
 
@@ -50,6 +53,7 @@
         limits.header_timeout = std::chrono::milliseconds{300};
         limits.body_timeout = std::chrono::milliseconds{300};
         tested = std::make_unique<server>(context, limits, handler);
+        handler.watched = tested.get();
         std::string error;
         CHECK_TRUE_TEXT(tested->listen(address, error), error.c_str());
         worker = std::thread{[this] {
@@ -84,6 +88,16 @@
     }
 };
 
+TEST(Server, CountsAnAnswerAsOpenUntilItHasLeft)
+{
+    exchange("GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    LONGS_EQUAL(1, static_cast<long>(handler.open_behind_answer)); // given, but not written yet
+    for (int i = 0; i < 500 && tested->open_answers() > 0; ++i) {
+        std::this_thread::sleep_for(std::chrono::milliseconds{10});
+    }
+    LONGS_EQUAL(0, static_cast<long>(tested->open_answers()));
+}
+
 TEST(Server, RefusesAnOversizedBodyAndServesOn)
 {
     const auto answer = exchange("POST / HTTP/1.1\r\nContent-Length: 100000\r\n\r\n");
