A disk that fills up in the middle of a write no longer costs a replica its vote

Cause: a record cut short by a full disk stayed at the end of its segment, each later start began one more segment and failed, and the torn record was then in a segment that wasn't the last, which counts as damage: the replica never voted again. With all disks full at once the deployment had no control state any more, for good. Ruled out: loss of synced records; they were all there. Change: a segment begins with a record of all before it, and older ones go once it is synced, so the newest segment that begins whole holds the log; what was begun behind it is skipped, and removed when its start fails. New besides: a log of which no segment begins whole, though it replaced others, is damage; it read as empty before.

--- a/src/log/replica_store.cpp
+++ b/src/log/replica_store.cpp
@@ -21,6 +21,7 @@
 constexpr std::size_t record_header_bytes = 12; // length, checksum
 constexpr std::size_t max_record_bytes = 256 * 1024 * 1024;
 constexpr mode_t file_mode = 0640;
+constexpr std::uint64_t first_segment = 1;
 
 struct numbered_file {
     std::uint64_t number = 0;
@@ -92,7 +93,7 @@
     return payload;
 }
 
-// Each sync covers one record, so only the last record of the log can be torn. A whole
+// Each sync covers one record, so only the last record of a segment can be torn. A whole
 // record behind a broken one therefore means damage.
 bool whole_record_follows(std::string_view bytes)
 {
@@ -104,6 +105,13 @@
     return false;
 }
 
+bool begins_whole(const numbered_file& file)
+{
+    const auto bytes = read_whole(file.path);
+    const std::string_view text{bytes};
+    return text.starts_with(segment_magic) && unseal(text.substr(segment_magic.size()));
+}
+
 class replayer {
 public:
     replayer(consensus::recovered_state& state, recovery_report& report)
@@ -111,23 +119,15 @@
     {
     }
 
-    void replay_segment(const numbered_file& file, bool last)
+    /// Replays the segment that holds the log. Its last record may be torn.
+    void replay_segment(const numbered_file& file)
     {
         const auto bytes = read_whole(file.path);
-        std::string_view rest{bytes};
-        if (!rest.starts_with(segment_magic)) {
-            // Only a segment that was never synced may lack its magic.
-            if (!last || rest.size() >= segment_magic.size()) {
-                damage(file, 0);
-            }
-            m_report.cut_bytes += rest.size();
-            return;
-        }
-        rest.remove_prefix(segment_magic.size());
+        auto rest = std::string_view{bytes}.substr(segment_magic.size());
         while (!rest.empty() && m_report.damage.empty()) {
             const auto payload = unseal(rest);
             if (!payload) {
-                if (!last || whole_record_follows(rest)) {
+                if (whole_record_follows(rest)) {
                     damage(file, bytes.size() - rest.size());
                 }
                 m_report.cut_bytes += rest.size();
@@ -142,14 +142,24 @@
         }
     }
 
-    [[nodiscard]] std::uint64_t base_index() const { return m_base_index; }
+    /// Takes a segment whose first record isn't whole: its start failed, or it is damaged.
+    void skip_segment(const numbered_file& file)
+    {
+        const auto bytes = read_whole(file.path);
+        if (whole_record_follows(bytes)) {
+            damage(file, 0);
+        }
+        m_report.cut_bytes += bytes.size();
+    }
 
-private:
     void damage(const numbered_file& file, std::size_t offset)
     {
         m_report.damage = file.path.string() + ": damaged at byte " + std::to_string(offset);
     }
 
+    [[nodiscard]] std::uint64_t base_index() const { return m_base_index; }
+
+private:
     bool apply(const wire::log_record_t& record)
     {
         m_state.hard = {record.cluster, record.term, record.voted_for};
@@ -244,6 +254,23 @@
     int m_file;
 };
 
+// A segment begins with a record of all that came before it, and older segments are removed once
+// that record is synced. So the newest segment that begins whole holds the log.
+void read_log(const fs::path& folder, replayer& reader)
+{
+    const auto segments = segments_of(folder);
+    const auto newest = std::find_if(segments.rbegin(), segments.rend(), begins_whole);
+    for (auto skipped = segments.rbegin(); skipped != newest; ++skipped) {
+        reader.skip_segment(*skipped);
+    }
+    if (newest != segments.rend()) {
+        reader.replay_segment(*newest);
+    }
+    else if (!segments.empty() && segments.front().number > first_segment) {
+        reader.damage(segments.front(), 0); // it replaced others, so it was whole once
+    }
+}
+
 wire::log_record_t record_of(const consensus::hard_state& hard)
 {
     wire::log_record_t record;
@@ -270,12 +297,7 @@
     consensus::recovered_state state;
     read_snapshot(folder, state, report);
     replayer reader{state, report};
-    const auto segments = segments_of(folder);
-    for (const auto& segment : segments) {
-        if (report.damage.empty()) {
-            reader.replay_segment(segment, &segment == &segments.back());
-        }
-    }
+    read_log(folder, reader);
     if (report.damage.empty()) {
         join_snapshot_and_log(state, reader.base_index(), report);
     }
@@ -292,7 +314,7 @@
         return state; // nothing is written, so that the folder can be examined
     }
     const auto segments = segments_of(m_folder);
-    m_segment = segments.empty() ? 0 : segments.back().number;
+    m_segment = segments.empty() ? first_segment - 1 : segments.back().number;
     auto record = record_of(m_hard);
     record.reset = true;
     record.base_index = state.base ? state.base->last_index : 0;
@@ -313,10 +335,13 @@
     ++m_segment;
     const auto path = m_folder / numbered_name("log-", m_segment, ".seg");
     m_file = m_opener.open(path, why);
-    if (!m_file || !m_file->write(segment_magic, why)) {
-        return false;
+    const bool begun = m_file && m_file->write(segment_magic, why) && write_record(first, why) &&
+                       sync_folder(m_folder, why);
+    if (!begun) {
+        std::error_code ignored; // what remains of it is skipped when the log is read
+        fs::remove(path, ignored);
     }
-    return write_record(first, why) && sync_folder(m_folder, why);
+    return begun;
 }
 
 bool replica_store::write_record(const wire::log_record_t& record, core::last_reason& why)
--- a/src/log/replica_store_test.cpp
+++ b/src/log/replica_store_test.cpp
@@ -46,6 +46,40 @@
     int syncs_left = 1'000'000;
 };
 
+// Takes a number of bytes, as a disk does that fills up in the middle of a write.
+class filling_opener final : public file_opener {
+public:
+    std::unique_ptr<append_file> open(const fs::path& path, core::last_reason& why) override
+    {
+        return std::make_unique<file>(m_system.open(path, why), room);
+    }
+    std::size_t room = 1'000'000;
+
+private:
+    class file final : public append_file {
+    public:
+        file(std::unique_ptr<append_file> inner, std::size_t& room)
+            : m_inner(std::move(inner)), m_room(room)
+        {
+        }
+        bool write(std::string_view bytes, core::last_reason& why) override
+        {
+            const auto taken = std::min(bytes.size(), m_room);
+            m_room -= taken;
+            const bool written = m_inner->write(bytes.substr(0, taken), why);
+            why.set("no space left on device");
+            return written && taken == bytes.size();
+        }
+        bool sync(core::last_reason& why) override { return m_inner->sync(why); }
+
+    private:
+        std::unique_ptr<append_file> m_inner;
+        std::size_t& m_room;
+    };
+
+    system_file_opener m_system;
+};
+
 consensus::ready entries(std::uint64_t first, std::uint64_t count)
 {
     consensus::ready work;
@@ -138,6 +172,50 @@
     CHECK_FALSE(report.damage.empty());
 }
 
+TEST(ReplicaStore, KeepsItsLogWhenTheDiskFillsUpInTheMiddleOfARecord)
+{
+    filling_opener filling;
+    {
+        replica_store store{folder, filling};
+        CHECK_TRUE(store.open(report, why).has_value());
+        CHECK_TRUE(store.persist(entries(1, 5), idle_node(), why));
+        filling.room = 20;
+        CHECK_FALSE(store.persist(entries(6, 1), idle_node(), why));
+    }
+    for (int start = 0; start < 3; ++start) { // the disk is still as good as full
+        filling.room = 40;
+        replica_store store{folder, filling};
+        CHECK_FALSE(store.open(report, why).has_value());
+    }
+    filling.room = 1'000'000;
+    replica_store store{folder, filling};
+    const auto state = store.open(report, why);
+    CHECK_TRUE(state.has_value());
+    CHECK_FALSE_TEXT(state->damaged, report.damage.c_str());
+    UNSIGNED_LONGS_EQUAL(5, state->entries.size());
+}
+
+TEST(ReplicaStore, IgnoresASegmentThatWasBegunAndNeverSynced)
+{
+    write_two_batches();
+    std::ofstream{folder / "log-0000000000000009.seg"} << "siskindrift-log1"
+                                                       << "half a record";
+    const auto state = read_replica(folder, report);
+    CHECK_FALSE_TEXT(state.damaged, report.damage.c_str());
+    UNSIGNED_LONGS_EQUAL(5, state.entries.size());
+}
+
+TEST(ReplicaStore, ReportsDamageWhereNoSegmentHoldsAWholeLogAnyMore)
+{
+    write_two_batches();
+    {
+        replica_store store{folder, opener};
+        CHECK_TRUE(store.open(report, why).has_value()); // the first segment goes
+    }
+    fs::resize_file(last_segment(), fs::file_size(last_segment()) / 2);
+    CHECK_TRUE(read_replica(folder, report).damaged);
+}
+
 TEST(ReplicaStore, ReplacesEntriesThatALaterLeaderOverwrote)
 {
     {
