--- a/src/apps/entry_main.cpp
+++ b/src/apps/entry_main.cpp
@@ -24,5 +24,7 @@
         return 0;
     }
     observe::start_log("entry", settings->vm, settings->log_level);
-    return apps::entry_process{*settings}.run();
+    status = apps::entry_process{*settings}.run();
+    observe::stop_log();
+    return status;
 }
--- a/src/apps/gateway_main.cpp
+++ b/src/apps/gateway_main.cpp
@@ -24,5 +24,7 @@
         return 0;
     }
     observe::start_log("gateway", settings->vm, settings->log_level);
-    return apps::gateway_process{*settings, options->settings_path}.run();
+    status = apps::gateway_process{*settings, options->settings_path}.run();
+    observe::stop_log();
+    return status;
 }
