--- a/include/siskindrift/config/settings.h
+++ b/include/siskindrift/config/settings.h
@@ -54,6 +54,7 @@
     core::duration stop_grace = core::milliseconds{8000};
     std::uint32_t endpoints_ttl_s = 2;
     core::duration announcement = core::milliseconds{1200};
+    std::string metrics_address; ///< IP:port, or empty for none.
     std::string log_level = "info";
 };
 
@@ -70,6 +71,7 @@
     core::duration order_lease = core::milliseconds{3000};
     bool upstreams_check_fences = false; ///< They refuse the orders of a former holder.
     core::duration announcement = core::milliseconds{1200};
+    std::string metrics_address; ///< IP:port, or empty for none.
     std::string log_level = "info";
 };
 
--- a/include/siskindrift/http/whole_calls.h
+++ b/include/siskindrift/http/whole_calls.h
@@ -32,6 +32,9 @@
         m_client.start(std::move(call));
     }
 
+    /// Returns how many calls have not ended.
+    [[nodiscard]] std::size_t open() const { return m_open.size(); }
+
 private:
     struct open_call {
         completion done;
--- a/src/apps/coordinator_fleet.cpp
+++ b/src/apps/coordinator_fleet.cpp
@@ -13,6 +13,7 @@
 constexpr core::milliseconds order_connect{300}; // several round trips
 constexpr core::milliseconds order_answer{1000}; // an engine answers at once
 constexpr core::milliseconds usable_every{500};
+constexpr core::milliseconds summary_every{1000};
 constexpr std::chrono::microseconds copies_pause_a_gateway{300}; // 27 ms at 91 gateways
 constexpr std::chrono::microseconds plan_pause_a_gateway{100};
 constexpr core::milliseconds loads_pause_a_gateway{4};
@@ -263,6 +264,15 @@
     m_mesh->reply_all(gateway_connections(), wire::make_envelope(std::move(update)));
 }
 
+void coordinator_process::show_state(observe::metrics& to) const
+{
+    to.set("siskindrift_document_version", static_cast<double>(m_document_version));
+    to.set("siskindrift_gateways", static_cast<double>(m_gateways.size()));
+    to.set("siskindrift_upstreams", static_cast<double>(m_roster.items().size()));
+    to.set("siskindrift_placing_term", static_cast<double>(m_placing_term));
+    to.set("siskindrift_open_engine_calls", static_cast<double>(m_calls.open()));
+}
+
 void coordinator_process::place_adapters()
 {
     if (m_placing_term == 0) {
@@ -286,6 +296,28 @@
         }
     }
     tell_engines();
+    log_placement();
+}
+
+// Says once a second how far places and store are taken while requests wait for adapters.
+void coordinator_process::log_placement()
+{
+    const auto now = m_clock.now();
+    if (now < m_summary_due) {
+        return;
+    }
+    m_summary_due = now + summary_every;
+    const auto sum = m_placer.summary(now);
+    if (sum.wanted == 0) {
+        return;
+    }
+    observe::routine("adapters_wanted", {{"wanted", sum.wanted},
+                                         {"store_loads", sum.store_loads},
+                                         {"engines", sum.engines},
+                                         {"places", sum.places},
+                                         {"in_use", sum.in_use},
+                                         {"loading", sum.loading},
+                                         {"just_used", sum.just_used}});
 }
 
 void coordinator_process::ask_reports()
@@ -318,6 +350,8 @@
     m_calls.start(std::move(call), [this, order](std::optional<http::whole_answer> answer) {
         const auto result = answer ? platform::decode_order_result(answer->head.status)
                                    : adapters::order_result::unknown;
+        m_metrics.count("siskindrift_orders_" + std::string{adapters::to_string(result)} +
+                        "_total");
         observe::info("order", {{"upstream", order.upstream},
                                 {"adapter", order.adapter},
                                 {"version", order.version},
--- a/src/apps/coordinator_process.cpp
+++ b/src/apps/coordinator_process.cpp
@@ -48,6 +48,7 @@
       m_signals(m_context, SIGTERM, SIGINT, SIGHUP), m_timer(m_context),
       m_mesh(std::make_shared<net::mesh>(m_context, net::mesh_options{}, *this)),
       m_server(m_context, http::server_limits{}, *this), m_calls(m_context),
+      m_metrics_endpoint(m_context, m_metrics, [this](observe::metrics& to) { show_state(to); }),
       m_keeper(keeper_options(m_settings.losses_borne))
 {
 }
@@ -122,7 +123,8 @@
     }
     std::string error;
     if (!m_mesh->listen(m_settings.inner_address, error) ||
-        !m_server.listen(m_settings.control_address, error)) {
+        !m_server.listen(m_settings.control_address, error) ||
+        !m_metrics_endpoint.listen(m_settings.metrics_address, error)) {
         observe::error("cannot_listen", {{"reason", error}});
         m_status = 1;
         m_context.stop();
--- a/src/apps/coordinator_process.h
+++ b/src/apps/coordinator_process.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "metrics_endpoint.h"
 #include "platform/calls.h"
 #include "replica_folder.h"
 #include "siskindrift/adapters/placer.h"
@@ -84,9 +85,11 @@
     void fill_common(wire::fleet_update_t& update) const;
     [[nodiscard]] wire::fleet_update_t full_update() const;
     void tell_engines();
+    void show_state(observe::metrics& to) const;
     [[nodiscard]] std::vector<net::connection_id> gateway_connections() const;
     void place_adapters();
     void ask_reports();
+    void log_placement();
     void give(const adapters::order& order);
     [[nodiscard]] std::vector<std::string> peers() const;
 
@@ -99,6 +102,8 @@
     std::shared_ptr<net::mesh> m_mesh;
     http::server m_server;
     http::whole_calls m_calls;
+    observe::metrics m_metrics;
+    metrics_endpoint m_metrics_endpoint;
     std::unique_ptr<replica_folder> m_folder;
     std::unique_ptr<control::control_core> m_core;
     control::member_keeper m_keeper;
@@ -127,6 +132,7 @@
     core::time_point m_loads_due{};
     core::time_point m_copies_due{};
     core::time_point m_plan_due{};
+    core::time_point m_summary_due{};
 };
 
 } // namespace siskindrift::apps
--- a/src/apps/ctl_commands.h
+++ b/src/apps/ctl_commands.h
@@ -22,6 +22,7 @@
     std::vector<std::string> entries; ///< Inner addresses, for `explain` and `drain`.
     std::string token;
     std::string operator_name;
+    std::string logs;      ///< Folder with logs, for `explain`.
     std::string change_id; ///< Empty draws a new one.
     bool json = false;
 };
--- a/src/apps/ctl_main.cpp
+++ b/src/apps/ctl_main.cpp
@@ -16,6 +16,7 @@
         "operator", po::value(&options.operator_name)->default_value("operator"),
         "name kept in the history")("change-id", po::value(&options.change_id),
                                     "id of the change, to repeat one whose answer was lost")(
+        "logs", po::value(&options.logs), "folder with the logs of all processes, for explain")(
         "json", po::bool_switch(&options.json), "print JSON instead of tables")(
         "help", "show this text")("word", po::value(&words)->composing(), "the command");
     po::positional_options_description positions;
--- a/src/apps/gateway_exchanges.cpp
+++ b/src/apps/gateway_exchanges.cpp
@@ -42,7 +42,29 @@
 
 void gateway_process::count(core::reason why)
 {
-    m_reasons.add(why);
+    m_metrics.count_reason(why);
+}
+
+// Notes an upstream's answer that the caller has whole.
+void gateway_process::note_served(const exchange& item, std::uint16_t status)
+{
+    const auto now = m_clock.now();
+    const auto since = [&](std::optional<core::time_point> when) {
+        return core::to_ms(when.value_or(now) - item.arrived);
+    };
+    m_metrics.count("siskindrift_answers_passed_on_total");
+    m_metrics.observe_ms("siskindrift_first_byte_ms", static_cast<double>(since(item.first_byte)));
+    m_metrics.observe_ms("siskindrift_answer_ms", static_cast<double>(since(now)));
+    observe::routine("request_served", {{"request", item.facts.request_id},
+                                        {"route", item.route.name},
+                                        {"status", status},
+                                        {"upstream", item.upstream},
+                                        {"adapter", item.adapter.second},
+                                        {"tokens", item.facts.prompt_tokens},
+                                        {"attempts", item.sent},
+                                        {"sent_ms", since(item.first_sent)},
+                                        {"first_ms", since(item.first_byte)},
+                                        {"age_ms", since(now)}});
 }
 
 void gateway_process::begin(std::uint64_t id, http::server_request request,
@@ -55,6 +77,7 @@
     item.responder = std::move(responder);
     item.facts = platform::decode_request(item.request);
     item.arrived = m_clock.now();
+    m_metrics.count("siskindrift_requests_total");
     m_exchanges[id] = std::move(owned);
     if (!takes_requests()) {
         finish(item, 503, core::reason::vm_draining, come_back_sooner);
@@ -156,6 +179,11 @@
     }
     item.parked = false;
     m_parked.erase(item.id);
+    if (!item.first_sent) {
+        item.first_sent = now;
+        m_metrics.observe_ms("siskindrift_wait_ms",
+                             static_cast<double>(core::to_ms(now - item.arrived)));
+    }
     ++item.sent;
     ++item.may_have_run;
     item.tried.insert(choice.upstream);
@@ -305,6 +333,7 @@
     if (std::exchange(item.began, true)) {
         return; // goes on within the answer that began at another upstream
     }
+    item.first_byte = m_clock.now();
     item.responder->begin(item.head->status, platform::passed_headers(*item.head));
 }
 
@@ -437,6 +466,7 @@
     const bool whole = how == http::client_end::complete && !item.events.has_rest();
     m_pool.note_outcome(item.upstream, !whole, m_clock.now());
     if (whole) {
+        note_served(item, item.head->status);
         item.responder->end();
         forget(item);
         return;
@@ -469,6 +499,7 @@
         item.responder->abort();
     }
     else {
+        note_served(item, item.head->status);
         item.responder->respond(item.head->status, platform::passed_headers(*item.head),
                                 std::move(item.body));
     }
@@ -479,6 +510,7 @@
                              std::optional<core::duration> retry_after)
 {
     count(why);
+    m_metrics.count("siskindrift_answers_own_total");
     observe::info("request_ended", {{"request", item.facts.request_id},
                                     {"route", item.route.name},
                                     {"status", status},
--- a/src/apps/gateway_process.cpp
+++ b/src/apps/gateway_process.cpp
@@ -58,8 +58,10 @@
       m_callers(m_context, http::server_limits{}, m_caller_listener),
       m_readiness(m_context, http::server_limits{}, m_readiness_listener),
       m_directory(m_context, http::server_limits{}, m_directory_listener),
-      m_client(m_context, *this), m_incarnation(core::fresh_number()),
-      m_roster(roster_options(m_settings.announcement)), m_pool(m_roster, core::fresh_number())
+      m_client(m_context, *this),
+      m_metrics_endpoint(m_context, m_metrics, [this](observe::metrics& to) { show_state(to); }),
+      m_incarnation(core::fresh_number()), m_roster(roster_options(m_settings.announcement)),
+      m_pool(m_roster, core::fresh_number())
 {
 }
 
@@ -131,13 +133,25 @@
     std::string error;
     if (m_callers.listen(m_settings.caller_address, error) &&
         m_readiness.listen(m_settings.readiness_address, error) &&
-        m_directory.listen(m_settings.directory_address, error)) {
+        m_directory.listen(m_settings.directory_address, error) &&
+        m_metrics_endpoint.listen(m_settings.metrics_address, error)) {
         return true;
     }
     observe::error("cannot_listen", {{"reason", error}});
     return false;
 }
 
+void gateway_process::show_state(observe::metrics& to) const
+{
+    to.set("siskindrift_open_requests", static_cast<double>(m_exchanges.size()));
+    to.set("siskindrift_waiting_requests", static_cast<double>(m_parked.size()));
+    to.set("siskindrift_caller_connections", static_cast<double>(m_callers.connections()));
+    to.set("siskindrift_document_version",
+           static_cast<double>(m_deployment ? m_deployment->version : 0));
+    to.set("siskindrift_upstreams", static_cast<double>(m_roster.items().size()));
+    to.set("siskindrift_leader_term", static_cast<double>(m_engine_term));
+}
+
 void gateway_process::begin_stop()
 {
     observe::info("draining", {{"requests", m_exchanges.size()}});
--- a/src/apps/gateway_process.h
+++ b/src/apps/gateway_process.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <vector>
 
+#include "metrics_endpoint.h"
 #include "platform/exchange_codec.h"
 #include "siskindrift/config/settings.h"
 #include "siskindrift/core/verdict.h"
@@ -80,6 +81,8 @@
         gateway::adapter_name adapter; ///< Empty model where the service has no engines.
         core::time_point arrived{};
         core::time_point deadline{};
+        std::optional<core::time_point> first_sent;
+        std::optional<core::time_point> first_byte; ///< Of the answer, to the caller.
         std::unique_ptr<boost::asio::steady_timer> timer;
         std::set<std::string> tried;
         unsigned sent = 0;
@@ -102,6 +105,7 @@
 
     // The process and its view of the deployment (gateway_process.cpp).
     bool listen();
+    void show_state(observe::metrics& to) const;
     void await_signal();
     void reload();
     void keep_seeds();
@@ -155,6 +159,7 @@
     exchange* exchange_of(std::uint64_t call);
     [[nodiscard]] core::duration time_left(const exchange& item) const;
     void count(core::reason why);
+    void note_served(const exchange& item, std::uint16_t status);
 
     config::gateway_settings m_settings;
     std::string m_settings_path;
@@ -171,6 +176,8 @@
     http::server m_readiness;
     http::server m_directory;
     http::client m_client;
+    observe::metrics m_metrics;
+    metrics_endpoint m_metrics_endpoint;
     std::uint64_t m_incarnation;
     bool m_draining = false;
     bool m_accepting = true;
@@ -185,7 +192,6 @@
     gateway::upstream_pool m_pool;
     std::map<std::string, gateway::retry_budget> m_budgets;
     std::uint64_t m_engine_term = 0;
-    core::reason_counters m_reasons;
 
     std::map<std::uint64_t, std::unique_ptr<exchange>> m_exchanges;
     std::map<std::uint64_t, std::uint64_t> m_calls; ///< Exchange by call.
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -108,6 +108,7 @@
     read_seconds(*object, "stop_grace_s", settings.stop_grace);
     read(*object, "endpoints_ttl_s", settings.endpoints_ttl_s);
     read(*object, "announcement_ms", settings.announcement);
+    read(*object, "metrics_address", settings.metrics_address);
     read(*object, "log_level", settings.log_level);
     return settings;
 }
@@ -137,6 +138,7 @@
     }
     read(*object, "order_lease_ms", settings.order_lease);
     read(*object, "announcement_ms", settings.announcement);
+    read(*object, "metrics_address", settings.metrics_address);
     read(*object, "log_level", settings.log_level);
     return settings;
 }
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -389,6 +389,9 @@
     def directory_address(self, i):
         return f"127.7.2.{i + 1}:{self.port + 2}"
 
+    def metrics_address(self, i):
+        return f"127.7.2.{i + 1}:{self.port + 5}"
+
     def settings_of(self, name):
         kind, _, number = name.rpartition("-")
         i = int(number) - 1
@@ -408,6 +411,7 @@
                 "seeds": [f"127.7.1.{j + 1}:{inner}" for j in range(len(self.names))],
                 "inner_port": inner,
                 "retry_extra": 50, "stop_grace_s": GRACE_S,
+                "metrics_address": self.metrics_address(i),
                 "announcement_ms": int(ANNOUNCE_S * 1000)}
 
     def start(self, name):
@@ -546,11 +550,11 @@
 
 
 def free_port():
-    """Returns a port whose four successors are free on the addresses that a world uses."""
+    """Returns a port whose five successors are free on the addresses that a world uses."""
     for base in range(20000 + os.getpid() * 7 % 30000, 60000, 7):
         try:
             for ip in ("127.7.1.1", "127.7.2.1", "127.7.3.1", "127.7.4.1"):
-                for offset in range(5):
+                for offset in range(6):
                     with socket.socket() as probe:
                         probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
                         probe.bind((ip, base + offset))
--- a/tests/process_test.py
+++ b/tests/process_test.py
@@ -116,6 +116,18 @@
         self.assertEqual(0, await self.world.ended("gateway-1", GRACE_S))
         self.expect_no_fault()
 
+    async def test_metrics_count_what_callers_got(self):
+        for path in ("/safe/x", "/stream/x"):
+            _, answer = await self.ask(Connection(self.world.caller_address(0)), path)
+            self.assertEqual(200, answer.status)
+        await self.ask(Connection(self.world.caller_address(0)), "/nowhere/x")
+        shown = await call_once(self.world.metrics_address(0), "GET", "/metrics")
+        lines = shown.body.decode().splitlines()
+        for line in ("siskindrift_requests_total 3", "siskindrift_answers_passed_on_total 2",
+                     "siskindrift_answers_own_total 1", "siskindrift_answer_ms_count 2",
+                     'siskindrift_reasons_total{reason="unknown_route"} 1'):
+            self.assertIn(line, lines)
+
     async def test_a_full_disk_at_one_coordinator_keeps_documents_coming(self):
         self.fill_disk("coordinator-2")
         for _ in range(3):
