Streams that are broken off and callers that leave are logged and counted

One function breaks off a stream in place of five copies; each cut and each caller that left has a line with the request's id, upstream, last event and age, so that explain shows how a request ended. Reasons of a stream's break are counted once.

--- a/src/apps/gateway_exchanges.cpp
+++ b/src/apps/gateway_exchanges.cpp
@@ -121,9 +121,15 @@
     if (found == m_exchanges.end()) {
         return;
     }
+    auto& item = *found->second;
     count(core::reason::caller_left);
-    close_attempt(*found->second);
-    forget(*found->second);
+    observe::info("caller_left", {{"request", item.facts.request_id},
+                                  {"adapter", item.adapter.second},
+                                  {"upstream", item.upstream},
+                                  {"began", item.began},
+                                  {"age_ms", core::to_ms(m_clock.now() - item.arrived)}});
+    close_attempt(item);
+    forget(item);
 }
 
 void gateway_process::dispatch(exchange& item)
@@ -153,8 +159,7 @@
         return;
     }
     if (item.began) {
-        item.responder->abort();
-        forget(item);
+        cut(item, core::reason::no_upstream);
         return;
     }
     const bool ran = item.may_have_run > 0;
@@ -166,10 +171,8 @@
 {
     const auto now = m_clock.now();
     if (item.sent > 0 && !m_budgets[item.service].take(now, gateway_count())) {
-        count(core::reason::retry_budget);
         if (item.began) {
-            item.responder->abort();
-            forget(item);
+            cut(item, core::reason::retry_budget);
             return;
         }
         const bool ran = item.may_have_run > 0;
@@ -280,10 +283,8 @@
     }
     auto& item = *found->second;
     if (item.began) {
-        count(core::reason::deadline_passed);
         close_attempt(item);
-        item.responder->abort();
-        forget(item);
+        cut(item, core::reason::deadline_passed);
         return;
     }
     const bool ran = item.may_have_run > 0;
@@ -457,8 +458,7 @@
         finish(item, 502, why, std::nullopt);
         return;
     }
-    item.responder->abort(); // a stream that can't go on must not look whole
-    forget(item);
+    cut(item, why);
 }
 
 void gateway_process::stream_ended(exchange& item, http::client_end how)
@@ -474,7 +474,6 @@
     item.events.drop_rest();
     const auto why =
         how == http::client_end::complete ? core::reason::answer_incomplete : reason_of(how);
-    count(why);
     observe::info("stream_broken", {{"request", item.facts.request_id},
                                     {"upstream", item.upstream},
                                     {"reason", core::to_string(why)},
@@ -486,23 +485,22 @@
     state.max_attempts = item.route.max_attempts;
     state.time_left = time_left(item);
     if (gateway::step_after(gateway::attempt_end::broken, state) == gateway::next_step::retry) {
+        count(why);
         dispatch(item);
         return;
     }
-    item.responder->abort();
-    forget(item);
+    cut(item, why);
 }
 
 void gateway_process::pass_on(exchange& item)
 {
     if (item.began) {
-        item.responder->abort();
-    }
-    else {
-        note_served(item, item.head->status);
-        item.responder->respond(item.head->status, platform::passed_headers(*item.head),
-                                std::move(item.body));
+        cut(item, core::reason::upstream_error); // the rest of the stream was refused
+        return;
     }
+    note_served(item, item.head->status);
+    item.responder->respond(item.head->status, platform::passed_headers(*item.head),
+                            std::move(item.body));
     forget(item);
 }
 
@@ -522,6 +520,22 @@
     forget(item);
 }
 
+// Breaks off a stream that can't go on, so that it can't look whole.
+void gateway_process::cut(exchange& item, core::reason why)
+{
+    count(why);
+    m_metrics.count("siskindrift_streams_cut_total");
+    observe::info("request_cut", {{"request", item.facts.request_id},
+                                  {"route", item.route.name},
+                                  {"reason", core::to_string(why)},
+                                  {"adapter", item.adapter.second},
+                                  {"upstream", item.upstream},
+                                  {"last_event", item.last_event},
+                                  {"age_ms", core::to_ms(m_clock.now() - item.arrived)}});
+    item.responder->abort();
+    forget(item);
+}
+
 void gateway_process::prompt_read(exchange& item)
 {
     if (item.unread_tokens == 0) {
