--- a/src/http/server_test.cpp
+++ b/src/http/server_test.cpp
@@ -8,6 +8,7 @@
 #include <thread>
 
 #include "siskindrift/net/mesh.h"
+#include "tests/loopback.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -33,12 +34,11 @@
     std::atomic<core::reason> last_refusal{core::reason::none};
 };
 
-constexpr const char* address = "127.0.0.9:39417";
-
 } // namespace
 
 TEST_GROUP(Server)
 {
+    const std::string address = tests::free_address();
     asio::io_context context;
     echo handler;
     std::unique_ptr<server> tested;
--- a/src/net/mesh_test.cpp
+++ b/src/net/mesh_test.cpp
@@ -9,6 +9,7 @@
 #include <thread>
 
 #include "siskindrift/wire/frame.h"
+#include "tests/loopback.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -18,7 +19,6 @@
 
 namespace {
 
-constexpr const char* address = "127.0.0.9:39427";
 constexpr std::chrono::seconds limit{5};
 
 class recorder final : public mesh_handler {
@@ -64,6 +64,7 @@
 
 TEST_GROUP(Mesh)
 {
+    const std::string address = tests::free_address();
     asio::io_context context;
     recorder seen;
     std::shared_ptr<mesh> server;
@@ -139,11 +140,12 @@
 TEST(Mesh, ReportsAPeerThatAcceptsButNeverAnswers)
 {
     asio::io_context silent_context;
-    asio::ip::tcp::acceptor silent{silent_context, *parse_address("127.0.0.9:39428")};
-    client->keep("127.0.0.9:39428");
+    const auto silent_address = tests::free_address();
+    asio::ip::tcp::acceptor silent{silent_context, *parse_address(silent_address)};
+    client->keep(silent_address);
     CHECK_TRUE(seen.wait([&] { return seen.ups > 0; }));
     CHECK_TRUE_TEXT(seen.wait([&] { return seen.downs > 0; }), "silence was not noticed");
-    client->forget("127.0.0.9:39428");
+    client->forget(silent_address);
 }
 
 TEST(Mesh, OutlivesAStopBehindAWriteThatSucceeded)
--- a/src/observe/log_story.cpp
+++ b/src/observe/log_story.cpp
@@ -121,7 +121,9 @@
         const bool meanwhile =
             line.at_ms >= begin - clocks_differ_ms && line.at_ms <= end + clocks_differ_ms;
         const bool of_gateway = gateways.contains(line.vm) && beliefs.contains(line.event);
-        const bool of_adapter = line.event == "order" && adapters.contains(line.field("adapter"));
+        const bool of_adapter =
+            (line.event == "order" && adapters.contains(line.field("adapter"))) ||
+            (line.event == "adapters_wanted" && !adapters.empty());
         if (meanwhile && (of_gateway || of_adapter)) {
             story.push_back(line);
         }
--- a/src/observe/log_story_test.cpp
+++ b/src/observe/log_story_test.cpp
@@ -42,6 +42,15 @@
     STRCMP_EQUAL("order request_ended", events("r1").c_str());
 }
 
+TEST(LogStory, AddsHowFarPlacesWereTakenForARequestWithAnAdapter)
+{
+    line("05.500", "c1", R"("event":"adapters_wanted","places":64,"in_use":60)");
+    line("06.000", "g1", R"("event":"request_ended","request":"r1","adapter":"a7","age_ms":900)");
+    line("06.000", "g1", R"("event":"request_ended","request":"r2","adapter":"","age_ms":900)");
+    STRCMP_EQUAL("adapters_wanted request_ended", events("r1").c_str());
+    STRCMP_EQUAL("request_ended", events("r2").c_str());
+}
+
 TEST(LogStory, AddsWhatItsGatewayCameToBelieve)
 {
     line("05.500", "g1", R"("event":"coordinator_lost")");
