Hot adapters get copies by doubling, and many gateways look at two copies each

Change: as many further copies are begun at once as there are copies that have drawn their share, counted anew after 1.5 s, or 0.7 s while a third of all places is idle; with 20 gateways or more each looks at two copies drawn at random and takes the better one. Tests: DoublesTheCopiesOfACrowdedAdapter, SpreadsItsChoiceWhereManyGatewaysChooseByTheSameView.

--- a/include/siskindrift/adapters/placer.h
+++ b/include/siskindrift/adapters/placer.h
@@ -59,13 +59,16 @@
     core::duration use_told = core::milliseconds{60};        // a gateway gathers its words
     core::duration place_patience = core::milliseconds{100}; // a free place is given sooner
     core::duration further_pause = core::milliseconds{1500}; // until a copy has drawn its share
-    core::duration home_patience = core::milliseconds{150};  // less than a load from the store
-    core::duration wish_life = core::milliseconds{3000};     // a gateway repeats its wishes
-    double prompt_tokens_per_ms = 38;                        // what engines of this size read
-    std::size_t store_loads_at_once = 8;                     // more would slow each other down
-    double store_loads_an_engine = 0.45; // larger deployments have larger stores
-    std::size_t loads_at_one_engine = 4; // engines take no more
-    std::size_t remembered_copies = 40;  // what engines keep at hand
+    core::duration further_pause_idle =
+        core::milliseconds{700}; // where a copy costs nobody a place
+    double idle_places = 0.33;   // of all; then further copies cost nobody a place
+    core::duration home_patience = core::milliseconds{150}; // less than a load from the store
+    core::duration wish_life = core::milliseconds{3000};    // a gateway repeats its wishes
+    double prompt_tokens_per_ms = 38;                       // what engines of this size read
+    std::size_t store_loads_at_once = 8;                    // more would slow each other down
+    double store_loads_an_engine = 0.45;                    // larger deployments have larger stores
+    std::size_t loads_at_one_engine = 4;                    // engines take no more
+    std::size_t remembered_copies = 40;                     // what engines keep at hand
 };
 
 /// How far the places and the store are taken.
@@ -136,6 +139,7 @@
         core::time_point used{};
         std::uint64_t awaited_tokens = 0; ///< Of prompts that waited for the load.
         core::time_point loaded{};
+        bool further = false; ///< Another engine held the adapter when this was begun.
     };
     struct engine {
         std::string id;
@@ -199,6 +203,8 @@
     [[nodiscard]] std::optional<double> cost(const engine& at, const adapter_name& name,
                                              core::time_point now) const;
     [[nodiscard]] bool remembers(const engine& at, const adapter_name& name) const;
+    [[nodiscard]] bool many_places_idle() const;
+    [[nodiscard]] bool copies_settled(const adapter_name& name, core::time_point now) const;
     [[nodiscard]] bool places_short(const std::vector<need>& list, core::time_point now) const;
     void place(const need& wanted, core::time_point now, std::vector<order>& orders);
     void check_loads(core::time_point now, std::vector<order>& orders);
@@ -219,7 +225,6 @@
     std::map<adapter_name, std::uint64_t> m_named;
     std::map<std::string, engine> m_engines;
     std::map<std::string, gateway_word> m_gateways;
-    std::map<adapter_name, core::time_point> m_further; ///< When a further copy was begun.
     std::set<std::string> m_changed;
     core::duration m_store_load; ///< What a load from the store takes now.
     std::uint64_t m_next_order = 1;
--- a/include/siskindrift/gateway/upstream_pool.h
+++ b/include/siskindrift/gateway/upstream_pool.h
@@ -31,6 +31,7 @@
     double crowded_ms = 550;           // with the reading, more than callers of chats await
     double full_ms = 400;              // what a full batch delays a first token
     double failing_ms = 1000;          // what a failure costs a caller
+    std::size_t many_gateways = 20;    // that choose by views older than a prompt takes to read
 };
 
 /// Where a request may go.
@@ -56,6 +57,8 @@
     {
     }
 
+    /// Takes how many gateways choose by the same views.
+    void note_gateways(std::size_t count) { m_gateways = count; }
     void note_engine(const wire::engine_view_t& view);
     void note_version(const adapter_name& name, std::uint64_t version, core::time_point now);
 
@@ -111,6 +114,7 @@
     const fleet::roster& m_roster;
     core::random_source m_random;
     pool_options m_options;
+    std::size_t m_gateways = 1;
     std::map<std::string, record> m_records;
     std::map<std::string, engine_copies> m_views;
     std::map<adapter_name, std::pair<std::uint64_t, core::time_point>> m_named;
--- a/src/adapters/placer_plan.cpp
+++ b/src/adapters/placer_plan.cpp
@@ -226,13 +226,48 @@
     const bool no_further = places_short(list, now);
     for (const auto& wanted : list) {
         const bool further = wait_at_copies(wanted).has_value();
-        if (!coming(wanted) && !(further && no_further)) {
+        if (further ? !no_further : !coming(wanted)) {
             place(wanted, now, orders);
         }
     }
     return orders;
 }
 
+bool placer::many_places_idle() const
+{
+    std::size_t places = 0;
+    std::size_t taken = 0;
+    for (const auto& [id, at] : m_engines) {
+        if (!at.usable || terms_of(at) == nullptr) {
+            continue;
+        }
+        places += terms_of(at)->adapter_places;
+        for (const auto& [name, held] : at.copies) {
+            taken += held.state == copy_state::loading || in_use(at, name) ? 1 : 0;
+        }
+    }
+    return static_cast<double>(taken) < (1 - m_options.idle_places) * static_cast<double>(places);
+}
+
+// Further copies draw their share only after a while. Until then as many are begun as there are
+// copies that have, so that their number doubles.
+bool placer::copies_settled(const adapter_name& name, core::time_point now) const
+{
+    const auto pause = many_places_idle() ? m_options.further_pause_idle : m_options.further_pause;
+    std::size_t settled = 0;
+    std::size_t fresh = 0;
+    for (const auto& [id, at] : m_engines) {
+        const auto held = at.copies.find(name);
+        if (held == at.copies.end() || !at.usable) {
+            continue;
+        }
+        const bool loaded = held->second.state == copy_state::loaded;
+        const bool drawing = held->second.further && (!loaded || now - held->second.loaded < pause);
+        ++(drawing ? fresh : settled);
+    }
+    return fresh < std::max<std::size_t>(settled, 1);
+}
+
 // A place for a further copy is one that an adapter without any copy goes without.
 bool placer::places_short(const std::vector<need>& list, core::time_point now) const
 {
@@ -245,10 +280,8 @@
 void placer::place(const need& wanted, core::time_point now, std::vector<order>& orders)
 {
     const auto wait = wait_at_copies(wanted);
-    const auto further = m_further.find(wanted.name);
-    const bool just_made =
-        further != m_further.end() && now - further->second < m_options.further_pause;
-    if (wanted.name.second.empty() || (wait && (!wanted.crowded || just_made))) {
+    if (wanted.name.second.empty() ||
+        (wait && (!wanted.crowded || !copies_settled(wanted.name, now)))) {
         return;
     }
     engine* best = nullptr;
@@ -280,10 +313,8 @@
         orders.push_back(give(*best, out, 0, true));
         return;
     }
-    if (wait) {
-        m_further[wanted.name] = now;
-    }
     auto& held = best->copies[wanted.name];
+    held.further = wait.has_value();
     held.check_pause = {};
     held.accepted = {};
     held.awaited_tokens = wanted.prompt_tokens;
--- a/src/adapters/placer_test.cpp
+++ b/src/adapters/placer_test.cpp
@@ -99,6 +99,20 @@
         places.note_gateway(word, clock.now());
     }
 
+    // Tells of long prompts at each of some engines.
+    void crowd(const std::vector<std::string>& ids)
+    {
+        wire::gateway_report_t word;
+        word.vm = "crowd";
+        for (const auto& id : ids) {
+            wire::engine_share_t share;
+            share.upstream = id;
+            share.pending_tokens = 30'000;
+            wire::append(word.shares, share);
+        }
+        places.note_gateway(word, clock.now());
+    }
+
     void unwish(const std::string& adapter)
     {
         wire::gateway_report_t word;
@@ -367,6 +381,25 @@
     STRCMP_EQUAL("z", plan().at(0).adapter.c_str());
 }
 
+TEST(Placer, DoublesTheCopiesOfACrowdedAdapter)
+{
+    engine("a", {"x"});
+    engine("b", {"x"});
+    for (const std::string id : {"c", "d", "e", "f", "g"}) {
+        engine(id);
+    }
+    int begun = 0;
+    for (int i = 0; i < 4; ++i) {
+        wish("x", true, "", "", 0);
+        crowd({"a", "b"});
+        for (const auto& given : plan()) {
+            finish(given, order_result::accepted);
+            ++begun;
+        }
+    }
+    LONGS_EQUAL(2, begun);
+}
+
 TEST(Placer, LetsAFurtherCopyDrawItsShareBeforeTheNext)
 {
     engine("a", {"x"});
--- a/src/gateway/upstream_pool.cpp
+++ b/src/gateway/upstream_pool.cpp
@@ -124,13 +124,24 @@
         return choice;
     }
     // Equal loads are drawn, so that gateways don't all choose the same upstream.
-    const auto begin = core::uniform_below(m_random, candidates.size());
-    std::rotate(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(begin),
-                candidates.end());
-    const auto best = std::min_element(
-        candidates.begin(), candidates.end(), [](const candidate& left, const candidate& right) {
-            return std::pair{left.ejected, left.load} < std::pair{right.ejected, right.load};
-        });
+    for (std::size_t i = candidates.size() - 1; i > 0; --i) {
+        std::swap(candidates[i], candidates[core::uniform_below(m_random, i + 1)]);
+    }
+    const auto better = [](const candidate& left, const candidate& right) {
+        return std::pair{left.ejected, left.load} < std::pair{right.ejected, right.load};
+    };
+    const candidate least = *std::min_element(candidates.begin(), candidates.end(), better);
+    // Many gateways with the same old view would all choose the same engine: each looks at two.
+    constexpr std::size_t looked_at = 2;
+    const bool engines = !wanted.first.empty();
+    if (engines && m_gateways >= m_options.many_gateways && candidates.size() > looked_at) {
+        if (!least.ejected) {
+            std::erase_if(candidates, [](const candidate& one) { return one.ejected; });
+        }
+        // Their order was drawn, so the first two are any two.
+        candidates.resize(std::min(candidates.size(), looked_at));
+    }
+    const auto best = std::min_element(candidates.begin(), candidates.end(), better);
     choice.what = pool_choice::kind::send;
     choice.upstream = best->item->info.id;
     choice.address = best->item->info.address;
@@ -139,7 +150,7 @@
             choice.adapter_version = best->version; // unknown until the engine reports it
         }
         choice.crowded =
-            best->ejected || best->load > m_options.crowded_ms || *best->version < newest;
+            least.ejected || least.load > m_options.crowded_ms || *best->version < newest;
     }
     return choice;
 }
--- a/src/gateway/upstream_pool_test.cpp
+++ b/src/gateway/upstream_pool_test.cpp
@@ -56,6 +56,26 @@
     STRCMP_EQUAL("b", choose(none).upstream.c_str());
 }
 
+TEST(UpstreamPool, SpreadsItsChoiceWhereManyGatewaysChooseByTheSameView)
+{
+    for (const std::string id : {"a", "b", "c", "d"}) {
+        announce(id);
+        holds(id, 1, id == "a" ? 0 : 10'000);
+    }
+    const auto share_of_a = [&] {
+        int chosen = 0;
+        for (int i = 0; i < 400; ++i) {
+            chosen += choose(wanted).upstream == "a" ? 1 : 0;
+        }
+        return chosen;
+    };
+    pool.note_gateways(7);
+    LONGS_EQUAL(400, share_of_a());
+    pool.note_gateways(70);
+    const int spread = share_of_a();
+    CHECK_TRUE_TEXT(spread > 150 && spread < 250, std::to_string(spread).c_str());
+}
+
 TEST(UpstreamPool, CountsWhatOthersSent)
 {
     announce("a");
