A gateway whose link is full no longer hears late of an upstream that leaves

Ruled out: a lost connection (no coordinator_lost at that gateway), a leader without processor time (0.22 of 0.6 cores at most). Change: fleet::update_pacer, pure: a gateway for whom more than 64 KB wait gets no updates of engines until they have left, then everything once. Tests: UpdatePacer (3), Mesh.TellsHowMuchWaitsForAReaderThatTakesNothing.

--- a/include/siskindrift/net/mesh.h
+++ b/include/siskindrift/net/mesh.h
@@ -86,6 +86,9 @@
     /// Stops keeping the connection.
     void forget(const std::string& address);
 
+    /// Returns how many bytes wait to be written to @p to; 0 when it is gone.
+    [[nodiscard]] std::size_t queued_bytes(connection_id to);
+
     /// Closes one connection.
     void close(connection_id which);
 
--- a/src/apps/coordinator_fleet.cpp
+++ b/src/apps/coordinator_fleet.cpp
@@ -135,16 +135,21 @@
     observe::info("gateway_attached", {{"gateway", word.info->vm}});
     m_mesh->reply(from, wire::make_envelope(full_update()));
     if (m_placing_term != 0) {
-        wire::engine_update_t engines;
-        engines.full = true;
-        engines.term = m_placing_term;
-        for (auto& view : m_placer.all()) {
-            wire::append(engines.engines, std::move(view));
-        }
-        m_mesh->reply(from, wire::make_envelope(std::move(engines)));
+        m_mesh->reply(from, wire::make_envelope(all_engines()));
     }
 }
 
+wire::engine_update_t coordinator_process::all_engines() const
+{
+    wire::engine_update_t engines;
+    engines.full = true;
+    engines.term = m_placing_term;
+    for (auto& view : m_placer.all()) {
+        wire::append(engines.engines, std::move(view));
+    }
+    return engines;
+}
+
 void coordinator_process::tell_document(net::connection_id to)
 {
     const auto& document = m_core->state().current_document();
@@ -258,10 +263,30 @@
             wire::append(update.engines, std::move(view));
         }
     }
-    if (update.engines.empty() || m_placing_term == 0) {
-        return;
+    if (m_placing_term != 0 && (!update.engines.empty() || m_pacer.anyone_behind())) {
+        tell_engines(update);
+    }
+}
+
+void coordinator_process::tell_engines(const wire::engine_update_t& changes)
+{
+    std::vector<net::connection_id> keeping_up;
+    for (const auto& [connection, gateway] : m_gateways) {
+        switch (m_pacer.next(connection, m_mesh->queued_bytes(connection))) {
+        case fleet::update_step::changes:
+            keeping_up.push_back(connection);
+            break;
+        case fleet::update_step::all:
+            m_mesh->reply(connection, wire::make_envelope(all_engines()));
+            break;
+        case fleet::update_step::nothing:
+            m_metrics.count("siskindrift_updates_left_out_total");
+            break;
+        }
+    }
+    if (!changes.engines.empty()) {
+        m_mesh->reply_all(keeping_up, wire::make_envelope(changes));
     }
-    m_mesh->reply_all(gateway_connections(), wire::make_envelope(std::move(update)));
 }
 
 void coordinator_process::show_state(observe::metrics& to) const
@@ -311,13 +336,13 @@
     if (sum.wanted == 0) {
         return;
     }
-    observe::routine("adapters_wanted", {{"wanted", sum.wanted},
-                                         {"store_loads", sum.store_loads},
-                                         {"engines", sum.engines},
-                                         {"places", sum.places},
-                                         {"in_use", sum.in_use},
-                                         {"loading", sum.loading},
-                                         {"just_used", sum.just_used}});
+    observe::info("adapters_wanted", {{"wanted", sum.wanted},
+                                      {"store_loads", sum.store_loads},
+                                      {"engines", sum.engines},
+                                      {"places", sum.places},
+                                      {"in_use", sum.in_use},
+                                      {"loading", sum.loading},
+                                      {"just_used", sum.just_used}});
 }
 
 void coordinator_process::ask_reports()
@@ -352,12 +377,15 @@
                                    : adapters::order_result::unknown;
         m_metrics.count("siskindrift_orders_" + std::string{adapters::to_string(result)} +
                         "_total");
-        observe::info("order", {{"upstream", order.upstream},
-                                {"adapter", order.adapter},
-                                {"version", order.version},
-                                {"unload", order.unload},
-                                {"expected", order.orders_accepted},
-                                {"status", answer ? answer->head.status : 0}});
+        const bool usual =
+            result == adapters::order_result::accepted || result == adapters::order_result::holds;
+        const auto log = usual ? observe::routine : observe::info;
+        log("order", {{"upstream", order.upstream},
+                      {"adapter", order.adapter},
+                      {"version", order.version},
+                      {"unload", order.unload},
+                      {"expected", order.orders_accepted},
+                      {"status", answer ? answer->head.status : 0}});
         m_placer.finished(order.number, result, m_clock.now());
         m_place_wanted = true;
         wake();
--- a/src/apps/coordinator_process.h
+++ b/src/apps/coordinator_process.h
@@ -19,6 +19,7 @@
 #include "siskindrift/control/control_core.h"
 #include "siskindrift/control/member_keeper.h"
 #include "siskindrift/fleet/roster.h"
+#include "siskindrift/fleet/update_pacer.h"
 #include "siskindrift/http/server.h"
 #include "siskindrift/http/whole_calls.h"
 #include "siskindrift/net/mesh.h"
@@ -35,6 +36,9 @@
     int run();
 
 private:
+    // What a gateway's link of 10 Mbit/s carries in 50 ms.
+    static constexpr std::size_t most_queued_bytes = 64 * 1024;
+
     struct attached_gateway {
         wire::gateway_attach_t word;
     };
@@ -85,6 +89,8 @@
     void fill_common(wire::fleet_update_t& update) const;
     [[nodiscard]] wire::fleet_update_t full_update() const;
     void tell_engines();
+    void tell_engines(const wire::engine_update_t& changes);
+    [[nodiscard]] wire::engine_update_t all_engines() const;
     void show_state(observe::metrics& to) const;
     [[nodiscard]] std::vector<net::connection_id> gateway_connections() const;
     void place_adapters();
@@ -119,6 +125,7 @@
     std::uint64_t m_placed_term = 0;  ///< The last such term.
 
     fleet::roster m_roster;
+    fleet::update_pacer m_pacer{most_queued_bytes};
     std::set<std::string> m_own_words; ///< Upstreams that announced themselves here.
     adapters::placer m_placer;
     std::map<net::connection_id, attached_gateway> m_gateways;
--- /dev/null
+++ b/src/fleet/update_pacer_test.cpp
@@ -0,0 +1,37 @@
+#include "siskindrift/fleet/update_pacer.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace siskindrift::fleet;
+
+TEST_GROUP(UpdatePacer)
+{
+    update_pacer pacer{1000};
+
+    void expect(update_step wanted, std::uint64_t reader, std::size_t queued)
+    {
+        LONGS_EQUAL(static_cast<long>(wanted), static_cast<long>(pacer.next(reader, queued)));
+    }
+};
+
+TEST(UpdatePacer, TellsChangesToAReaderThatKeepsUp)
+{
+    expect(update_step::changes, 1, 0);
+    expect(update_step::changes, 1, 1000);
+}
+
+TEST(UpdatePacer, LeavesOutAReaderForWhomTooMuchWaits)
+{
+    expect(update_step::nothing, 1, 1001);
+    expect(update_step::nothing, 1, 5000);
+    expect(update_step::changes, 2, 0);
+}
+
+TEST(UpdatePacer, TellsEverythingOnceToAReaderThatCatchesUp)
+{
+    expect(update_step::nothing, 1, 1001);
+    CHECK_TRUE(pacer.anyone_behind());
+    expect(update_step::all, 1, 100);
+    CHECK_FALSE(pacer.anyone_behind());
+    expect(update_step::changes, 1, 100);
+}
--- a/src/net/mesh.cpp
+++ b/src/net/mesh.cpp
@@ -1,6 +1,7 @@
 #include "siskindrift/net/mesh.h"
 
 #include <array>
+#include <atomic>
 #include <boost/asio/connect.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
@@ -112,6 +113,8 @@
         });
     }
 
+    [[nodiscard]] std::size_t queued_bytes() const { return m_queued_bytes; }
+
     void shut()
     {
         asio::post(m_socket.get_executor(), [self = shared_from_this()] { self->close(); });
@@ -239,7 +242,7 @@
     std::array<char, wire::frame_header_bytes> m_header{};
     std::string m_payload;
     std::deque<std::shared_ptr<const std::string>> m_queue;
-    std::size_t m_queued_bytes = 0;
+    std::atomic<std::size_t> m_queued_bytes{0};
     core::time_point m_last_heard{};
     bool m_up = false;
     bool m_closed = false;
@@ -357,6 +360,13 @@
     }
 }
 
+std::size_t mesh::queued_bytes(connection_id to)
+{
+    const std::lock_guard lock{m_mutex};
+    const auto found = m_connections.find(to);
+    return found == m_connections.end() ? 0 : found->second->queued_bytes();
+}
+
 void mesh::keep(const std::string& address)
 {
     {
--- a/src/net/mesh_test.cpp
+++ b/src/net/mesh_test.cpp
@@ -23,9 +23,12 @@
 
 class recorder final : public mesh_handler {
 public:
-    void on_message(connection_id, wire::envelope_t) override
+    void on_message(connection_id from, wire::envelope_t) override
     {
-        note([this] { ++messages; });
+        note([this, from] {
+            ++messages;
+            last_from = from;
+        });
     }
     void on_link(const std::string&, bool up) override
     {
@@ -46,6 +49,7 @@
     std::mutex mutex;
     std::condition_variable changed;
     int messages = 0;
+    connection_id last_from = 0;
     int ups = 0;
     int downs = 0;
     core::reason last_bad = core::reason::none;
@@ -148,6 +152,26 @@
     client->forget(silent_address);
 }
 
+TEST(Mesh, TellsHowMuchWaitsForAReaderThatTakesNothing)
+{
+    asio::io_context slow_context;
+    asio::ip::tcp::socket slow{slow_context};
+    slow.connect(*parse_address(address));
+    const auto frame = wire::encode_frame(wire::make_envelope(wire::explain_query_t{}));
+    asio::write(slow, asio::buffer(frame));
+    CHECK_TRUE(seen.wait([&] { return seen.messages > 0; }));
+    UNSIGNED_LONGS_EQUAL(0, server->queued_bytes(seen.last_from));
+    wire::document_page_t page;
+    page.content.assign(std::size_t{32} * 1024 * 1024, 'x'); // above what the kernel takes
+    server->reply(seen.last_from, wire::make_envelope(std::move(page)));
+    const auto until = std::chrono::steady_clock::now() + limit;
+    while (server->queued_bytes(seen.last_from) == 0 && std::chrono::steady_clock::now() < until) {
+        std::this_thread::yield();
+    }
+    CHECK_TRUE(server->queued_bytes(seen.last_from) > 1'000'000);
+    slow.close();
+}
+
 TEST(Mesh, OutlivesAStopBehindAWriteThatSucceeded)
 {
     expect_alive();
