--- a/src/apps/ctl_config.cpp
+++ b/src/apps/ctl_config.cpp
@@ -16,15 +16,26 @@
 
 // --- questionnaire ---
 
-exit_status questionnaire_generate(const std::string& path, const ctl_options& options)
+// Returns the answers in a file; prints what is wrong with them.
+std::optional<json::value> read_answers(const std::string& path)
 {
-    const auto answers = read_document(path);
+    auto answers = read_document(path);
     if (!answers) {
-        return exit_status::usage;
+        return std::nullopt;
     }
     const auto faults = config::check_questionnaire(*answers);
     if (!faults.empty()) {
-        return fail(config::describe(faults), exit_status::usage);
+        fail(config::describe(faults));
+        return std::nullopt;
+    }
+    return answers;
+}
+
+exit_status questionnaire_generate(const std::string& path, const ctl_options& options)
+{
+    const auto answers = read_answers(path);
+    if (!answers) {
+        return exit_status::usage;
     }
     json::array list;
     for (const auto& operation : config::generate_configuration(*answers)) {
@@ -80,14 +91,10 @@
 
 exit_status questionnaire_apply(session& at, const std::string& path)
 {
-    const auto answers = read_document(path);
+    const auto answers = read_answers(path);
     if (!answers) {
         return exit_status::usage;
     }
-    const auto faults = config::check_questionnaire(*answers);
-    if (!faults.empty()) {
-        return fail(config::describe(faults), exit_status::usage);
-    }
     const auto page = read_configuration(at);
     if (!page) {
         return exit_status::failed;
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -14,12 +14,16 @@
 import resource
 import shutil
 import signal
-import socket
 import subprocess
+import sys
 import threading
 import time
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
+sys.path.insert(0, str(ROOT / "tools"))
+
+from loopback import free_port_block  # noqa: E402, needs the path above
+
 BIN = pathlib.Path(os.environ.get("SISKINDRIFT_BIN", ROOT / "build" / "bin"))
 
 HOST = "calls.example"
@@ -360,7 +364,7 @@
     def __init__(self, folder, seed=1, coordinators=3, gateways=3, plain=2, engines=2):
         self.folder = pathlib.Path(folder).resolve()
         self.random = random.Random(seed)
-        self.port = free_port()
+        self.port = free_port_block(["127.7.1.1", "127.7.2.1", "127.7.3.1", "127.7.4.1"], 6)
         self.names = [f"coordinator-{i + 1}" for i in range(coordinators)]
         self.gateways = [f"gateway-{i + 1}" for i in range(gateways)]
         self.control = [f"127.7.1.{i + 1}:{self.port + 3}" for i in range(coordinators)]
@@ -549,21 +553,6 @@
         resource.setrlimit(resource.RLIMIT_FSIZE, (most_bytes, resource.RLIM_INFINITY))
 
 
-def free_port():
-    """Returns a port whose five successors are free on the addresses that a world uses."""
-    for base in range(20000 + os.getpid() * 7 % 30000, 60000, 7):
-        try:
-            for ip in ("127.7.1.1", "127.7.2.1", "127.7.3.1", "127.7.4.1"):
-                for offset in range(6):
-                    with socket.socket() as probe:
-                        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-                        probe.bind((ip, base + offset))
-            return base
-        except OSError:
-            continue
-    raise RuntimeError("no free ports")
-
-
 # --- callers' requests and what is judged of their answers ---
 
 def request_headers(request_id, deadline_s, adapter="", events=9):
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -12,6 +12,8 @@
 import urllib.error
 import urllib.request
 
+from loopback import free_port_block
+
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 BIN = pathlib.Path(os.environ.get("SISKINDRIFT_BIN", ROOT / "build" / "bin"))
 
@@ -72,7 +74,7 @@
         self.config_bound_ms = config_bound_ms
         self.relays = relays or {}
         self.processes = {}
-        self.base_port = free_port_block()
+        self.base_port = free_port_block(["127.0.1.1", "127.0.1.7", "127.0.2.1", "127.0.3.1"], 4)
         self.team_key = f"{deployment}-demo-team-key"
 
     # --- addresses ---
@@ -290,21 +292,6 @@
             entry["process"].wait()
 
 
-def free_port_block():
-    """Returns a port whose three successors are free on the addresses that a fleet uses."""
-    for base in range(20000 + os.getpid() % 20000, 60000, 7):
-        try:
-            for ip in ("127.0.1.1", "127.0.1.7", "127.0.2.1", "127.0.3.1"):
-                for offset in range(4):
-                    with socket.socket() as probe:
-                        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-                        probe.bind((ip, base + offset))
-            return base
-        except OSError:
-            continue
-    raise RuntimeError("no free ports")
-
-
 def main():
     if len(sys.argv) < 3 or sys.argv[1] not in ("up", "down"):
         print("usage: fleet.sh up DIR [--deployment magnolia|sangat-austral] | down DIR")
--- /dev/null
+++ b/tools/loopback.py
@@ -0,0 +1,19 @@
+"""Ports on loopback addresses for deployments that run on one machine."""
+
+import os
+import socket
+
+
+def free_port_block(addresses, ports):
+    """Returns the first of `ports` ports in a row that are free on all of the addresses."""
+    for base in range(20000 + os.getpid() * 7 % 30000, 60000, 7):
+        try:
+            for address in addresses:
+                for offset in range(ports):
+                    with socket.socket() as probe:
+                        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                        probe.bind((address, base + offset))
+            return base
+        except OSError:
+            continue
+    raise RuntimeError("no free ports")
