--- a/src/log/replica_store_test.cpp
+++ b/src/log/replica_store_test.cpp
@@ -172,6 +172,17 @@
     CHECK_FALSE(report.damage.empty());
 }
 
+TEST(ReplicaStore, ReportsDamageInTheFirstRecordOfItsSegment)
+{
+    write_two_batches();
+    {
+        std::fstream file{last_segment(), std::ios::in | std::ios::out | std::ios::binary};
+        file.seekp(30); // behind the segment's magic and the record's header
+        file.put('\x5A');
+    }
+    CHECK_TRUE(read_replica(folder, report).damaged);
+}
+
 TEST(ReplicaStore, KeepsItsLogWhenTheDiskFillsUpInTheMiddleOfARecord)
 {
     filling_opener filling;
--- a/tests/fault_soak.py
+++ b/tests/fault_soak.py
@@ -321,9 +321,9 @@
         world.fault(f"the run ended early: {error!r}")
     finally:
         world.down()
-    for name in soak.open_faults:
-        if name.done() and not name.cancelled() and name.exception():
-            world.fault(f"a fault could not be played: {name.exception()!r}")
+    for task in soak.open_faults:
+        if task.done() and not task.cancelled() and task.exception():
+            world.fault(f"a fault could not be played: {task.exception()!r}")
     served = sum(1 for _, _, answer in soak.asked if answer.whole and answer.status == 200)
     print(f"seed {seed}: {len(soak.asked)} requests, {served} served, {world.acknowledged} documents"
           f" acknowledged, {len(world.faults)} promises broken", flush=True)
