--- a/tests/fault_soak.py
+++ b/tests/fault_soak.py
@@ -290,6 +290,13 @@
             if status != 0:
                 self.world.fault(f"{name}: ended with {status} after the last SIGTERM")
 
+    async def play_within(self, limit):
+        try:
+            await asyncio.wait_for(self.play(), limit)
+        finally:
+            self.stop_callers = True
+            self.world.over = True
+
     async def check_recovery(self):
         if not await self.world.put_document(limit=10):
             self.world.fault("no document is acknowledged after the recovery")
@@ -316,7 +323,7 @@
     world = World(folder, seed=seed)
     soak = Soak(world, seed, seconds)
     try:
-        asyncio.run(asyncio.wait_for(soak.play(), seconds + OVERHEAD_S))
+        asyncio.run(soak.play_within(seconds + OVERHEAD_S))
     except (asyncio.TimeoutError, TimeoutError, OSError) as error:
         world.fault(f"the run ended early: {error!r}")
     finally:
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -193,7 +193,8 @@
                  "Adapters": [f"{name}@{version}" for name, version in self.adapters.items()]}]
 
     async def announce(self):
-        while True:
+        # A cancellation that meets the end of a call may be lost, so the loop has an end of its own.
+        while not self.world.over:
             self.announcements += 1
             word = {"Service": self.service, "Address": self.address, "Zone": "a", "Version": "v1",
                     "Slots": SLOTS, "State": "draining" if self.draining else "ready",
@@ -374,6 +375,7 @@
         self.tasks = []
         self.runs = {}
         self.faults = []
+        self.over = False  # ends what runs in the background
         self.upstreams = [Upstream(self, f"plain-{i + 1}", "desk", i + 1) for i in range(plain)]
         self.upstreams += [Upstream(self, f"engine-{i + 1}", "models", i + 101, adapter_places=4)
                            for i in range(engines)]
--- a/tests/process_test.py
+++ b/tests/process_test.py
@@ -29,6 +29,7 @@
             raise
 
     async def asyncTearDown(self):
+        self.world.over = True
         self.world.down()
         if not os.environ.get("KEEP_LOGS"):
             shutil.rmtree(self.folder)
