One way to give a request up, one reading of each segment, one way to fill a disk

Found on reading the change again; behaviour stays. - Three places ended a request that no further upstream gets, each with its own choice of 502, 503 or a cut: give_up. - Recovery read each segment twice, once to see whether it begins whole: now once. - A plan looked at an adapter's copies twice for each need, and asked whether places are short also where nobody wishes a further copy: once, and only where somebody does. - process_test and fault_soak each limited files by themselves: World.fill_disk and empty_disk.

--- a/include/siskindrift/adapters/placer.h
+++ b/include/siskindrift/adapters/placer.h
@@ -206,7 +206,9 @@
     [[nodiscard]] bool many_places_idle() const;
     [[nodiscard]] bool copies_settled(const adapter_name& name, core::time_point now) const;
     [[nodiscard]] bool places_short(const std::vector<need>& list, core::time_point now) const;
-    void place(const need& wanted, core::time_point now, std::vector<order>& orders);
+    /// @param wait at the copy that is least busy, or none without a copy.
+    void place(const need& wanted, std::optional<double> wait, core::time_point now,
+               std::vector<order>& orders);
     void check_loads(core::time_point now, std::vector<order>& orders);
     void load_models(core::time_point now, std::vector<order>& orders);
     order& give(engine& at, const adapter_name& name, std::uint64_t version, bool unload);
--- a/src/adapters/placer_plan.cpp
+++ b/src/adapters/placer_plan.cpp
@@ -223,11 +223,13 @@
     load_models(now, orders);
     check_loads(now, orders);
     const auto list = needs(now);
-    const bool no_further = places_short(list, now);
+    const bool any_crowded =
+        std::any_of(list.begin(), list.end(), [](const need& wanted) { return wanted.crowded; });
+    const bool no_further = any_crowded && places_short(list, now);
     for (const auto& wanted : list) {
-        const bool further = wait_at_copies(wanted).has_value();
-        if (further ? !no_further : !coming(wanted)) {
-            place(wanted, now, orders);
+        const auto wait = wait_at_copies(wanted);
+        if (wait ? wanted.crowded && !no_further : !coming(wanted)) {
+            place(wanted, wait, now, orders);
         }
     }
     return orders;
@@ -277,11 +279,10 @@
     });
 }
 
-void placer::place(const need& wanted, core::time_point now, std::vector<order>& orders)
+void placer::place(const need& wanted, std::optional<double> wait, core::time_point now,
+                   std::vector<order>& orders)
 {
-    const auto wait = wait_at_copies(wanted);
-    if (wanted.name.second.empty() ||
-        (wait && (!wanted.crowded || !copies_settled(wanted.name, now)))) {
+    if (wanted.name.second.empty() || (wait && !copies_settled(wanted.name, now))) {
         return;
     }
     engine* best = nullptr;
--- a/src/apps/gateway_exchanges.cpp
+++ b/src/apps/gateway_exchanges.cpp
@@ -158,26 +158,15 @@
         park(item); // upstreams announce themselves again within a moment of a restart
         return;
     }
-    if (item.began) {
-        cut(item, core::reason::no_upstream);
-        return;
-    }
-    const bool ran = item.may_have_run > 0;
-    finish(item, ran ? 502 : 503, ran ? item.last_reason : core::reason::no_upstream,
-           ran ? std::nullopt : std::optional<core::duration>{come_back});
+    const bool ran = item.may_have_run > 0 && !item.began;
+    give_up(item, ran ? item.last_reason : core::reason::no_upstream);
 }
 
 void gateway_process::send(exchange& item, const gateway::pool_choice& choice)
 {
     const auto now = m_clock.now();
     if (item.sent > 0 && !m_budgets[item.service].take(now, gateway_count())) {
-        if (item.began) {
-            cut(item, core::reason::retry_budget);
-            return;
-        }
-        const bool ran = item.may_have_run > 0;
-        finish(item, ran ? 502 : 503, core::reason::retry_budget,
-               ran ? std::nullopt : std::optional<core::duration>{come_back});
+        give_up(item, core::reason::retry_budget);
         return;
     }
     item.parked = false;
@@ -446,19 +435,10 @@
         pass_on(item);
         return;
     case gateway::next_step::refuse:
-        if (item.began) {
-            break;
-        }
-        finish(item, 503, why, come_back);
-        return;
     case gateway::next_step::fail:
-        if (item.began) {
-            break;
-        }
-        finish(item, 502, why, std::nullopt);
+        give_up(item, why);
         return;
     }
-    cut(item, why);
 }
 
 void gateway_process::stream_ended(exchange& item, http::client_end how)
@@ -520,6 +500,18 @@
     forget(item);
 }
 
+// Ends a request that no further upstream gets, as not run only where that is sure.
+void gateway_process::give_up(exchange& item, core::reason why)
+{
+    if (item.began) {
+        cut(item, why);
+        return;
+    }
+    const bool ran = item.may_have_run > 0;
+    finish(item, ran ? 502 : 503, why,
+           ran ? std::nullopt : std::optional<core::duration>{come_back});
+}
+
 // Breaks off a stream that can't go on, so that it can't look whole.
 void gateway_process::cut(exchange& item, core::reason why)
 {
--- a/src/apps/gateway_process.h
+++ b/src/apps/gateway_process.h
@@ -151,6 +151,7 @@
     void attempt_ended(exchange& item, gateway::attempt_end end, core::reason why);
     void stream_ended(exchange& item, http::client_end how);
     void pass_on(exchange& item);
+    void give_up(exchange& item, core::reason why);
     void cut(exchange& item, core::reason why);
     void finish(exchange& item, std::uint16_t status, core::reason why,
                 std::optional<core::duration> retry_after);
--- a/src/log/replica_store.cpp
+++ b/src/log/replica_store.cpp
@@ -105,11 +105,9 @@
     return false;
 }
 
-bool begins_whole(const numbered_file& file)
+bool begins_whole(std::string_view segment)
 {
-    const auto bytes = read_whole(file.path);
-    const std::string_view text{bytes};
-    return text.starts_with(segment_magic) && unseal(text.substr(segment_magic.size()));
+    return segment.starts_with(segment_magic) && unseal(segment.substr(segment_magic.size()));
 }
 
 class replayer {
@@ -120,10 +118,9 @@
     }
 
     /// Replays the segment that holds the log. Its last record may be torn.
-    void replay_segment(const numbered_file& file)
+    void replay_segment(const numbered_file& file, std::string_view bytes)
     {
-        const auto bytes = read_whole(file.path);
-        auto rest = std::string_view{bytes}.substr(segment_magic.size());
+        auto rest = bytes.substr(segment_magic.size());
         while (!rest.empty() && m_report.damage.empty()) {
             const auto payload = unseal(rest);
             if (!payload) {
@@ -143,9 +140,8 @@
     }
 
     /// Takes a segment whose first record isn't whole: its start failed, or it is damaged.
-    void skip_segment(const numbered_file& file)
+    void skip_segment(const numbered_file& file, std::string_view bytes)
     {
-        const auto bytes = read_whole(file.path);
         if (whole_record_follows(bytes)) {
             damage(file, 0);
         }
@@ -259,14 +255,15 @@
 void read_log(const fs::path& folder, replayer& reader)
 {
     const auto segments = segments_of(folder);
-    const auto newest = std::find_if(segments.rbegin(), segments.rend(), begins_whole);
-    for (auto skipped = segments.rbegin(); skipped != newest; ++skipped) {
-        reader.skip_segment(*skipped);
-    }
-    if (newest != segments.rend()) {
-        reader.replay_segment(*newest);
+    for (auto segment = segments.rbegin(); segment != segments.rend(); ++segment) {
+        const auto bytes = read_whole(segment->path);
+        if (begins_whole(bytes)) {
+            reader.replay_segment(*segment, bytes);
+            return;
+        }
+        reader.skip_segment(*segment, bytes);
     }
-    else if (!segments.empty() && segments.front().number > first_segment) {
+    if (!segments.empty() && segments.front().number > first_segment) {
         reader.damage(segments.front(), 0); // it replaced others, so it was whole once
     }
 }
--- a/tests/fault_soak.py
+++ b/tests/fault_soak.py
@@ -9,7 +9,6 @@
 import json
 import pathlib
 import random
-import resource
 import shutil
 import signal
 import subprocess
@@ -189,17 +188,11 @@
         name = self.random.choice(free)
 
         async def act():
-            self.world.file_limits[name] = 64
-            resource.prlimit(self.world.processes[name].pid, resource.RLIMIT_FSIZE,
-                             (64, resource.RLIM_INFINITY))
+            self.world.fill_disk(name)
 
         async def undo():
-            self.world.file_limits.pop(name, None)
-            process = self.world.processes[name]
-            if process.poll() is None:
-                resource.prlimit(process.pid, resource.RLIMIT_FSIZE,
-                                 (resource.RLIM_INFINITY, resource.RLIM_INFINITY))
-            else:
+            self.world.empty_disk(name)
+            if self.world.processes[name].poll() is not None:
                 self.world.start(name)
         await self.hold([name], "fill disk", act, undo, self.random.uniform(0.2, 3.0))
 
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -34,6 +34,7 @@
 SLOTS = 8
 PROMISES = (408, 421, 429, 503)  # statuses that say that a request has not run
 CONNECT_S = 1.0   # callers allow a new connection
+FULL_DISK_BYTES = 64  # of each file; a segment's start has room, a record not
 
 
 def seal_of(request_id, upstream):
@@ -436,6 +437,21 @@
         threading.Thread(target=keep_log, args=(process.stdout, folder / "log.jsonl"),
                          daemon=True).start()
 
+    def fill_disk(self, name):
+        """Lets a coordinator's writes fail, now and when it is started again."""
+        self.file_limits[name] = FULL_DISK_BYTES
+        self.limit_running(name, FULL_DISK_BYTES)
+
+    def empty_disk(self, name):
+        self.file_limits.pop(name, None)
+        self.limit_running(name, resource.RLIM_INFINITY)
+
+    def limit_running(self, name, most_bytes):
+        process = self.processes[name]
+        if process.poll() is None:
+            resource.prlimit(process.pid, resource.RLIMIT_FSIZE,
+                             (most_bytes, resource.RLIM_INFINITY))
+
     def restart_ended(self):
         """Does what the platform does with processes that ended; returns their names."""
         ended = [name for name, process in self.processes.items() if process.poll() is not None]
--- a/tests/process_test.py
+++ b/tests/process_test.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import os
-import resource
 import shutil
 import signal
 import sys
@@ -130,17 +129,17 @@
             self.assertIn(line, lines)
 
     async def test_a_full_disk_at_one_coordinator_keeps_documents_coming(self):
-        self.fill_disk("coordinator-2")
+        self.world.fill_disk("coordinator-2")
         for _ in range(3):
             self.assertTrue(await self.world.put_document(limit=10))
             self.world.restart_ended()
-        self.empty_disk()
+        self.empty_disks()
         self.world.restart_ended()
         await self.world.until(self.reads_newest, 10, "the newest document is read back")
 
     async def test_full_disks_everywhere_lose_no_acknowledged_document(self):
         for name in self.world.names:
-            self.fill_disk(name)
+            self.world.fill_disk(name)
         await self.world.put_document(limit=3)
         acknowledged = self.world.acknowledged
         for _ in range(4):
@@ -148,7 +147,7 @@
             read = await self.world.read_document()
             self.assertTrue(read is None or read >= acknowledged, f"read {read}")
             await asyncio.sleep(0.3)
-        self.empty_disk()
+        self.empty_disks()
         self.world.restart_ended()
         await self.world.until(self.reads_newest, 15, "the newest document is read back")
         self.assertTrue(await self.world.put_document(limit=10))
@@ -160,19 +159,9 @@
                                      request_headers(request_id, 4.0))
             self.assertEqual(200, answer.status, f"gateway {i + 1}")
 
-    # A write past the limit of a file's size fails as one to a full disk does.
-    def fill_disk(self, name):
-        self.world.file_limits[name] = 64
-        resource.prlimit(self.world.processes[name].pid, resource.RLIMIT_FSIZE,
-                         (64, resource.RLIM_INFINITY))
-
-    def empty_disk(self):
-        self.world.file_limits.clear()
+    def empty_disks(self):
         for name in self.world.names:
-            process = self.world.processes[name]
-            if process.poll() is None:
-                resource.prlimit(process.pid, resource.RLIMIT_FSIZE,
-                                 (resource.RLIM_INFINITY, resource.RLIM_INFINITY))
+            self.world.empty_disk(name)
 
     async def reads_newest(self):
         self.world.restart_ended()
