--- /dev/null
+++ b/include/siskindrift/adapters/load_limiter.h
@@ -0,0 +1,64 @@
+// Limits the concurrent loads of adapters from the weight store.
+#pragma once
+
+#include <cstddef>
+
+#include "siskindrift/core/clock.h"
+
+namespace siskindrift::adapters {
+
+/// Parameters of a load limiter.
+struct load_limiter_options {
+    /// Lower bound of the limit, and the limit before anything is known about the store.
+    double min_limit = 4;
+    /// Upper bound of the limit.
+    double max_limit = 1024;
+    /// Relative duration of a load up to which the store isn't overloaded: the completion of a load
+    /// is noticed up to one poll interval late.
+    double max_stretch = 1.15;
+    /// Relative duration of a load up to which the limit is increased.
+    double timely_stretch = 1.06;
+    /// Weight of one slow load in the limit.
+    double slow_load_weight = 0.2;
+    /// Relative increase of the limit over as many timely loads as the limit allows at once.
+    double relative_increase = 0.5;
+};
+
+/// Learns how many adapters the weight store loads at once without slowing down.
+///
+/// The store is shared by all engines. Up to its capacity each load takes the same time; beyond it,
+/// all loads slow down in proportion, so that more concurrent loads only delay those that matter
+/// most. The limit grows while loads stay as fast as the fastest ones and falls to the number that
+/// the store has coped with when they slow down. Performs no I/O.
+class load_limiter {
+public:
+    explicit load_limiter(load_limiter_options options = {})
+        : m_options(options), m_limit(options.min_limit)
+    {
+    }
+
+    /// Returns the number of loads that may be in progress at once.
+    [[nodiscard]] std::size_t limit() const { return static_cast<std::size_t>(m_limit); }
+
+    /// Records the number of loads in progress from @p now on.
+    void set_in_progress(std::size_t loads, core::time_point now);
+    /// Returns the number of loads in progress, summed over time, in seconds. A load notes it when
+    /// it begins.
+    [[nodiscard]] double load_seconds() const { return m_load_seconds; }
+    /// Updates the limit by a completed load from the store.
+    /// @param began when the load began.
+    /// @param load_seconds as returned by `load_seconds` at that time.
+    void on_load(core::time_point began, double load_seconds, core::time_point now);
+
+private:
+    load_limiter_options m_options;
+    double m_limit;
+    /// Since loads were last this fast. Until then, the limit doubles with each load time.
+    bool m_overload_seen = false;
+    core::duration m_unslowed_time{0}; ///< Duration of the fastest loads; 0: unknown.
+    std::size_t m_in_progress = 0;
+    double m_load_seconds = 0; ///< Sum of `m_in_progress` over time.
+    core::time_point m_summed_until{};
+};
+
+} // namespace siskindrift::adapters
--- a/include/siskindrift/adapters/placer.h
+++ b/include/siskindrift/adapters/placer.h
@@ -7,10 +7,13 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
+#include "siskindrift/adapters/adapter_history.h"
 #include "siskindrift/adapters/engine_report.h"
+#include "siskindrift/adapters/load_limiter.h"
 #include "siskindrift/core/clock.h"
 #include "siskindrift/gateway/deployment.h"
 #include "siskindrift/wire/messages.h"
@@ -20,6 +23,9 @@
 /// The name of a base model and of one of its adapters. The adapter is empty for the base model.
 using adapter_name = std::pair<std::string, std::string>;
 
+/// Returns the key of an adapter in histories and indices.
+[[nodiscard]] adapter_key key_of(const adapter_name& name);
+
 /// A command to one engine to load or unload an adapter or a base model.
 struct order {
     std::uint64_t id = 0;              ///< Unique within one placer.
@@ -62,6 +68,8 @@
     core::duration initial_poll_interval = core::milliseconds{30};
     /// Upper bound of the interval between two polls of a load in progress.
     core::duration max_poll_interval = core::milliseconds{480};
+    /// Fraction of the time of a load from the store below which a load was one from the cache.
+    double max_cached_load_ratio = 0.5;
     /// Delay until an engine that loads a base model is polled for a report.
     core::duration model_load_poll_delay = core::milliseconds{700};
     /// Time without use after which an adapter may be evicted. Later uses
@@ -90,15 +98,12 @@
     core::duration wish_lifetime = core::milliseconds{3000};
     /// Prefill speed of an engine of the deployed size, in prompt tokens per millisecond.
     double prefill_tokens_per_ms = 38;
-    /// Minimum limit on concurrent loads from the weight store. More loads slow each other down.
-    std::size_t base_store_loads = 8;
-    /// Limit on concurrent loads from the weight store per engine, where that gives a higher
-    /// limit: larger deployments have larger weight stores.
-    double store_loads_per_engine = 0.45;
+    /// Limit on concurrent loads from the weight store, adapted to its observed capacity.
+    load_limiter_options store_loads{};
+    /// Number of adapters in the local cache of an engine, adapted to the observed loads.
+    cache_size_options engine_cache{};
     /// Maximum concurrent loads at one engine. Engines accept no more.
     std::size_t max_loads_per_engine = 4;
-    /// Number of recently held adapters that engines keep in their local cache.
-    std::size_t max_recent_adapters = 40;
 };
 
 /// Usage of the adapter slots and of the weight store.
@@ -121,7 +126,8 @@
 class placer {
 public:
     explicit placer(placer_options options = {})
-        : m_options(options), m_store_load_time(options.min_store_load_time)
+        : m_options(options), m_store_load_time(options.min_store_load_time),
+          m_store_limiter(options.store_loads), m_cache_size(options.engine_cache)
     {
     }
 
@@ -179,6 +185,10 @@
         std::uint64_t version = 0;
         copy_state state = copy_state::loaded;
         bool from_store = false; ///< The load reads from the weight store, not from a cache.
+        /// Age in the engine's history when the load began, or none if it isn't recorded there.
+        std::optional<std::size_t> history_age;
+        double load_seconds = 0; ///< Of the store limiter when the load began.
+        bool replaces = false; ///< Replaces another version, which waits for running requests.
         core::time_point next_poll_at{}; ///< When to poll a load in progress.
         core::duration poll_interval{};  ///< Doubles with each poll.
         core::time_point accepted_at{};  ///< When the engine accepted the load.
@@ -202,7 +212,7 @@
         core::time_point report_due{};
         bool report_pending = false;
         std::map<adapter_name, adapter_copy> copies;
-        std::vector<adapter_name> recent_adapters; ///< Recently held, latest last.
+        adapter_history history; ///< Adapters that it has held in this run.
         std::uint32_t running = 0;
         std::uint32_t waiting = 0;
         std::uint64_t pending_tokens = 0; ///< Prompt tokens that await prefill, of all gateways.
@@ -226,7 +236,8 @@
     };
     /// The wishes of all gateways for one adapter.
     struct demand {
-        adapter_name name;
+        const adapter_name* name = nullptr; ///< Valid until the next report of a gateway.
+        adapter_key key = 0;
         std::uint32_t waiting = 0;
         core::duration time_left{};
         bool crowded = false;
@@ -234,10 +245,33 @@
         core::time_point since{}; ///< First report of the oldest wish.
     };
 
+    /// The copies of one adapter on usable engines.
+    struct copy_summary {
+        bool loading = false; ///< The newest version is being loaded.
+        /// Shortest wait, in ms, at an engine that holds the newest version, or none.
+        std::optional<double> min_wait_ms;
+        std::size_t settled = 0;
+        std::size_t fresh = 0; ///< Additional copies that haven't attracted requests yet.
+
+        /// Returns whether another copy of an adapter that has copies may be loaded now.
+        [[nodiscard]] bool may_add_copy() const;
+    };
+    using copy_index = std::unordered_map<adapter_key, copy_summary>;
+    /// An engine that can take an order, and what a load there costs apart from the load itself.
+    struct load_offer {
+        engine_state* engine = nullptr;
+        bool full = false;                  ///< All adapter slots are taken.
+        std::optional<adapter_name> victim; ///< To evict, if the engine is full.
+        double eviction_cost_ms = 0;
+        double wait_ms = 0; ///< Delay of a first token by other requests.
+    };
+
     [[nodiscard]] std::vector<demand> collect_demands(core::time_point now) const;
-    [[nodiscard]] bool is_loading(const demand& wanted) const;
-    /// Returns the shortest wait, in ms, at an engine that holds the newest version, or none.
-    [[nodiscard]] std::optional<double> min_copy_wait_ms(const demand& wanted) const;
+    [[nodiscard]] copy_index index_copies(core::time_point now) const;
+    [[nodiscard]] std::vector<load_offer> collect_offers(core::time_point now);
+    /// Returns whether no usable engine holds or loads the newest version.
+    [[nodiscard]] static bool is_missing(const copy_index& copies, const demand& wanted);
+    void place_adapters(core::time_point now, std::vector<order>& orders);
     [[nodiscard]] bool should_wait_for_recent_engine(const demand& wanted,
                                                      core::time_point now) const;
     void add_usage(gateway_state& state, const wire::gateway_report_t& report);
@@ -246,7 +280,6 @@
     [[nodiscard]] const gateway::engine_capacity* capacity_of(const engine_state& engine) const;
     [[nodiscard]] std::size_t used_adapter_slots(const engine_state& engine) const;
     [[nodiscard]] std::size_t store_loads() const;
-    [[nodiscard]] std::size_t max_store_loads() const;
     [[nodiscard]] core::duration min_idle_before_eviction() const;
     [[nodiscard]] bool can_take_order(const engine_state& engine) const;
     [[nodiscard]] std::uint64_t pending_prefill_tokens(const engine_state& engine,
@@ -256,18 +289,18 @@
     [[nodiscard]] std::optional<adapter_name> choose_victim(const engine_state& engine,
                                                             core::time_point now) const;
     /// Returns the cost in ms of loading an adapter on an engine, or none if that is impossible.
-    [[nodiscard]] std::optional<double> placement_cost_ms(const engine_state& engine,
-                                                          const adapter_name& name,
-                                                          core::time_point now) const;
-    [[nodiscard]] bool held_recently(const engine_state& engine, const adapter_name& name) const;
+    [[nodiscard]] std::optional<double> placement_cost_ms(const load_offer& offer,
+                                                          const demand& wanted) const;
+    [[nodiscard]] bool held_recently(const engine_state& engine, adapter_key key) const;
     [[nodiscard]] bool many_slots_idle() const;
-    /// Returns whether another copy of an adapter that has copies may be loaded now.
-    [[nodiscard]] bool may_add_copy(const adapter_name& name, core::time_point now) const;
     /// Returns whether an adapter without any copy has waited too long for an adapter slot.
-    [[nodiscard]] bool slots_scarce(const std::vector<demand>& list, core::time_point now) const;
+    [[nodiscard]] bool slots_scarce(const std::vector<demand>& list, const copy_index& copies,
+                                    core::time_point now) const;
     /// Orders a copy of an adapter, or the eviction that makes room for it.
     /// @param wait_ms wait in ms at the least busy copy, or none if there is no copy.
-    void place_adapter(const demand& wanted, std::optional<double> wait_ms, core::time_point now,
+    /// @param offers loses the engine that takes the order.
+    void place_adapter(const demand& wanted, std::optional<double> wait_ms,
+                       std::vector<load_offer>& offers, core::time_point now,
                        std::vector<order>& orders);
     void poll_loads(core::time_point now, std::vector<order>& orders);
     void load_base_models(core::time_point now, std::vector<order>& orders);
@@ -275,9 +308,11 @@
                         bool unload);
     void apply_success(engine_state& engine, const order& given, order_result result,
                        core::time_point now);
+    void schedule_poll(adapter_copy& held, core::time_point now);
+    /// Learns from a completed load how fast the store and the caches of the engines are.
+    void learn_from_load(const adapter_copy& held, core::time_point now);
     void update_store_load_time(const adapter_copy& held, core::time_point now);
     void apply_report(engine_state& engine, const engine_report& report, core::time_point now);
-    void record_recent(engine_state& engine, const adapter_name& name);
     [[nodiscard]] wire::engine_view_t make_view(const engine_state& engine) const;
     engine_state* find_by_order(std::uint64_t order_id);
 
@@ -291,6 +326,8 @@
     std::map<std::string, gateway_state> m_gateways;
     std::set<std::string> m_changed_engines;
     core::duration m_store_load_time; ///< Estimate of a load from the weight store.
+    load_limiter m_store_limiter;
+    cache_size_estimate m_cache_size;
     std::uint64_t m_next_order_id = 1;
     core::time_point m_next_model_load_at{}; ///< Limits the rate of base model loads.
     core::time_point m_next_check_at{};
--- /dev/null
+++ b/src/adapters/load_limiter_test.cpp
@@ -0,0 +1,118 @@
+#include "siskindrift/adapters/load_limiter.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <vector>
+
+using namespace siskindrift;
+using namespace siskindrift::adapters;
+
+namespace {
+
+// Starts as many loads as the limiter allows, from a store that slows down beyond its capacity.
+class saturated_store {
+public:
+    load_limiter limiter;
+    double capacity = 8;
+    double load_ms = 250;
+
+    // Returns the mean number of loads in progress over the last half of the time.
+    double play(int ms)
+    {
+        double sum = 0;
+        for (int t = 0; t < ms; ++t) {
+            step();
+            sum += t >= ms / 2 ? static_cast<double>(m_loads.size()) : 0;
+        }
+        return sum / (ms - ms / 2);
+    }
+
+private:
+    struct load {
+        double ms_left;
+        core::time_point began;
+        double load_seconds;
+    };
+
+    void step()
+    {
+        while (m_loads.size() < limiter.limit()) {
+            limiter.set_in_progress(m_loads.size() + 1, m_clock.now());
+            m_loads.push_back({load_ms, m_clock.now(), limiter.load_seconds()});
+        }
+        m_clock.advance(core::milliseconds{1});
+        const double slowdown = std::max(1.0, static_cast<double>(m_loads.size()) / capacity);
+        for (auto& one : m_loads) {
+            one.ms_left -= 1 / slowdown;
+            if (one.ms_left <= 0) {
+                limiter.on_load(one.began, one.load_seconds, m_clock.now());
+            }
+        }
+        std::erase_if(m_loads, [](const load& one) { return one.ms_left <= 0; });
+        limiter.set_in_progress(m_loads.size(), m_clock.now());
+    }
+
+    core::manual_clock m_clock;
+    std::vector<load> m_loads;
+};
+
+} // namespace
+
+TEST_GROUP(LoadLimiter){};
+
+TEST(LoadLimiter, FindsTheCapacityOfStoresOfAnySize)
+{
+    for (const double capacity : {6.0, 8.0, 24.0, 32.0, 64.0, 104.0}) {
+        saturated_store store;
+        store.capacity = capacity;
+        const double concurrent = store.play(6000);
+        CHECK_TRUE_TEXT(concurrent > 0.85 * capacity && concurrent < 1.3 * capacity,
+                        (std::to_string(capacity) + ": " + std::to_string(concurrent)).c_str());
+    }
+}
+
+TEST(LoadLimiter, GrowsWithinASecondToAStoreOfThreeTimesTheInitialLimit)
+{
+    saturated_store store;
+    store.capacity = 24;
+    store.play(1000);
+    CHECK_TRUE(store.limiter.limit() >= 22);
+}
+
+TEST(LoadLimiter, GrowsAgainAfterTheStoreWasSlow)
+{
+    saturated_store store;
+    store.capacity = 24;
+    store.play(3000);
+    store.load_ms = 1000; // of any number of loads
+    store.play(10'000);
+    store.load_ms = 250;
+    const double concurrent = store.play(10'000);
+    CHECK_TRUE_TEXT(concurrent > 0.85 * 24, std::to_string(concurrent).c_str());
+}
+
+TEST(LoadLimiter, ShrinksWhenTheStoreLosesCapacity)
+{
+    saturated_store store;
+    store.capacity = 32;
+    store.play(3000);
+    store.capacity = 8;
+    const double concurrent = store.play(6000);
+    CHECK_TRUE_TEXT(concurrent < 1.3 * 8, std::to_string(concurrent).c_str());
+}
+
+TEST(LoadLimiter, DoesNotGrowByLoadsThatUseLittleOfTheLimit)
+{
+    load_limiter limiter;
+    core::manual_clock clock;
+    const auto before = limiter.limit();
+    for (int i = 0; i < 100; ++i) {
+        limiter.set_in_progress(1, clock.now());
+        const auto began = clock.now();
+        const auto load_seconds = limiter.load_seconds();
+        clock.advance(core::milliseconds{250});
+        limiter.on_load(began, load_seconds, clock.now());
+    }
+    LONGS_EQUAL(static_cast<long>(before), static_cast<long>(limiter.limit()));
+}
--- a/src/adapters/placer.cpp
+++ b/src/adapters/placer.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <utility>
+#include <xxhash.h>
 
 namespace siskindrift::adapters {
 namespace {
@@ -13,6 +14,12 @@
 
 } // namespace
 
+adapter_key key_of(const adapter_name& name)
+{
+    return XXH3_64bits_withSeed(name.second.data(), name.second.size(),
+                                XXH3_64bits(name.first.data(), name.first.size()));
+}
+
 std::string_view to_string(order_result result)
 {
     switch (result) {
@@ -86,8 +93,8 @@
     engine.service = announcement.service;
     for (const auto& held : announcement.copies) {
         const adapter_name name{held->model, held->adapter};
-        if (!held->adapter.empty() && !held_recently(engine, name)) {
-            record_recent(engine, name);
+        if (!held->adapter.empty() && !engine.history.age(key_of(name))) {
+            engine.history.record(key_of(name));
         }
     }
     engine.usable = usable;
@@ -297,19 +304,9 @@
     return engine.using_gateways.contains(name);
 }
 
-bool placer::held_recently(const engine_state& engine, const adapter_name& name) const
-{
-    return std::find(engine.recent_adapters.begin(), engine.recent_adapters.end(), name) !=
-           engine.recent_adapters.end();
-}
-
-void placer::record_recent(engine_state& engine, const adapter_name& name)
+bool placer::held_recently(const engine_state& engine, adapter_key key) const
 {
-    std::erase(engine.recent_adapters, name);
-    engine.recent_adapters.push_back(name);
-    if (engine.recent_adapters.size() > m_options.max_recent_adapters) {
-        engine.recent_adapters.erase(engine.recent_adapters.begin());
-    }
+    return m_cache_size.is_cached(engine.history.age(key));
 }
 
 placer::engine_state* placer::find_by_order(std::uint64_t order_id)
@@ -381,11 +378,11 @@
         return;
     }
     if (!accepted) {
-        update_store_load_time(held->second, now);
+        learn_from_load(held->second, now);
         held->second.state = copy_state::loaded;
         held->second.last_used = now;
         held->second.loaded_at = now;
-        record_recent(engine, name);
+        engine.history.record(key_of(name));
         return;
     }
     held->second.state = copy_state::loading;
@@ -394,22 +391,56 @@
     }
     if (!given.repeated) {
         held->second.accepted_at = now;
+        m_store_limiter.set_in_progress(store_loads(), now);
+        held->second.load_seconds = m_store_limiter.load_seconds();
     }
-    auto& interval = held->second.poll_interval;
-    const auto load_time =
-        held_recently(engine, name) ? m_options.cached_load_time : m_store_load_time;
-    // The load may take longer: a new version is loaded after the running requests have ended.
-    held->second.next_poll_at = now + (interval == core::duration::zero() ? load_time : interval);
-    interval = std::min(std::max(interval * 2, m_options.initial_poll_interval),
-                        m_options.max_poll_interval);
+    schedule_poll(held->second, now);
 }
 
-// Adapts the estimate of the load time, so that the first poll of a load comes just after its end.
-void placer::update_store_load_time(const adapter_copy& held, core::time_point now)
+// Polls a load first when it should be complete. The load may take longer: a new version is loaded
+// after the running requests have ended.
+void placer::schedule_poll(adapter_copy& held, core::time_point now)
 {
-    if (!held.from_store || held.accepted_at == core::time_point{}) {
+    const bool first = held.poll_interval == core::duration::zero();
+    if (first && m_cache_size.may_be_cached(held.history_age)) {
+        held.next_poll_at = now + m_options.cached_load_time;
+        held.poll_interval = m_options.initial_poll_interval;
         return;
     }
+    const auto expected_end = held.accepted_at + m_store_load_time;
+    if (!held.replaces && now < expected_end) {
+        // Not in the cache, or not loaded as fast as from it.
+        held.from_store = true;
+        held.next_poll_at = expected_end;
+        held.poll_interval = m_options.initial_poll_interval;
+        return;
+    }
+    held.next_poll_at = now + std::max(held.poll_interval, m_options.initial_poll_interval);
+    held.poll_interval =
+        std::min(std::max(held.poll_interval * 2, m_options.initial_poll_interval),
+                 m_options.max_poll_interval);
+}
+
+void placer::learn_from_load(const adapter_copy& held, core::time_point now)
+{
+    if (held.replaces || held.accepted_at == core::time_point{}) {
+        return;
+    }
+    const auto elapsed = now - held.accepted_at;
+    const bool cached =
+        std::chrono::duration<double>(elapsed) < m_store_load_time * m_options.max_cached_load_ratio;
+    if (held.history_age) {
+        m_cache_size.on_load(*held.history_age, cached);
+    }
+    if (!cached) {
+        m_store_limiter.on_load(held.accepted_at, held.load_seconds, now);
+        update_store_load_time(held, now);
+    }
+}
+
+// Adapts the estimate of the load time, so that the first poll of a load comes just after its end.
+void placer::update_store_load_time(const adapter_copy& held, core::time_point now)
+{
     const bool at_first_poll = held.poll_interval <= m_options.initial_poll_interval;
     const auto shift = at_first_poll
                            ? m_store_load_time * -timely_load_decrease
--- a/src/adapters/placer_plan.cpp
+++ b/src/adapters/placer_plan.cpp
@@ -1,6 +1,7 @@
 // Planning of the placer: which adapters to load on which engines, and which to evict.
 #include <algorithm>
 #include <tuple>
+#include <unordered_map>
 #include <xxhash.h>
 
 #include "siskindrift/adapters/placer.h"
@@ -14,27 +15,28 @@
 constexpr double tie_break_range_ms = 20; // selects one engine among engines of equal cost
 
 // Returns a hash of an adapter and an engine, scaled to [0, 1].
-double tie_break_fraction(const adapter_name& name, const std::string& engine)
+double tie_break_fraction(adapter_key key, const std::string& engine)
 {
-    const auto text = name.first + "/" + name.second + "|" + engine;
     constexpr double range = 18446744073709551616.0; // 2^64
-    return static_cast<double>(XXH3_64bits(text.data(), text.size())) / range;
+    return static_cast<double>(XXH3_64bits_withSeed(engine.data(), engine.size(), key)) / range;
 }
 
 } // namespace
 
 std::vector<placer::demand> placer::collect_demands(core::time_point now) const
 {
-    std::map<adapter_name, demand> demands;
+    std::unordered_map<adapter_key, demand> demands;
     for (const auto& [vm, state] : m_gateways) {
         for (const auto& [name, wish] : state.wishes) {
             if (now - wish.last_reported > m_options.wish_lifetime) {
                 continue;
             }
-            auto& sum = demands[name];
+            const auto key = key_of(name);
+            auto& sum = demands[key];
             const auto left = wish.time_left - (now - wish.last_reported);
             sum.time_left = sum.waiting == 0 ? left : std::min(sum.time_left, left);
-            sum.name = name;
+            sum.name = &name;
+            sum.key = key;
             sum.since =
                 sum.waiting == 0 ? wish.first_reported : std::min(sum.since, wish.first_reported);
             sum.waiting += wish.waiting;
@@ -44,57 +46,54 @@
     }
     std::vector<demand> list;
     list.reserve(demands.size());
-    for (auto& [name, item] : demands) {
-        list.push_back(std::move(item));
+    for (const auto& [key, item] : demands) {
+        list.push_back(item);
     }
     // Most waiting requests first, then the earliest deadline.
     std::sort(list.begin(), list.end(), [](const demand& left, const demand& right) {
-        return std::tuple{right.waiting, left.time_left} <
-               std::tuple{left.waiting, right.time_left};
+        return std::tuple{right.waiting, left.time_left, left.key} <
+               std::tuple{left.waiting, right.time_left, right.key};
     });
     return list;
 }
 
-// A copy may be in use although no gateway has reported it yet.
-core::duration placer::min_idle_before_eviction() const
+placer::copy_index placer::index_copies(core::time_point now) const
 {
-    return m_options.min_idle_before_eviction +
-           m_options.usage_delay_per_gateway * m_gateways.size();
-}
-
-std::size_t placer::max_store_loads() const
-{
-    const auto by_engines = static_cast<std::size_t>(m_options.store_loads_per_engine *
-                                                     static_cast<double>(m_engines.size()));
-    return std::max(m_options.base_store_loads, by_engines);
-}
-
-bool placer::is_loading(const demand& wanted) const
-{
-    return std::any_of(m_engines.begin(), m_engines.end(), [&](const auto& item) {
-        const auto held = item.second.copies.find(wanted.name);
-        return held != item.second.copies.end() && item.second.usable &&
-               held->second.state == copy_state::loading &&
-               held->second.version >= newest_version(wanted.name);
-    });
-}
-
-std::optional<double> placer::min_copy_wait_ms(const demand& wanted) const
-{
-    std::optional<double> least;
+    const auto interval = many_slots_idle() ? m_options.additional_copy_interval_idle
+                                            : m_options.additional_copy_interval;
+    copy_index index;
     for (const auto& [id, engine] : m_engines) {
-        const auto held = engine.copies.find(wanted.name);
-        const bool loaded = held != engine.copies.end() && engine.usable &&
-                            held->second.state == copy_state::loaded &&
-                            held->second.version >= newest_version(wanted.name);
-        if (!loaded) {
+        if (!engine.usable) {
             continue;
         }
-        const auto ms =
+        const auto wait_ms =
             static_cast<double>(engine.pending_tokens) / m_options.prefill_tokens_per_ms;
-        least = least ? std::min(*least, ms) : ms;
+        for (const auto& [name, held] : engine.copies) {
+            if (name.second.empty()) {
+                continue;
+            }
+            auto& sum = index[key_of(name)];
+            const bool loaded = held.state == copy_state::loaded;
+            const bool settling =
+                held.additional && (!loaded || now - held.loaded_at < interval);
+            ++(settling ? sum.fresh : sum.settled);
+            if (held.version < newest_version(name)) {
+                continue;
+            }
+            sum.loading = sum.loading || held.state == copy_state::loading;
+            if (loaded) {
+                sum.min_wait_ms = sum.min_wait_ms ? std::min(*sum.min_wait_ms, wait_ms) : wait_ms;
+            }
+        }
     }
-    return least;
+    return index;
+}
+
+// A copy may be in use although no gateway has reported it yet.
+core::duration placer::min_idle_before_eviction() const
+{
+    return m_options.min_idle_before_eviction +
+           m_options.usage_delay_per_gateway * m_gateways.size();
 }
 
 // An engine that has held the adapter recently loads it ten times as fast as any other engine, so
@@ -105,8 +104,8 @@
         return false;
     }
     return std::any_of(m_engines.begin(), m_engines.end(), [&](const auto& item) {
-        return item.second.usable && held_recently(item.second, wanted.name) &&
-               !item.second.copies.contains(wanted.name);
+        return item.second.usable && held_recently(item.second, wanted.key) &&
+               !item.second.copies.contains(*wanted.name);
     });
 }
 
@@ -143,47 +142,68 @@
     return tokens;
 }
 
-std::optional<double> placer::placement_cost_ms(const engine_state& engine,
-                                                const adapter_name& name,
-                                                core::time_point now) const
+std::vector<placer::load_offer> placer::collect_offers(core::time_point now)
+{
+    std::vector<load_offer> offers;
+    for (auto& [id, engine] : m_engines) {
+        if (!can_take_order(engine)) {
+            continue;
+        }
+        const auto* capacity = capacity_of(engine);
+        const auto loads =
+            std::count_if(engine.copies.begin(), engine.copies.end(), [](const auto& item) {
+                return !item.first.second.empty() && item.second.state == copy_state::loading;
+            });
+        if (static_cast<std::size_t>(loads) >= m_options.max_loads_per_engine) {
+            continue;
+        }
+        load_offer offer;
+        offer.engine = &engine;
+        offer.full = used_adapter_slots(engine) >= capacity->adapter_slots;
+        if (offer.full) {
+            offer.victim = choose_victim(engine, now);
+        }
+        if (offer.victim) {
+            const auto idle_s =
+                std::chrono::duration<double>(now - engine.copies.at(*offer.victim).last_used);
+            offer.eviction_cost_ms = recent_victim_penalty_ms / std::max(idle_s.count(), 1.0);
+        }
+        const double busy =
+            static_cast<double>(engine.running + engine.waiting) / std::max(1U, capacity->slots);
+        const double prefill = static_cast<double>(pending_prefill_tokens(engine, now)) /
+                               m_options.prefill_tokens_per_ms;
+        offer.wait_ms = prefill + full_batch_delay_ms * busy;
+        offers.push_back(std::move(offer));
+    }
+    return offers;
+}
+
+std::optional<double> placer::placement_cost_ms(const load_offer& offer,
+                                                const demand& wanted) const
 {
-    const auto* capacity = capacity_of(engine);
-    const auto loads =
-        std::count_if(engine.copies.begin(), engine.copies.end(), [](const auto& item) {
-            return !item.first.second.empty() && item.second.state == copy_state::loading;
-        });
-    const auto held = engine.copies.find(name);
+    const auto& engine = *offer.engine;
+    const auto held = engine.copies.find(*wanted.name);
     const bool replaces = held != engine.copies.end();
-    const bool blocked =
-        replaces && (held->second.state != copy_state::loaded || in_use(engine, name));
-    if (blocked || !engine.copies.contains({name.first, ""}) ||
-        static_cast<std::size_t>(loads) >= m_options.max_loads_per_engine) {
+    if (replaces && (held->second.state != copy_state::loaded || in_use(engine, *wanted.name) ||
+                     held->second.version >= newest_version(*wanted.name))) {
         return std::nullopt;
     }
-    double ms = static_cast<double>(
-        core::to_ms(held_recently(engine, name) ? m_options.cached_load_time : m_store_load_time));
-    if (!replaces && used_adapter_slots(engine) >= capacity->adapter_slots) {
-        const auto victim = choose_victim(engine, now);
-        if (!victim) {
-            return std::nullopt;
-        }
-        const auto idle_s =
-            std::chrono::duration<double>(now - engine.copies.at(*victim).last_used).count();
-        ms += recent_victim_penalty_ms / std::max(idle_s, 1.0);
+    if ((!replaces && offer.full && !offer.victim) ||
+        !engine.copies.contains({wanted.name->first, ""})) {
+        return std::nullopt;
     }
-    const double busy =
-        static_cast<double>(engine.running + engine.waiting) / std::max(1U, capacity->slots);
-    const double prefill =
-        static_cast<double>(pending_prefill_tokens(engine, now)) / m_options.prefill_tokens_per_ms;
-    return ms + prefill + full_batch_delay_ms * busy +
-           tie_break_range_ms * tie_break_fraction(name, engine.id);
+    const auto load_time =
+        held_recently(engine, wanted.key) ? m_options.cached_load_time : m_store_load_time;
+    return static_cast<double>(core::to_ms(load_time)) + (replaces ? 0 : offer.eviction_cost_ms) +
+           offer.wait_ms + tie_break_range_ms * tie_break_fraction(wanted.key, engine.id);
 }
 
 placement_summary placer::summary(core::time_point now) const
 {
     placement_summary sum;
+    const auto copies = index_copies(now);
     for (const auto& wanted : collect_demands(now)) {
-        sum.wanted += !is_loading(wanted) && !min_copy_wait_ms(wanted) ? 1 : 0;
+        sum.wanted += is_missing(copies, wanted) ? 1 : 0;
     }
     sum.store_loads = store_loads();
     for (const auto& [id, engine] : m_engines) {
@@ -234,19 +254,49 @@
         m_next_check_at = m_first_order_at;
         return orders;
     }
+    m_store_limiter.set_in_progress(store_loads(), now);
     load_base_models(now, orders);
     poll_loads(now, orders);
+    place_adapters(now, orders);
+    return orders;
+}
+
+void placer::place_adapters(core::time_point now, std::vector<order>& orders)
+{
     const auto list = collect_demands(now);
+    if (list.empty()) {
+        return;
+    }
+    auto offers = collect_offers(now);
+    const auto copies = index_copies(now);
     const bool any_crowded =
         std::any_of(list.begin(), list.end(), [](const demand& wanted) { return wanted.crowded; });
-    const bool no_additional = any_crowded && slots_scarce(list, now);
+    const bool no_additional = any_crowded && slots_scarce(list, copies, now);
     for (const auto& wanted : list) {
-        const auto wait_ms = min_copy_wait_ms(wanted);
-        if (wait_ms ? wanted.crowded && !no_additional : !is_loading(wanted)) {
-            place_adapter(wanted, wait_ms, now, orders);
+        if (offers.empty()) {
+            return;
+        }
+        const auto found = copies.find(wanted.key);
+        const auto held = found == copies.end() ? copy_summary{} : found->second;
+        const bool place = held.min_wait_ms ? wanted.crowded && !no_additional && held.may_add_copy()
+                                            : !held.loading;
+        if (place) {
+            place_adapter(wanted, held.min_wait_ms, offers, now, orders);
         }
     }
-    return orders;
+}
+
+// Additional copies attract their share of the requests only after some time. Until then at most
+// as many are loaded as there are settled copies, so that the number of copies doubles.
+bool placer::copy_summary::may_add_copy() const
+{
+    return fresh < std::max<std::size_t>(settled, 1);
+}
+
+bool placer::is_missing(const copy_index& copies, const demand& wanted)
+{
+    const auto found = copies.find(wanted.key);
+    return found == copies.end() || (!found->second.loading && !found->second.min_wait_ms);
 }
 
 bool placer::many_slots_idle() const
@@ -265,83 +315,64 @@
     return static_cast<double>(used) < (1 - m_options.idle_slot_ratio) * static_cast<double>(slots);
 }
 
-// Additional copies attract their share of the requests only after some time. Until then at most
-// as many are loaded as there are settled copies, so that the number of copies doubles.
-bool placer::may_add_copy(const adapter_name& name, core::time_point now) const
-{
-    const auto interval = many_slots_idle() ? m_options.additional_copy_interval_idle
-                                            : m_options.additional_copy_interval;
-    std::size_t settled = 0;
-    std::size_t fresh = 0;
-    for (const auto& [id, engine] : m_engines) {
-        const auto held = engine.copies.find(name);
-        if (held == engine.copies.end() || !engine.usable) {
-            continue;
-        }
-        const bool loaded = held->second.state == copy_state::loaded;
-        const bool settling =
-            held->second.additional && (!loaded || now - held->second.loaded_at < interval);
-        ++(settling ? fresh : settled);
-    }
-    return fresh < std::max<std::size_t>(settled, 1);
-}
-
 // An adapter slot of an additional copy is not available to an adapter without any copy.
-bool placer::slots_scarce(const std::vector<demand>& list, core::time_point now) const
+bool placer::slots_scarce(const std::vector<demand>& list, const copy_index& copies,
+                          core::time_point now) const
 {
     return std::any_of(list.begin(), list.end(), [&](const demand& wanted) {
-        return now - wanted.since > m_options.slot_wait_limit && !is_loading(wanted) &&
-               !min_copy_wait_ms(wanted);
+        return now - wanted.since > m_options.slot_wait_limit && is_missing(copies, wanted);
     });
 }
 
 void placer::place_adapter(const demand& wanted, std::optional<double> wait_ms,
-                           core::time_point now, std::vector<order>& orders)
+                           std::vector<load_offer>& offers, core::time_point now,
+                           std::vector<order>& orders)
 {
-    if (wanted.name.second.empty() || (wait_ms && !may_add_copy(wanted.name, now))) {
+    const auto& name = *wanted.name;
+    if (name.second.empty()) {
         return;
     }
-    engine_state* best = nullptr;
+    auto best = offers.end();
     double best_cost = 0;
-    for (auto& [id, engine] : m_engines) {
-        if (!can_take_order(engine)) {
-            continue;
-        }
-        const auto ms = placement_cost_ms(engine, wanted.name, now);
-        const auto held = engine.copies.find(wanted.name);
-        const bool has_newest =
-            held != engine.copies.end() && held->second.version >= newest_version(wanted.name);
-        if (ms && !has_newest && (best == nullptr || *ms < best_cost)) {
-            best = &engine;
+    for (auto offer = offers.begin(); offer != offers.end(); ++offer) {
+        const auto ms = placement_cost_ms(*offer, wanted);
+        if (ms && (best == offers.end() || *ms < best_cost)) {
+            best = offer;
             best_cost = *ms;
         }
     }
-    const bool recent = best != nullptr && held_recently(*best, wanted.name);
-    const bool no_gain = best != nullptr && wait_ms && best_cost >= *wait_ms;
-    if (best == nullptr || no_gain || (!recent && should_wait_for_recent_engine(wanted, now)) ||
-        (!recent && store_loads() >= max_store_loads())) {
+    if (best == offers.end() || (wait_ms && best_cost >= *wait_ms)) {
+        return;
+    }
+    auto& engine = *best->engine;
+    const bool recent = held_recently(engine, wanted.key);
+    if (!recent && (store_loads() >= m_store_limiter.limit() ||
+                    should_wait_for_recent_engine(wanted, now))) {
         return;
     }
-    const bool replaces = best->copies.contains(wanted.name);
-    if (!replaces && used_adapter_slots(*best) >= capacity_of(*best)->adapter_slots) {
-        const auto victim = *choose_victim(*best, now);
-        best->copies[victim].state = copy_state::unloading;
-        m_changed_engines.insert(best->id);
-        orders.push_back(create_order(*best, victim, 0, true));
+    const auto victim = best->victim;
+    const bool full = best->full;
+    offers.erase(best); // an engine takes one order at a time
+    const bool replaces = engine.copies.contains(name);
+    m_changed_engines.insert(engine.id);
+    if (!replaces && full) {
+        engine.copies[*victim].state = copy_state::unloading;
+        orders.push_back(create_order(engine, *victim, 0, true));
         return;
     }
-    auto& held = best->copies[wanted.name];
+    auto& held = engine.copies[name];
     held.additional = wait_ms.has_value();
     held.poll_interval = {};
     held.accepted_at = {};
     held.waiting_prompt_tokens = wanted.prompt_tokens;
-    held.version = newest_version(wanted.name);
+    held.version = newest_version(name);
     held.state = copy_state::loading;
     held.from_store = !recent;
+    held.history_age = engine.history.age(wanted.key);
+    held.replaces = replaces;
     held.last_used = now;
     held.next_poll_at = core::time_point::max(); // set when the engine accepts the order
-    m_changed_engines.insert(best->id);
-    orders.push_back(create_order(*best, wanted.name, newest_version(wanted.name), false));
+    orders.push_back(create_order(engine, name, held.version, false));
 }
 
 // Repeats the order of each load that should be complete: the engine answers that it holds.
--- /dev/null
+++ b/tests/placement_world.h
@@ -0,0 +1,103 @@
+// A simulation of the placer with engines, a weight store and gateways.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "siskindrift/adapters/placer.h"
+#include "siskindrift/core/clock.h"
+#include "siskindrift/core/random.h"
+
+namespace siskindrift::tests {
+
+/// What is simulated.
+struct placement_scenario {
+    std::size_t engines = 12;
+    std::uint32_t adapter_slots = 18; ///< Of each engine.
+    std::size_t cached_adapters = 40; ///< In the local cache of each engine.
+    double full_speed_loads = 8;      ///< Loads from the store that don't slow each other down.
+    core::duration store_load_time = core::milliseconds{250};
+    std::uint32_t adapters = 3000;
+    double zipf_exponent = 1.2; ///< Of the adapters' popularity.
+    double requests_per_s = 100;
+    core::duration service_time = core::milliseconds{500};
+    core::duration patience = core::milliseconds{3000}; ///< Longest wait for an adapter.
+    std::uint64_t seed = 1;
+};
+
+/// What the callers and the store have seen.
+struct placement_outcome {
+    std::vector<double> waits_ms; ///< Of the requests whose adapter was loaded in time.
+    std::size_t given_up = 0;     ///< Requests whose adapter was not loaded in time.
+    std::size_t store_loads = 0;
+    std::size_t cached_loads = 0;
+
+    /// Returns the share of all requests that waited at most @p ms.
+    [[nodiscard]] double share_within(double ms) const;
+};
+
+/// Plays requests for adapters against a placer. The engines are modeled by the times that their
+/// loads take; running requests only keep their adapter in use.
+class placement_world {
+public:
+    explicit placement_world(placement_scenario scenario, adapters::placer_options options = {});
+
+    /// Plays @p length and returns the outcome of the requests that arrived in it.
+    placement_outcome play(core::duration length);
+    /// Changes the store from now on.
+    void set_store(double full_speed_loads, core::duration load_time);
+    [[nodiscard]] const adapters::placer& placer() const { return m_placer; }
+
+private:
+    struct engine_model {
+        std::string id;
+        std::uint64_t orders_accepted = 0;
+        std::set<std::string> loaded;
+        std::map<std::string, double> loading_ms_left; ///< At full speed.
+        std::set<std::string> from_store;
+        std::deque<std::string> cache; ///< Most recent last.
+        std::map<std::string, int> running;
+    };
+    struct request {
+        std::string adapter;
+        core::time_point arrived_at{};
+    };
+    struct run {
+        std::size_t engine;
+        std::string adapter;
+        core::time_point ends_at{};
+    };
+    struct order_in_transit {
+        adapters::order given;
+        core::time_point arrives_at{};
+    };
+
+    void step();
+    void start_requests();
+    void advance_loads();
+    void deliver_orders();
+    void report_to_placer();
+    adapters::order_result execute(engine_model& engine, const adapters::order& given);
+    [[nodiscard]] std::string draw_adapter();
+    [[nodiscard]] std::size_t active_store_loads() const;
+
+    placement_scenario m_scenario;
+    core::manual_clock m_clock;
+    core::random_source m_random;
+    adapters::placer m_placer;
+    std::vector<engine_model> m_engines;
+    std::vector<double> m_cumulative_popularity;
+    std::deque<request> m_waiting;
+    std::vector<run> m_runs;
+    std::deque<order_in_transit> m_orders;
+    std::set<std::string> m_reported_wishes;
+    core::time_point m_report_due{};
+    double m_arrivals_due = 0;
+    placement_outcome m_outcome;
+};
+
+} // namespace siskindrift::tests
