--- a/include/siskindrift/adapters/load_limiter.h
+++ b/include/siskindrift/adapters/load_limiter.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstddef>
+#include <vector>
 
 #include "siskindrift/core/clock.h"
 
@@ -13,15 +14,21 @@
     double min_limit = 4;
     /// Upper bound of the limit.
     double max_limit = 1024;
-    /// Relative duration of a load up to which the store isn't overloaded: the completion of a load
+    /// Relative duration of loads up to which the store isn't overloaded: the completion of a load
     /// is noticed up to one poll interval late.
     double max_stretch = 1.15;
-    /// Relative duration of a load up to which the limit is increased.
+    /// Relative duration of loads up to which the limit is increased.
     double timely_stretch = 1.06;
-    /// Weight of one slow load in the limit.
-    double slow_load_weight = 0.2;
-    /// Relative increase of the limit over as many timely loads as the limit allows at once.
-    double relative_increase = 0.5;
+    /// Least fraction of the limit that must be in progress for the limit to be increased.
+    double min_use = 0.5;
+    /// Relative increase of the limit until the store is first overloaded.
+    double initial_increase = 1.0;
+    /// Relative increase after that. The limit increases at least by one.
+    double increase = 0.1;
+    /// Largest relative decrease at once.
+    double max_decrease = 0.3;
+    /// Least number of loads by which the limit is changed.
+    std::size_t min_sample = 4;
 };
 
 /// Learns how many adapters the weight store loads at once without slowing down.
@@ -29,7 +36,9 @@
 /// The store is shared by all engines. Up to its capacity each load takes the same time; beyond it,
 /// all loads slow down in proportion, so that more concurrent loads only delay those that matter
 /// most. The limit grows while loads stay as fast as the fastest ones and falls to the number that
-/// the store has coped with when they slow down. Performs no I/O.
+/// the store has coped with when they slow down. It is changed by the median of as many loads as
+/// may be in progress at once, because single loads are late for other reasons, such as an engine
+/// that fails. Performs no I/O.
 class load_limiter {
 public:
     explicit load_limiter(load_limiter_options options = {})
@@ -51,11 +60,18 @@
     void on_load(core::time_point began, double load_seconds, core::time_point now);
 
 private:
+    struct sample {
+        double duration_s;
+        double loads; ///< Mean number of loads in progress during this one, including itself.
+    };
+    void update(const sample& median);
+
     load_limiter_options m_options;
     double m_limit;
     /// Since loads were last this fast. Until then, the limit doubles with each load time.
     bool m_overload_seen = false;
-    core::duration m_unslowed_time{0}; ///< Duration of the fastest loads; 0: unknown.
+    double m_unslowed_s = 0; ///< Duration of the fastest loads; 0: unknown.
+    std::vector<sample> m_samples;
     std::size_t m_in_progress = 0;
     double m_load_seconds = 0; ///< Sum of `m_in_progress` over time.
     core::time_point m_summed_until{};
--- a/src/adapters/load_limiter.cpp
+++ b/src/adapters/load_limiter.cpp
@@ -3,12 +3,6 @@
 #include <algorithm>
 
 namespace siskindrift::adapters {
-namespace {
-
-// Fraction of the limit from which on the loads in progress show whether the store copes with it.
-constexpr double relevant_share = 0.5;
-
-} // namespace
 
 void load_limiter::set_in_progress(std::size_t loads, core::time_point now)
 {
@@ -20,39 +14,47 @@
 
 void load_limiter::on_load(core::time_point began, double load_seconds, core::time_point now)
 {
-    const auto elapsed = now - began;
-    if (elapsed <= core::duration::zero()) {
+    const auto duration_s = std::chrono::duration<double>(now - began).count();
+    if (duration_s <= 0) {
         return;
     }
     set_in_progress(m_in_progress, now);
-    // Mean number of loads in progress during this one, including itself.
-    const double loads = (m_load_seconds - load_seconds) / std::chrono::duration<double>(elapsed).count();
-    if (m_unslowed_time == core::duration::zero() || elapsed < m_unslowed_time) {
-        const bool faster = elapsed * m_options.timely_stretch < m_unslowed_time;
+    m_samples.push_back({duration_s, (m_load_seconds - load_seconds) / duration_s});
+    if (m_samples.size() < std::max(limit(), m_options.min_sample)) {
+        return;
+    }
+    const auto middle = m_samples.begin() + static_cast<std::ptrdiff_t>(m_samples.size() / 2);
+    std::nth_element(m_samples.begin(), middle, m_samples.end(),
+                     [](const sample& left, const sample& right) {
+                         return left.duration_s < right.duration_s;
+                     });
+    const auto median = *middle;
+    m_samples.clear();
+    update(median);
+}
+
+void load_limiter::update(const sample& median)
+{
+    if (m_unslowed_s == 0 || median.duration_s < m_unslowed_s) {
+        const bool faster = median.duration_s * m_options.timely_stretch < m_unslowed_s;
         m_overload_seen = m_overload_seen && !faster;
-        m_unslowed_time = elapsed;
+        m_unslowed_s = median.duration_s;
     }
-    const double stretch = std::chrono::duration<double>(elapsed) / m_unslowed_time;
+    const double stretch = median.duration_s / m_unslowed_s;
     if (stretch <= m_options.timely_stretch) {
-        if (loads < m_limit * relevant_share) {
-            return;
+        if (median.loads >= m_limit * m_options.min_use) {
+            const double increase = m_overload_seen ? m_options.increase : m_options.initial_increase;
+            m_limit = std::min(m_limit + std::max(m_limit * increase, 1.0), m_options.max_limit);
         }
-        m_limit += m_overload_seen ? m_options.relative_increase / m_limit : 1;
-        m_limit = std::min(m_limit, m_options.max_limit);
-        return;
     }
-    if (stretch <= m_options.max_stretch) {
-        return;
-    }
-    if (loads <= m_options.min_limit) {
+    else if (stretch > m_options.max_stretch && median.loads <= m_options.min_limit) {
         // So few loads can't overload the store: it has become slower.
-        m_unslowed_time = elapsed;
-        return;
+        m_unslowed_s = median.duration_s;
     }
-    m_overload_seen = true;
-    const double capacity = std::max(loads / stretch, m_options.min_limit);
-    if (capacity < m_limit) {
-        m_limit += (capacity - m_limit) * m_options.slow_load_weight;
+    else if (stretch > m_options.max_stretch) {
+        m_overload_seen = true;
+        m_limit = std::clamp(median.loads / stretch, m_limit * (1 - m_options.max_decrease), m_limit);
+        m_limit = std::max(m_limit, m_options.min_limit);
     }
 }
 
--- a/src/adapters/load_limiter_test.cpp
+++ b/src/adapters/load_limiter_test.cpp
@@ -16,6 +16,7 @@
     load_limiter limiter;
     double capacity = 8;
     double load_ms = 250;
+    int late_loads = 0; ///< Number of ten loads that engines carry out a second late.
 
     // Returns the mean number of loads in progress over the last half of the time.
     double play(int ms)
@@ -39,7 +40,8 @@
     {
         while (m_loads.size() < limiter.limit()) {
             limiter.set_in_progress(m_loads.size() + 1, m_clock.now());
-            m_loads.push_back({load_ms, m_clock.now(), limiter.load_seconds()});
+            const bool late = m_begun++ % 10 < late_loads;
+            m_loads.push_back({load_ms + (late ? 1000 : 0), m_clock.now(), limiter.load_seconds()});
         }
         m_clock.advance(core::milliseconds{1});
         const double slowdown = std::max(1.0, static_cast<double>(m_loads.size()) / capacity);
@@ -55,6 +57,7 @@
 
     core::manual_clock m_clock;
     std::vector<load> m_loads;
+    int m_begun = 0;
 };
 
 } // namespace
@@ -102,6 +105,15 @@
     CHECK_TRUE_TEXT(concurrent < 1.3 * 8, std::to_string(concurrent).c_str());
 }
 
+TEST(LoadLimiter, KeepsTheLimitWhenAMinorityOfLoadsIsLate)
+{
+    saturated_store store;
+    store.capacity = 24;
+    store.late_loads = 4; // of ten
+    const double concurrent = store.play(6000);
+    CHECK_TRUE_TEXT(concurrent > 0.85 * 24, std::to_string(concurrent).c_str());
+}
+
 TEST(LoadLimiter, DoesNotGrowByLoadsThatUseLittleOfTheLimit)
 {
     load_limiter limiter;
--- a/src/adapters/placer.cpp
+++ b/src/adapters/placer.cpp
@@ -287,7 +287,7 @@
     std::size_t loads = 0;
     for (const auto& [id, engine] : m_engines) {
         for (const auto& [name, held] : engine.copies) {
-            loads += held.state == copy_state::loading && held.from_store ? 1 : 0;
+            loads += engine.usable && held.state == copy_state::loading && held.from_store ? 1 : 0;
         }
     }
     return loads;
