Treat engines that gateways can't reach as if they held nothing

Ruled out: the limit on loads alone (it was at its lower bound while 2 loads really ran). Change: a gateway counts an engine as unreachable after two refused connections or a second of silence on all of its requests, sends it one trial each half second, and reports it; the placer ignores copies and loads of an engine that three in ten gateways can't reach.

--- a/include/siskindrift/adapters/placer.h
+++ b/include/siskindrift/adapters/placer.h
@@ -93,6 +93,8 @@
     /// Maximum wait for an engine that has held the adapter recently. Shorter than a load from
     /// the weight store.
     core::duration recent_engine_wait_limit = core::milliseconds{150};
+    /// Fraction of the gateways that must be unable to reach an engine for its copies not to count.
+    double unreachable_ratio = 0.3;
     /// Time after which a wish, a gateway's request for a copy of an adapter, expires. Gateways
     /// repeat their wishes.
     core::duration wish_lifetime = core::milliseconds{3000};
@@ -217,6 +219,7 @@
         std::uint32_t waiting = 0;
         std::uint64_t pending_tokens = 0; ///< Prompt tokens that await prefill, of all gateways.
         std::map<adapter_name, std::uint32_t> using_gateways; ///< Gateways that use each one.
+        std::size_t unreachable_from = 0; ///< Number of gateways that can't reach it.
         bool load_changed = false;
     };
     /// A gateway's request for a copy of an adapter.
@@ -233,6 +236,7 @@
         std::map<adapter_name, wish> wishes;
         std::vector<std::pair<std::string, adapter_name>> uses; ///< Engine ID and adapter.
         std::map<std::string, std::uint64_t> pending_tokens;    ///< By engine ID.
+        std::vector<std::string> unreachable;                   ///< Engine IDs.
     };
     /// The wishes of all gateways for one adapter.
     struct demand {
@@ -281,6 +285,8 @@
     [[nodiscard]] std::size_t used_adapter_slots(const engine_state& engine) const;
     [[nodiscard]] std::size_t store_loads() const;
     [[nodiscard]] core::duration min_idle_before_eviction() const;
+    /// Returns whether requests can be sent to the engine.
+    [[nodiscard]] bool is_usable(const engine_state& engine) const;
     [[nodiscard]] bool can_take_order(const engine_state& engine) const;
     [[nodiscard]] std::uint64_t pending_prefill_tokens(const engine_state& engine,
                                                        core::time_point now) const;
--- a/include/siskindrift/gateway/upstream_pool.h
+++ b/include/siskindrift/gateway/upstream_pool.h
@@ -29,6 +29,15 @@
     unsigned failures_before_ejection = 2;
     /// Moving average of the failure rate above which an upstream is ejected.
     double ejection_failure_rate = 0.35;
+    /// Consecutive attempts that could not connect before an upstream counts as unreachable.
+    unsigned failed_connects_before_unreachable = 2;
+    /// Time without any byte from an engine that has several requests, after which it counts as
+    /// unreachable. Engines send the events of all running requests at least this often.
+    core::duration engine_silence_limit = core::milliseconds{1000};
+    /// Number of requests whose silence shows that the engine is silent, not a single request.
+    std::uint32_t min_silent_requests = 2;
+    /// Interval at which a single request tries an unreachable upstream again.
+    core::duration unreachable_trial_interval = core::milliseconds{500};
     /// Time for which an old version of an adapter is used after a new one became current. Covers
     /// the load of the new version from the store and the report of it, with a margin.
     core::duration old_version_grace = core::milliseconds{1500};
@@ -92,13 +101,19 @@
 
     /// Records that a request was sent to @p upstream.
     /// @param tokens prompt tokens that the upstream has to process before the first token.
-    void record_sent(const std::string& upstream, const adapter_name& name,
+    void record_sent(const std::string& upstream, const adapter_name& name, core::time_point now,
                      std::uint32_t tokens = 0);
     /// Records that the upstream has processed the prompt of a request, or that the request ended.
     /// @param tokens as passed to `record_sent`.
     void record_prompt_processed(const std::string& upstream, std::uint32_t tokens);
     /// Records that a request sent to @p upstream has ended.
     void record_ended(const std::string& upstream, const adapter_name& name);
+    /// Records that bytes of a response of @p upstream arrived.
+    void record_activity(const std::string& upstream, core::time_point now);
+    /// Records that no connection to @p upstream could be established.
+    void record_connect_failure(const std::string& upstream, core::time_point now);
+    /// Returns the upstreams that this gateway can't reach at present.
+    [[nodiscard]] std::vector<std::string> unreachable_upstreams(core::time_point now) const;
     /// Records whether an attempt failed because of the upstream.
     void record_outcome(const std::string& upstream, bool failed, core::time_point now);
     /// Records the load that the upstream reported in a response.
@@ -126,6 +141,11 @@
         unsigned consecutive_failures = 0;
         core::time_point last_failure{};
         std::map<adapter_name, std::uint32_t> requests_by_adapter;
+        unsigned failed_connects = 0;    ///< Since the last byte from the upstream.
+        core::time_point last_connect_failure{};
+        core::time_point last_trial{}; ///< Last request sent although the upstream was failing.
+        core::time_point quiet_since{}; ///< Last byte, or the first request sent after a pause.
+        std::uint64_t born_ms = 0;      ///< Run of the upstream that the last two fields are about.
     };
     struct engine_state {
         std::uint64_t born_ms = 0;  ///< Start time, which identifies one run of the engine.
@@ -133,6 +153,8 @@
         std::map<adapter_name, std::uint64_t> versions; ///< Adapters held; 0: version unknown.
     };
 
+    [[nodiscard]] bool is_unreachable(const fleet::roster_entry& entry, const upstream_stats& stats,
+                                      core::time_point now) const;
     [[nodiscard]] bool is_ejected(const upstream_stats& stats, core::time_point now) const;
     [[nodiscard]] double load(const fleet::roster_entry& entry, const upstream_stats& stats,
                               bool engine) const;
--- a/src/adapters/placer.cpp
+++ b/src/adapters/placer.cpp
@@ -225,6 +225,13 @@
             state.pending_tokens[item->upstream] = item->pending_tokens;
         }
     }
+    for (const auto& id : report.unreachable) {
+        const auto engine = m_engines.find(id);
+        if (engine != m_engines.end()) {
+            ++engine->second.unreachable_from;
+            state.unreachable.push_back(id);
+        }
+    }
 }
 
 void placer::remove_usage(gateway_state& state)
@@ -239,6 +246,12 @@
             engine->second.using_gateways.erase(count);
         }
     }
+    for (const auto& id : std::exchange(state.unreachable, {})) {
+        const auto engine = m_engines.find(id);
+        if (engine != m_engines.end() && engine->second.unreachable_from > 0) {
+            --engine->second.unreachable_from;
+        }
+    }
     for (const auto& [id, tokens] : std::exchange(state.pending_tokens, {})) {
         const auto engine = m_engines.find(id);
         if (engine != m_engines.end()) {
@@ -287,15 +300,24 @@
     std::size_t loads = 0;
     for (const auto& [id, engine] : m_engines) {
         for (const auto& [name, held] : engine.copies) {
-            loads += engine.usable && held.state == copy_state::loading && held.from_store ? 1 : 0;
+            loads += is_usable(engine) && held.state == copy_state::loading && held.from_store ? 1 : 0;
         }
     }
     return loads;
 }
 
+bool placer::is_usable(const engine_state& engine) const
+{
+    const auto gateways = static_cast<double>(m_gateways.size());
+    const bool unreachable =
+        engine.unreachable_from > 0 &&
+        static_cast<double>(engine.unreachable_from) >= m_options.unreachable_ratio * gateways;
+    return engine.usable && !unreachable;
+}
+
 bool placer::can_take_order(const engine_state& engine) const
 {
-    return engine.usable && engine.state_known && !engine.pending_order &&
+    return is_usable(engine) && engine.state_known && !engine.pending_order &&
            capacity_of(engine) != nullptr;
 }
 
--- a/src/adapters/placer_plan.cpp
+++ b/src/adapters/placer_plan.cpp
@@ -63,7 +63,7 @@
                                             : m_options.additional_copy_interval;
     copy_index index;
     for (const auto& [id, engine] : m_engines) {
-        if (!engine.usable) {
+        if (!is_usable(engine)) {
             continue;
         }
         const auto wait_ms =
@@ -104,7 +104,7 @@
         return false;
     }
     return std::any_of(m_engines.begin(), m_engines.end(), [&](const auto& item) {
-        return item.second.usable && held_recently(item.second, wanted.key) &&
+        return is_usable(item.second) && held_recently(item.second, wanted.key) &&
                !item.second.copies.contains(*wanted.name);
     });
 }
@@ -207,7 +207,7 @@
     }
     sum.store_loads = store_loads();
     for (const auto& [id, engine] : m_engines) {
-        if (!engine.usable || !engine.state_known || capacity_of(engine) == nullptr) {
+        if (!is_usable(engine) || !engine.state_known || capacity_of(engine) == nullptr) {
             continue;
         }
         ++sum.engines;
@@ -304,7 +304,7 @@
     std::size_t slots = 0;
     std::size_t used = 0;
     for (const auto& [id, engine] : m_engines) {
-        if (!engine.usable || capacity_of(engine) == nullptr) {
+        if (!is_usable(engine) || capacity_of(engine) == nullptr) {
             continue;
         }
         slots += capacity_of(engine)->adapter_slots;
--- a/src/adapters/placer_test.cpp
+++ b/src/adapters/placer_test.cpp
@@ -523,6 +523,45 @@
     LONGS_EQUAL(4, static_cast<long>(loads));
 }
 
+TEST(Placer, LoadsAgainElsewhereWhenGatewaysCannotReachTheOnlyCopy)
+{
+    engine("a", {"x"});
+    engine("b");
+    wire::gateway_report_t unreachable;
+    unreachable.vm = "h";
+    unreachable.unreachable.emplace_back("a");
+    adapter_placer.on_gateway_report(unreachable, clock.now());
+    wish("x");
+    STRCMP_EQUAL("b", plan().at(0).upstream.c_str());
+}
+
+TEST(Placer, KeepsUsingAnEngineThatOnlyOneOfManyGatewaysCannotReach)
+{
+    engine("a", {"x"});
+    engine("b");
+    for (const auto* vm : {"i", "j", "k"}) {
+        wire::gateway_report_t reachable;
+        reachable.vm = vm;
+        adapter_placer.on_gateway_report(reachable, clock.now());
+    }
+    wire::gateway_report_t unreachable;
+    unreachable.vm = "h";
+    unreachable.unreachable.emplace_back("a");
+    adapter_placer.on_gateway_report(unreachable, clock.now());
+    wish("x");
+    LONGS_EQUAL(0, static_cast<long>(plan().size()));
+}
+
+TEST(Placer, DoesNotCountLoadsOfAnUnreachableEngine)
+{
+    engine("a");
+    wish("x");
+    finish(plan()[0], order_result::accepted);
+    LONGS_EQUAL(1, static_cast<long>(adapter_placer.summary(clock.now()).store_loads));
+    announce("a", 100, false);
+    LONGS_EQUAL(0, static_cast<long>(adapter_placer.summary(clock.now()).store_loads));
+}
+
 TEST(Placer, IgnoresAReportFromBeforeTheLastOrder)
 {
     engine("a");
--- a/src/apps/gateway_exchanges.cpp
+++ b/src/apps/gateway_exchanges.cpp
@@ -212,7 +212,7 @@
     call.head_timeout = time_left(item) + connect_timeout;
     call.progress_timeout = call.head_timeout;
     item.unprocessed_prompt_tokens = item.adapter.first.empty() ? 0 : item.metadata.prompt_tokens;
-    m_pool.record_sent(choice.upstream, item.adapter, item.unprocessed_prompt_tokens);
+    m_pool.record_sent(choice.upstream, item.adapter, now, item.unprocessed_prompt_tokens);
     if (!item.adapter.first.empty()) {
         schedule_load_report();
     }
@@ -312,6 +312,7 @@
         return;
     }
     item->response_head = head;
+    m_pool.record_activity(item->upstream_id, m_clock.now());
     record_prompt_processed(*item);
     item->response_metadata = platform::decode_response(head);
     if (item->response_metadata.load) {
@@ -341,6 +342,7 @@
     if (item == nullptr) {
         return;
     }
+    m_pool.record_activity(item->upstream_id, m_clock.now());
     const bool is_stream_data = item->stream_begun && item->response_head &&
                                 item->response_head->status < first_redirect_status;
     if (is_stream_data) {
@@ -412,6 +414,8 @@
     }
     if (end == gateway::attempt_outcome::not_sent) {
         --item.attempts_sent; // the upstream received nothing
+        m_pool.record_connect_failure(item.upstream_id, now);
+        schedule_report();
     }
     if (end == gateway::attempt_outcome::not_executed && status == 421) {
         m_pool.record_missing_adapter(item.upstream_id, item.adapter);
--- a/src/apps/gateway_process.cpp
+++ b/src/apps/gateway_process.cpp
@@ -498,6 +498,7 @@
     for (auto& share : m_pool.take_token_shares()) {
         wire::append(report.shares, std::move(share));
     }
+    report.unreachable = m_pool.unreachable_upstreams(now);
     const auto leader = leader_address();
     if (!leader.empty()) {
         m_mesh->send(leader, wire::make_envelope(std::move(report)));
--- a/src/gateway/upstream_pool.cpp
+++ b/src/gateway/upstream_pool.cpp
@@ -38,6 +38,47 @@
     }
 }
 
+// An upstream that was restarted is reachable until an attempt shows otherwise.
+bool upstream_pool::is_unreachable(const fleet::roster_entry& entry, const upstream_stats& stats,
+                                   core::time_point now) const
+{
+    if (stats.born_ms != entry.info.born_ms) {
+        return false;
+    }
+    const bool refuses = stats.failed_connects >= m_options.failed_connects_before_unreachable &&
+                         now - stats.last_connect_failure < m_options.ejection_time;
+    const bool silent = !stats.requests_by_adapter.empty() &&
+                        stats.in_flight >= m_options.min_silent_requests &&
+                        now - stats.quiet_since > m_options.engine_silence_limit;
+    return refuses || silent;
+}
+
+std::vector<std::string> upstream_pool::unreachable_upstreams(core::time_point now) const
+{
+    std::vector<std::string> list;
+    for (const auto& [id, stats] : m_stats) {
+        const auto* entry = m_roster.find(id);
+        if (entry != nullptr && is_unreachable(*entry, stats, now)) {
+            list.push_back(id);
+        }
+    }
+    return list;
+}
+
+void upstream_pool::record_activity(const std::string& upstream, core::time_point now)
+{
+    auto& stats = m_stats[upstream];
+    stats.quiet_since = now;
+    stats.failed_connects = 0;
+}
+
+void upstream_pool::record_connect_failure(const std::string& upstream, core::time_point now)
+{
+    auto& stats = m_stats[upstream];
+    ++stats.failed_connects;
+    stats.last_connect_failure = now;
+}
+
 bool upstream_pool::is_ejected(const upstream_stats& stats, core::time_point now) const
 {
     return stats.consecutive_failures >= m_options.failures_before_ejection &&
@@ -108,14 +149,20 @@
             continue;
         }
         any_usable = true;
+        auto& stats = m_stats[id];
+        const bool unreachable = is_unreachable(entry, stats, now);
+        const bool trial_due =
+            now - stats.last_trial >= m_options.unreachable_trial_interval && !tried.contains(id);
+        if (unreachable && !wanted.first.empty() && !trial_due) {
+            continue;
+        }
         const auto version = wanted.first.empty() ? std::nullopt : held_version(entry, wanted);
         if (!wanted.first.empty() && !version) {
             continue;
         }
         current_exists = current_exists || (version && *version >= current_version);
-        const auto& stats = m_stats[id];
-        candidates.push_back(
-            {&entry, version, load(entry, stats, !wanted.first.empty()), is_ejected(stats, now)});
+        candidates.push_back({&entry, version, load(entry, stats, !wanted.first.empty()),
+                              unreachable || is_ejected(stats, now)});
     }
     std::erase_if(candidates, [&](const candidate& one) {
         return tried.contains(one.entry->info.id) ||
@@ -150,6 +197,9 @@
         candidates.resize(std::min(candidates.size(), compared));
     }
     const auto best = std::min_element(candidates.begin(), candidates.end(), better);
+    if (best->ejected) {
+        m_stats[best->entry->info.id].last_trial = now;
+    }
     choice.result = pool_choice::kind::send;
     choice.upstream = best->entry->info.id;
     choice.address = best->entry->info.address;
@@ -164,9 +214,18 @@
 }
 
 void upstream_pool::record_sent(const std::string& upstream, const adapter_name& name,
-                                std::uint32_t tokens)
+                                core::time_point now, std::uint32_t tokens)
 {
     auto& stats = m_stats[upstream];
+    const auto* entry = m_roster.find(upstream);
+    if (entry != nullptr && stats.born_ms != entry->info.born_ms) {
+        stats.born_ms = entry->info.born_ms;
+        stats.failed_connects = 0;
+        stats.quiet_since = now;
+    }
+    if (stats.in_flight == 0) {
+        stats.quiet_since = now;
+    }
     stats.pending_tokens += tokens;
     ++stats.in_flight;
     if (!name.second.empty()) {
--- a/src/gateway/upstream_pool_test.cpp
+++ b/src/gateway/upstream_pool_test.cpp
@@ -52,7 +52,7 @@
     announce("a");
     announce("b");
     for (int i = 0; i < 3; ++i) {
-        pool.record_sent("a", none);
+        pool.record_sent("a", none, clock.now());
     }
     STRCMP_EQUAL("b", choose(none).upstream.c_str());
 }
@@ -159,7 +159,7 @@
     pool.record_outcome("a", true, clock.now());
     pool.record_outcome("a", true, clock.now());
     for (int i = 0; i < 9; ++i) {
-        pool.record_sent("b", none);
+        pool.record_sent("b", none, clock.now());
     }
     STRCMP_EQUAL("b", choose(none).upstream.c_str());
     clock.advance(core::milliseconds{2100});
@@ -183,10 +183,10 @@
     set_held_version("a", 1, 9000);
     set_held_version("b", 1);
     for (int i = 0; i < 3; ++i) {
-        pool.record_sent("b", wanted, 200); // more requests, but fewer prompt tokens
+        pool.record_sent("b", wanted, clock.now(), 200); // more requests, but fewer prompt tokens
     }
     STRCMP_EQUAL("b", choose(wanted).upstream.c_str());
-    pool.record_sent("b", wanted, 20'000);
+    pool.record_sent("b", wanted, clock.now(), 20'000);
     STRCMP_EQUAL("a", choose(wanted).upstream.c_str());
 }
 
@@ -194,7 +194,7 @@
 {
     announce("a");
     announce("b");
-    pool.record_sent("a", wanted, 8000);
+    pool.record_sent("a", wanted, clock.now(), 8000);
     LONGS_EQUAL(8000, static_cast<long>(pool.take_token_shares().at(0).pending_tokens));
     set_held_version("a", 1, 8000); // the sum over all gateways, including this one
     set_held_version("b", 1, 12'000);
@@ -213,8 +213,49 @@
 TEST(UpstreamPool, ReportsAdaptersInUse)
 {
     announce("a");
-    pool.record_sent("a", wanted);
+    pool.record_sent("a", wanted, clock.now());
     LONGS_EQUAL(1, static_cast<long>(pool.adapter_uses().size()));
     pool.record_ended("a", wanted);
     LONGS_EQUAL(0, static_cast<long>(pool.adapter_uses().size()));
 }
+
+TEST(UpstreamPool, DoesNotSendToAnEngineThatRefusesConnections)
+{
+    announce("a");
+    set_held_version("a", 1);
+    pool.record_sent("a", wanted, clock.now());
+    pool.record_connect_failure("a", clock.now());
+    CHECK_TRUE(choose(wanted).result == pool_choice::kind::send);
+    pool.record_connect_failure("a", clock.now());
+    choose(wanted); // a trial
+    CHECK_TRUE(choose(wanted).result == pool_choice::kind::adapter_not_loaded);
+    LONGS_EQUAL(1, static_cast<long>(pool.unreachable_upstreams(clock.now()).size()));
+    clock.advance(core::milliseconds{500});
+    CHECK_TRUE(choose(wanted).result == pool_choice::kind::send); // the next trial
+    pool.record_activity("a", clock.now());
+    LONGS_EQUAL(0, static_cast<long>(pool.unreachable_upstreams(clock.now()).size()));
+}
+
+TEST(UpstreamPool, DoesNotSendToAnEngineWhoseStreamsAreAllSilent)
+{
+    announce("a");
+    announce("b");
+    set_held_version("a", 1);
+    set_held_version("b", 1, 100'000);
+    pool.record_sent("a", wanted, clock.now());
+    pool.record_sent("a", wanted, clock.now());
+    STRCMP_EQUAL("a", choose(wanted).upstream.c_str());
+    clock.advance(core::milliseconds{1100});
+    STRCMP_EQUAL("b", choose(wanted).upstream.c_str());
+    pool.record_activity("a", clock.now());
+    STRCMP_EQUAL("a", choose(wanted).upstream.c_str());
+}
+
+TEST(UpstreamPool, DoesNotTakeASingleSlowRequestForASilentEngine)
+{
+    announce("a");
+    set_held_version("a", 1);
+    pool.record_sent("a", wanted, clock.now());
+    clock.advance(core::milliseconds{1100});
+    LONGS_EQUAL(0, static_cast<long>(pool.unreachable_upstreams(clock.now()).size()));
+}
