Spend less processor time on updates of engines, and reconnect sooner after a restart

After all machines had restarted, gateways connected to coordinators 0.45 s after there was a leader, because their first attempt met machines that were still starting and timed out only after a second.

--- a/include/siskindrift/adapters/placer.h
+++ b/include/siskindrift/adapters/placer.h
@@ -221,6 +221,7 @@
         std::map<adapter_name, std::uint32_t> using_gateways; ///< Gateways that use each one.
         std::size_t unreachable_from = 0; ///< Number of gateways that can't reach it.
         bool load_changed = false;
+        std::uint64_t published_digest = 0; ///< Of the copies in the latest published view.
     };
     /// A gateway's request for a copy of an adapter.
     struct wish {
@@ -319,6 +320,7 @@
     void learn_from_load(const adapter_copy& held, core::time_point now);
     void update_store_load_time(const adapter_copy& held, core::time_point now);
     void apply_report(engine_state& engine, const engine_report& report, core::time_point now);
+    [[nodiscard]] static std::uint64_t copies_digest(const engine_state& engine);
     [[nodiscard]] wire::engine_view_t make_view(const engine_state& engine) const;
     engine_state* find_by_order(std::uint64_t order_id);
 
--- a/include/siskindrift/net/mesh.h
+++ b/include/siskindrift/net/mesh.h
@@ -35,7 +35,8 @@
     core::duration heartbeat = core::milliseconds{400};
     /// A connection that received nothing for longer is closed: three heartbeats and a margin.
     core::duration heartbeat_timeout = core::milliseconds{1300};
-    core::duration connect_timeout = core::milliseconds{1000};
+    /// Several round trips. A peer that starts a moment later is found by the next attempt.
+    core::duration connect_timeout = core::milliseconds{300};
     /// Delay before a connection that is kept open is opened again.
     core::duration reconnect_delay = core::milliseconds{150};
     /// A connection with more unsent bytes is closed.
--- a/src/adapters/placer.cpp
+++ b/src/adapters/placer.cpp
@@ -50,6 +50,7 @@
         engine.unconfirmed_order.reset();
         engine.report_pending = false;
         engine.report_due = {};
+        engine.published_digest = 0; // another leader may have published since
     }
 }
 
@@ -493,13 +494,31 @@
     return view;
 }
 
+// Identifies the set of loaded copies.
+std::uint64_t placer::copies_digest(const engine_state& engine)
+{
+    std::uint64_t digest = engine.born_ms;
+    for (const auto& [name, held] : engine.copies) {
+        if (held.state == copy_state::loaded) {
+            const auto key = key_of(name);
+            digest += XXH3_64bits_withSeed(&key, sizeof key, held.version);
+        }
+    }
+    return digest;
+}
+
 std::vector<wire::engine_view_t> placer::take_changed_views()
 {
     std::vector<wire::engine_view_t> views;
     for (const auto& id : std::exchange(m_changed_engines, {})) {
-        if (const auto found = m_engines.find(id);
-            found != m_engines.end() && found->second.state_known) {
-            views.push_back(make_view(found->second));
+        const auto found = m_engines.find(id);
+        if (found == m_engines.end() || !found->second.state_known) {
+            continue;
+        }
+        auto& engine = found->second;
+        const auto digest = copies_digest(engine);
+        if (std::exchange(engine.published_digest, digest) != digest) {
+            views.push_back(make_view(engine));
         }
     }
     return views;
--- a/src/apps/gateway_exchanges.cpp
+++ b/src/apps/gateway_exchanges.cpp
@@ -256,6 +256,27 @@
     }
 }
 
+// Tries again to dispatch the requests whose adapter an engine now holds.
+void gateway_process::dispatch_loaded(const wire::engine_update_t& update)
+{
+    if (m_waiting.empty()) {
+        return;
+    }
+    std::set<std::pair<std::string_view, std::string_view>> loaded;
+    for (const auto& view : update.engines) {
+        for (const auto& copy : view->copies) {
+            loaded.emplace(copy->model, copy->adapter);
+        }
+    }
+    for (const auto id : std::set<std::uint64_t>{m_waiting}) {
+        const auto found = m_exchanges.find(id);
+        if (found != m_exchanges.end() &&
+            loaded.contains({found->second->adapter.first, found->second->adapter.second})) {
+            dispatch(*found->second);
+        }
+    }
+}
+
 void gateway_process::arm_timer(exchange& item, core::duration after)
 {
     if (!item.timer) {
--- a/src/apps/gateway_process.cpp
+++ b/src/apps/gateway_process.cpp
@@ -20,6 +20,9 @@
 constexpr core::milliseconds overload_lifetime{300};
 // Least time left that is reported for an adapter that needs a further copy.
 constexpr std::uint32_t overload_left_ms = 1000;
+// Waiting requests are tried again this often even if no engine has loaded their adapter, because
+// an engine may have become reachable or less busy.
+constexpr core::milliseconds full_dispatch_interval{100};
 constexpr core::milliseconds drain_poll_interval{100};
 constexpr core::milliseconds min_drain_time{2500};    // callers still use an older gateway list
 constexpr core::milliseconds drain_accept_time{2800}; // later requests may not end in time
@@ -294,11 +297,13 @@
     for (const auto& item : update.named) {
         m_pool.set_current_version({item->model, item->adapter}, item->version, now);
     }
-    m_roster.take_changed(now);
+    const bool changed = !m_roster.take_changed(now).empty() || !update.named.empty();
     m_roster.take_refreshed();
     m_pool.remove_departed();
     request_document();
-    dispatch_waiting();
+    if (changed) {
+        dispatch_waiting();
+    }
 }
 
 void gateway_process::request_document()
@@ -345,7 +350,14 @@
     for (const auto& view : update.engines) {
         m_pool.update_engine(*view);
     }
-    dispatch_waiting();
+    const auto now = m_clock.now();
+    if (now - m_last_dispatch_at >= full_dispatch_interval) {
+        m_last_dispatch_at = now;
+        dispatch_waiting();
+    }
+    else {
+        dispatch_loaded(update);
+    }
 }
 
 void gateway_process::respond_readiness(const std::shared_ptr<http::responder>& responder)
--- a/src/apps/gateway_process.h
+++ b/src/apps/gateway_process.h
@@ -151,6 +151,7 @@
     void send_attempt(exchange& item, const gateway::pool_choice& choice);
     void wait_for_upstream(exchange& item);
     void dispatch_waiting();
+    void dispatch_loaded(const wire::engine_update_t& update);
     void arm_timer(exchange& item, core::duration after);
     void handle_timeout(std::uint64_t id);
     void on_head(std::uint64_t call, const http::client_head& head) override;
@@ -218,6 +219,7 @@
     std::uint64_t m_next_call = 1;
     std::optional<core::time_point> m_report_due;
     core::time_point m_last_report_at{};
+    core::time_point m_last_dispatch_at{}; ///< Of all waiting requests.
 };
 
 } // namespace siskindrift::apps
