Count an engine as unreachable only by refused connections

Hypothesis: a gateway with two requests behind a long prefill takes the engine for silent, two of six gateways suffice, and all of its adapters are loaded again elsewhere. Change: silence keeps the gateway that sees it from sending; only refused connections are reported to the placer.

--- a/include/siskindrift/gateway/upstream_pool.h
+++ b/include/siskindrift/gateway/upstream_pool.h
@@ -31,8 +31,8 @@
     double ejection_failure_rate = 0.35;
     /// Consecutive attempts that could not connect before an upstream counts as unreachable.
     unsigned failed_connects_before_unreachable = 2;
-    /// Time without any byte from an engine that has several requests, after which it counts as
-    /// unreachable. Engines send the events of all running requests at least this often.
+    /// Time without any byte from an engine that has several requests, after which it gets only
+    /// single requests as a trial. Engines send the events of all running requests at least this often.
     core::duration engine_silence_limit = core::milliseconds{1000};
     /// Number of requests whose silence shows that the engine is silent, not a single request.
     std::uint32_t min_silent_requests = 2;
@@ -112,7 +112,7 @@
     void record_activity(const std::string& upstream, core::time_point now);
     /// Records that no connection to @p upstream could be established.
     void record_connect_failure(const std::string& upstream, core::time_point now);
-    /// Returns the upstreams that this gateway can't reach at present.
+    /// Returns the upstreams that refuse the connections of this gateway.
     [[nodiscard]] std::vector<std::string> unreachable_upstreams(core::time_point now) const;
     /// Records whether an attempt failed because of the upstream.
     void record_outcome(const std::string& upstream, bool failed, core::time_point now);
@@ -153,8 +153,11 @@
         std::map<adapter_name, std::uint64_t> versions; ///< Adapters held; 0: version unknown.
     };
 
-    [[nodiscard]] bool is_unreachable(const fleet::roster_entry& entry, const upstream_stats& stats,
-                                      core::time_point now) const;
+    [[nodiscard]] bool refuses_connections(const fleet::roster_entry& entry,
+                                           const upstream_stats& stats,
+                                           core::time_point now) const;
+    [[nodiscard]] bool is_silent(const fleet::roster_entry& entry, const upstream_stats& stats,
+                                 core::time_point now) const;
     [[nodiscard]] bool is_ejected(const upstream_stats& stats, core::time_point now) const;
     [[nodiscard]] double load(const fleet::roster_entry& entry, const upstream_stats& stats,
                               bool engine) const;
--- a/src/gateway/upstream_pool.cpp
+++ b/src/gateway/upstream_pool.cpp
@@ -39,18 +39,20 @@
 }
 
 // An upstream that was restarted is reachable until an attempt shows otherwise.
-bool upstream_pool::is_unreachable(const fleet::roster_entry& entry, const upstream_stats& stats,
-                                   core::time_point now) const
+bool upstream_pool::refuses_connections(const fleet::roster_entry& entry,
+                                        const upstream_stats& stats, core::time_point now) const
 {
-    if (stats.born_ms != entry.info.born_ms) {
-        return false;
-    }
-    const bool refuses = stats.failed_connects >= m_options.failed_connects_before_unreachable &&
-                         now - stats.last_connect_failure < m_options.ejection_time;
-    const bool silent = !stats.requests_by_adapter.empty() &&
-                        stats.in_flight >= m_options.min_silent_requests &&
-                        now - stats.quiet_since > m_options.engine_silence_limit;
-    return refuses || silent;
+    return stats.born_ms == entry.info.born_ms &&
+           stats.failed_connects >= m_options.failed_connects_before_unreachable &&
+           now - stats.last_connect_failure < m_options.ejection_time;
+}
+
+bool upstream_pool::is_silent(const fleet::roster_entry& entry, const upstream_stats& stats,
+                              core::time_point now) const
+{
+    return stats.born_ms == entry.info.born_ms && !stats.requests_by_adapter.empty() &&
+           stats.in_flight >= m_options.min_silent_requests &&
+           now - stats.quiet_since > m_options.engine_silence_limit;
 }
 
 std::vector<std::string> upstream_pool::unreachable_upstreams(core::time_point now) const
@@ -58,7 +60,7 @@
     std::vector<std::string> list;
     for (const auto& [id, stats] : m_stats) {
         const auto* entry = m_roster.find(id);
-        if (entry != nullptr && is_unreachable(*entry, stats, now)) {
+        if (entry != nullptr && refuses_connections(*entry, stats, now)) {
             list.push_back(id);
         }
     }
@@ -150,7 +152,8 @@
         }
         any_usable = true;
         auto& stats = m_stats[id];
-        const bool unreachable = is_unreachable(entry, stats, now);
+        const bool unreachable =
+            refuses_connections(entry, stats, now) || is_silent(entry, stats, now);
         const bool trial_due =
             now - stats.last_trial >= m_options.unreachable_trial_interval && !tried.contains(id);
         if (unreachable && !wanted.first.empty() && !trial_due) {
