--- a/include/siskindrift/gateway/upstream_pool.h
+++ b/include/siskindrift/gateway/upstream_pool.h
@@ -47,9 +47,9 @@
     double old_version_latest_start_ms = 2500;
     /// Prefill rate of engines of the deployed size, in prompt tokens per ms.
     double prefill_tokens_per_ms = 38;
-    /// Estimated queueing delay in ms above which another copy of an adapter is requested. With
-    /// the prefill of the request itself it exceeds what chat callers accept.
-    double crowded_delay_ms = 550;
+    /// Estimated queueing delay in ms above which another copy of an adapter is requested: what
+    /// remains of a first token's objective after prefill is then at risk in a burst.
+    double crowded_delay_ms = 200;
     /// Delay of a first token by a full batch, in ms.
     double full_batch_delay_ms = 400;
     /// Delay that a failed request costs its caller, in ms; weighted by the failure rate.
