Hold no lease while leadership is transferred; revert sooner copies; start the store's limit at eight

Lease: a leader that had asked another replica to take over kept its lease, while that replica is elected at once and may order with a higher term: two leaders held a lease for up to 0.4 s. Shown by HoldsNoLeaseOnceItTransfersItsLeadership, which fails before. Now the lease ends with the transfer, and a leader whose transfer fails steps down after the longest election timeout instead of staying without a lease (StepsDownWhenATransferOfItsLeadershipFails).

--- a/include/siskindrift/adapters/load_limiter.h
+++ b/include/siskindrift/adapters/load_limiter.h
@@ -10,7 +10,9 @@
 
 /// Parameters of a load limiter.
 struct load_limiter_options {
-    /// Lower bound of the limit, and the limit before anything is known about the store.
+    /// Limit before anything is known about the store.
+    double initial_limit = 8;
+    /// Lower bound of the limit.
     double min_limit = 4;
     /// Upper bound of the limit.
     double max_limit = 1024;
@@ -27,6 +29,9 @@
     double increase = 0.1;
     /// Largest relative decrease at once.
     double max_decrease = 0.3;
+    /// Quantile of the load durations by which the limit is changed. Below the median, because
+    /// other causes only lengthen loads.
+    double quantile = 0.4;
     /// Least number of loads by which the limit is changed.
     std::size_t min_sample = 4;
 };
@@ -36,13 +41,13 @@
 /// The store is shared by all engines. Up to its capacity each load takes the same time; beyond it,
 /// all loads slow down in proportion, so that more concurrent loads only delay those that matter
 /// most. The limit grows while loads stay as fast as the fastest ones and falls to the number that
-/// the store has coped with when they slow down. It is changed by the median of as many loads as
-/// may be in progress at once, because single loads are late for other reasons, such as an engine
+/// the store has coped with when they slow down. It is changed by a quantile of as many loads as
+/// may be in progress at once, because some loads are late for other reasons, such as an engine
 /// that fails. Performs no I/O.
 class load_limiter {
 public:
     explicit load_limiter(load_limiter_options options = {})
-        : m_options(options), m_limit(options.min_limit)
+        : m_options(options), m_limit(options.initial_limit)
     {
     }
 
@@ -64,7 +69,7 @@
         double duration_s;
         double loads; ///< Mean number of loads in progress during this one, including itself.
     };
-    void update(const sample& median);
+    void update(const sample& typical);
 
     load_limiter_options m_options;
     double m_limit;
--- a/include/siskindrift/adapters/placer.h
+++ b/include/siskindrift/adapters/placer.h
@@ -93,9 +93,6 @@
     /// Maximum wait for an engine that has held the adapter recently. Shorter than a load from
     /// the weight store.
     core::duration recent_engine_wait_limit = core::milliseconds{150};
-    /// Least reduction of the wait for which an additional copy is loaded. It serves many requests,
-    /// so its load time doesn't count.
-    double min_copy_gain_ms = 100;
     /// Fraction of the gateways that must be unable to reach an engine for its copies not to count.
     double unreachable_ratio = 0.3;
     /// Time after which a wish, a gateway's request for a copy of an adapter, expires. Gateways
@@ -193,7 +190,7 @@
         /// Age in the engine's history when the load began, or none if it isn't recorded there.
         std::optional<std::size_t> history_age;
         double load_seconds = 0; ///< Of the store limiter when the load began.
-        bool replaces = false; ///< Replaces another version, which waits for running requests.
+        bool replaces = false;   ///< Replaces another version, which waits for running requests.
         core::time_point next_poll_at{}; ///< When to poll a load in progress.
         core::duration poll_interval{};  ///< Doubles with each poll.
         core::time_point accepted_at{};  ///< When the engine accepted the load.
@@ -273,11 +270,6 @@
         double eviction_cost_ms = 0;
         double wait_ms = 0; ///< Delay of a first token by other requests.
     };
-    /// What it costs to load an adapter on an engine.
-    struct placement_cost {
-        double first_token_ms = 0; ///< Until the first request that waits for the adapter starts.
-        double lasting_ms = 0;     ///< The part of it that later requests meet as well.
-    };
 
     [[nodiscard]] std::vector<demand> collect_demands(core::time_point now) const;
     [[nodiscard]] copy_index index_copies(core::time_point now) const;
@@ -303,11 +295,9 @@
     /// Returns the least recently used adapter that may be evicted, or none.
     [[nodiscard]] std::optional<adapter_name> choose_victim(const engine_state& engine,
                                                             core::time_point now) const;
-    /// Returns the cost of loading an adapter on an engine, or none if that is impossible.
-    [[nodiscard]] std::optional<placement_cost> cost_of(const load_offer& offer,
-                                                        const demand& wanted) const;
-    /// Returns the estimated delay in ms of a first token by the running requests of an engine.
-    [[nodiscard]] double batch_delay_ms(const engine_state& engine) const;
+    /// Returns the cost in ms of loading an adapter on an engine, or none if that is impossible.
+    [[nodiscard]] std::optional<double> placement_cost_ms(const load_offer& offer,
+                                                          const demand& wanted) const;
     [[nodiscard]] bool held_recently(const engine_state& engine, adapter_key key) const;
     [[nodiscard]] bool many_slots_idle() const;
     /// Returns whether an adapter without any copy has waited too long for an adapter slot.
--- a/include/siskindrift/consensus/raft_node.h
+++ b/include/siskindrift/consensus/raft_node.h
@@ -129,8 +129,8 @@
         return m_role == role::leader ? m_heartbeat_due : m_election_due;
     }
 
-    /// Returns the end of the leader lease. Until then no other replica can become leader, unless
-    /// this one transfers its leadership.
+    /// Returns the end of the leader lease. Until then no other replica can become leader. A leader
+    /// that has begun to transfer its leadership holds no lease.
     ///
     /// The lease lasts `election_min` from the send time of the last heartbeat round that a
     /// quorum acknowledged, because a replica that hears a leader grants no vote for that long.
@@ -167,7 +167,8 @@
     std::uint64_t request_read();
     [[nodiscard]] std::uint64_t confirmed_round() const { return m_confirmed_round; }
 
-    /// Transfers leadership to the other voter with the longest matching log. Has no effect when
+    /// Transfers leadership to the other voter with the longest matching log. Steps down if no
+    /// other replica has become leader within the longest election timeout. Has no effect when
     /// this replica isn't the leader or there is no other voter.
     void transfer_leadership(core::time_point now);
 
@@ -290,6 +291,8 @@
     std::uint64_t m_leader = 0;
     core::time_point m_now{}; ///< Time of the latest call.
     core::time_point m_last_leader_contact{};
+    /// Set while this replica is the leader and transfers its leadership.
+    std::optional<core::time_point> m_transfer_begun_at;
     core::time_point m_election_due{};
     core::time_point m_heartbeat_due{};
     core::duration m_election_timeout{};
--- a/include/siskindrift/gateway/upstream_pool.h
+++ b/include/siskindrift/gateway/upstream_pool.h
@@ -32,7 +32,8 @@
     /// Consecutive attempts that could not connect before an upstream counts as unreachable.
     unsigned failed_connects_before_unreachable = 2;
     /// Time without any byte from an engine that has several requests, after which it gets only
-    /// single requests as a trial. Engines send the events of all running requests at least this often.
+    /// single requests as a trial. Engines send the events of all running requests at least this
+    /// often.
     core::duration engine_silence_limit = core::milliseconds{1000};
     /// Number of requests whose silence shows that the engine is silent, not a single request.
     std::uint32_t min_silent_requests = 2;
@@ -47,9 +48,9 @@
     double old_version_latest_start_ms = 2500;
     /// Prefill rate of engines of the deployed size, in prompt tokens per ms.
     double prefill_tokens_per_ms = 38;
-    /// Estimated queueing delay in ms above which another copy of an adapter is requested: what
-    /// remains of a first token's objective after prefill is then at risk in a burst.
-    double crowded_delay_ms = 200;
+    /// Estimated queueing delay in ms above which another copy of an adapter is requested. With
+    /// the prefill of the request itself it exceeds what chat callers accept.
+    double crowded_delay_ms = 550;
     /// Delay of a first token by a full batch, in ms.
     double full_batch_delay_ms = 400;
     /// Delay that a failed request costs its caller, in ms; weighted by the failure rate.
@@ -141,9 +142,9 @@
         unsigned consecutive_failures = 0;
         core::time_point last_failure{};
         std::map<adapter_name, std::uint32_t> requests_by_adapter;
-        unsigned failed_connects = 0;    ///< Since the last byte from the upstream.
+        unsigned failed_connects = 0; ///< Since the last byte from the upstream.
         core::time_point last_connect_failure{};
-        core::time_point last_trial{}; ///< Last request sent although the upstream was failing.
+        core::time_point last_trial{};  ///< Last request sent although the upstream was failing.
         core::time_point quiet_since{}; ///< Last byte, or the first request sent after a pause.
         std::uint64_t born_ms = 0;      ///< Run of the upstream that the last two fields are about.
     };
@@ -154,8 +155,7 @@
     };
 
     [[nodiscard]] bool refuses_connections(const fleet::roster_entry& entry,
-                                           const upstream_stats& stats,
-                                           core::time_point now) const;
+                                           const upstream_stats& stats, core::time_point now) const;
     [[nodiscard]] bool is_silent(const fleet::roster_entry& entry, const upstream_stats& stats,
                                  core::time_point now) const;
     [[nodiscard]] bool is_ejected(const upstream_stats& stats, core::time_point now) const;
--- a/src/adapters/load_limiter.cpp
+++ b/src/adapters/load_limiter.cpp
@@ -23,37 +23,39 @@
     if (m_samples.size() < std::max(limit(), m_options.min_sample)) {
         return;
     }
-    const auto middle = m_samples.begin() + static_cast<std::ptrdiff_t>(m_samples.size() / 2);
-    std::nth_element(m_samples.begin(), middle, m_samples.end(),
-                     [](const sample& left, const sample& right) {
-                         return left.duration_s < right.duration_s;
-                     });
-    const auto median = *middle;
+    const auto rank = static_cast<double>(m_samples.size()) * m_options.quantile;
+    const auto chosen = m_samples.begin() + static_cast<std::ptrdiff_t>(rank);
+    std::nth_element(
+        m_samples.begin(), chosen, m_samples.end(),
+        [](const sample& left, const sample& right) { return left.duration_s < right.duration_s; });
+    const auto typical = *chosen;
     m_samples.clear();
-    update(median);
+    update(typical);
 }
 
-void load_limiter::update(const sample& median)
+void load_limiter::update(const sample& typical)
 {
-    if (m_unslowed_s == 0 || median.duration_s < m_unslowed_s) {
-        const bool faster = median.duration_s * m_options.timely_stretch < m_unslowed_s;
+    if (m_unslowed_s == 0 || typical.duration_s < m_unslowed_s) {
+        const bool faster = typical.duration_s * m_options.timely_stretch < m_unslowed_s;
         m_overload_seen = m_overload_seen && !faster;
-        m_unslowed_s = median.duration_s;
+        m_unslowed_s = typical.duration_s;
     }
-    const double stretch = median.duration_s / m_unslowed_s;
+    const double stretch = typical.duration_s / m_unslowed_s;
     if (stretch <= m_options.timely_stretch) {
-        if (median.loads >= m_limit * m_options.min_use) {
-            const double increase = m_overload_seen ? m_options.increase : m_options.initial_increase;
+        if (typical.loads >= m_limit * m_options.min_use) {
+            const double increase =
+                m_overload_seen ? m_options.increase : m_options.initial_increase;
             m_limit = std::min(m_limit + std::max(m_limit * increase, 1.0), m_options.max_limit);
         }
     }
-    else if (stretch > m_options.max_stretch && median.loads <= m_options.min_limit) {
+    else if (stretch > m_options.max_stretch && typical.loads <= m_options.min_limit) {
         // So few loads can't overload the store: it has become slower.
-        m_unslowed_s = median.duration_s;
+        m_unslowed_s = typical.duration_s;
     }
     else if (stretch > m_options.max_stretch) {
         m_overload_seen = true;
-        m_limit = std::clamp(median.loads / stretch, m_limit * (1 - m_options.max_decrease), m_limit);
+        m_limit =
+            std::clamp(typical.loads / stretch, m_limit * (1 - m_options.max_decrease), m_limit);
         m_limit = std::max(m_limit, m_options.min_limit);
     }
 }
--- a/src/adapters/placer.cpp
+++ b/src/adapters/placer.cpp
@@ -301,7 +301,8 @@
     std::size_t loads = 0;
     for (const auto& [id, engine] : m_engines) {
         for (const auto& [name, held] : engine.copies) {
-            loads += is_usable(engine) && held.state == copy_state::loading && held.from_store ? 1 : 0;
+            loads +=
+                is_usable(engine) && held.state == copy_state::loading && held.from_store ? 1 : 0;
         }
     }
     return loads;
@@ -439,9 +440,8 @@
         return;
     }
     held.next_poll_at = now + std::max(held.poll_interval, m_options.initial_poll_interval);
-    held.poll_interval =
-        std::min(std::max(held.poll_interval * 2, m_options.initial_poll_interval),
-                 m_options.max_poll_interval);
+    held.poll_interval = std::min(std::max(held.poll_interval * 2, m_options.initial_poll_interval),
+                                  m_options.max_poll_interval);
 }
 
 void placer::learn_from_load(const adapter_copy& held, core::time_point now)
@@ -450,8 +450,8 @@
         return;
     }
     const auto elapsed = now - held.accepted_at;
-    const bool cached =
-        std::chrono::duration<double>(elapsed) < m_store_load_time * m_options.max_cached_load_ratio;
+    const bool cached = std::chrono::duration<double>(elapsed) <
+                        m_store_load_time * m_options.max_cached_load_ratio;
     if (held.history_age) {
         m_cache_size.on_load(*held.history_age, cached);
     }
--- a/src/adapters/placer_plan.cpp
+++ b/src/adapters/placer_plan.cpp
@@ -67,16 +67,14 @@
             continue;
         }
         const auto wait_ms =
-            static_cast<double>(engine.pending_tokens) / m_options.prefill_tokens_per_ms +
-            batch_delay_ms(engine);
+            static_cast<double>(engine.pending_tokens) / m_options.prefill_tokens_per_ms;
         for (const auto& [name, held] : engine.copies) {
             if (name.second.empty()) {
                 continue;
             }
             auto& sum = index[key_of(name)];
             const bool loaded = held.state == copy_state::loaded;
-            const bool settling =
-                held.additional && (!loaded || now - held.loaded_at < interval);
+            const bool settling = held.additional && (!loaded || now - held.loaded_at < interval);
             ++(settling ? sum.fresh : sum.settled);
             if (held.version < newest_version(name)) {
                 continue;
@@ -169,23 +167,17 @@
                 std::chrono::duration<double>(now - engine.copies.at(*offer.victim).last_used);
             offer.eviction_cost_ms = recent_victim_penalty_ms / std::max(idle_s.count(), 1.0);
         }
+        const double busy =
+            static_cast<double>(engine.running + engine.waiting) / std::max(1U, capacity->slots);
         const double prefill = static_cast<double>(pending_prefill_tokens(engine, now)) /
                                m_options.prefill_tokens_per_ms;
-        offer.wait_ms = prefill + batch_delay_ms(engine);
+        offer.wait_ms = prefill + full_batch_delay_ms * busy;
         offers.push_back(std::move(offer));
     }
     return offers;
 }
 
-double placer::batch_delay_ms(const engine_state& engine) const
-{
-    const auto* capacity = capacity_of(engine);
-    const auto slots = capacity == nullptr ? 1U : std::max(1U, capacity->slots);
-    return full_batch_delay_ms * static_cast<double>(engine.running + engine.waiting) / slots;
-}
-
-std::optional<placer::placement_cost> placer::cost_of(const load_offer& offer,
-                                                      const demand& wanted) const
+std::optional<double> placer::placement_cost_ms(const load_offer& offer, const demand& wanted) const
 {
     const auto& engine = *offer.engine;
     const auto held = engine.copies.find(*wanted.name);
@@ -200,11 +192,8 @@
     }
     const auto load_time =
         held_recently(engine, wanted.key) ? m_options.cached_load_time : m_store_load_time;
-    placement_cost cost;
-    cost.lasting_ms = offer.wait_ms + (replaces ? 0 : offer.eviction_cost_ms) +
-                      tie_break_range_ms * tie_break_fraction(wanted.key, engine.id);
-    cost.first_token_ms = cost.lasting_ms + static_cast<double>(core::to_ms(load_time));
-    return cost;
+    return static_cast<double>(core::to_ms(load_time)) + (replaces ? 0 : offer.eviction_cost_ms) +
+           offer.wait_ms + tie_break_range_ms * tie_break_fraction(wanted.key, engine.id);
 }
 
 placement_summary placer::summary(core::time_point now) const
@@ -287,8 +276,9 @@
         }
         const auto found = copies.find(wanted.key);
         const auto held = found == copies.end() ? copy_summary{} : found->second;
-        const bool place = held.min_wait_ms ? wanted.crowded && !no_additional && held.may_add_copy()
-                                            : !held.loading;
+        const bool place = held.min_wait_ms
+                               ? wanted.crowded && !no_additional && held.may_add_copy()
+                               : !held.loading;
         if (place) {
             place_adapter(wanted, held.min_wait_ms, offers, now, orders);
         }
@@ -342,22 +332,21 @@
         return;
     }
     auto best = offers.end();
-    placement_cost best_cost;
+    double best_cost = 0;
     for (auto offer = offers.begin(); offer != offers.end(); ++offer) {
-        const auto cost = cost_of(*offer, wanted);
-        if (cost && (best == offers.end() || cost->first_token_ms < best_cost.first_token_ms)) {
+        const auto ms = placement_cost_ms(*offer, wanted);
+        if (ms && (best == offers.end() || *ms < best_cost)) {
             best = offer;
-            best_cost = *cost;
+            best_cost = *ms;
         }
     }
-    if (best == offers.end() ||
-        (wait_ms && best_cost.lasting_ms + m_options.min_copy_gain_ms > *wait_ms)) {
+    if (best == offers.end() || (wait_ms && best_cost >= *wait_ms)) {
         return;
     }
     auto& engine = *best->engine;
     const bool recent = held_recently(engine, wanted.key);
-    if (!recent && (store_loads() >= m_store_limiter.limit() ||
-                    should_wait_for_recent_engine(wanted, now))) {
+    if (!recent &&
+        (store_loads() >= m_store_limiter.limit() || should_wait_for_recent_engine(wanted, now))) {
         return;
     }
     const auto victim = best->victim;
--- a/src/consensus/raft_node.cpp
+++ b/src/consensus/raft_node.cpp
@@ -87,6 +87,10 @@
     }
     if (m_role == role::leader) {
         check_quorum(now);
+        if (m_role == role::leader && m_transfer_begun_at &&
+            now - *m_transfer_begun_at >= m_options.election_max) {
+            become_follower(m_hard.term, 0); // a leader without a lease can't do its work
+        }
         if (m_role == role::leader && now >= m_heartbeat_due) {
             broadcast(now, true);
         }
@@ -120,7 +124,7 @@
 core::time_point raft_node::lease_end(core::duration drift) const
 {
     const auto start = m_round_starts.find(m_confirmed_round);
-    if (m_role != role::leader || start == m_round_starts.end()) {
+    if (m_role != role::leader || m_transfer_begun_at || start == m_round_starts.end()) {
         return {};
     }
     return start->second + m_options.election_min - drift;
@@ -264,6 +268,7 @@
 {
     m_role = role::leader;
     m_leader = m_self;
+    m_transfer_begun_at.reset();
     m_progress.clear();
     m_confirmed_round = 0;
     m_round = 0;
@@ -383,6 +388,7 @@
     if (best == 0) {
         return;
     }
+    m_transfer_begun_at = now;
     broadcast(now, false);
     wire::timeout_now_t request;
     request.leader = m_self;
--- a/src/consensus/raft_node_test.cpp
+++ b/src/consensus/raft_node_test.cpp
@@ -35,6 +35,43 @@
     return {core::replica_id{1}, recovered, {}, 1, start};
 }
 
+void grant_vote(raft_node& node, std::uint64_t term, bool pre_vote, core::time_point now)
+{
+    wire::vote_reply_t reply;
+    reply.cluster = 77;
+    reply.to = 1;
+    reply.from = 2;
+    reply.term = term;
+    reply.granted = true;
+    reply.pre_vote = pre_vote;
+    node.step(wire::make_envelope(reply), now);
+    node.take_ready();
+    node.persisted(now);
+}
+
+void acknowledge(raft_node& node, core::time_point now)
+{
+    wire::append_reply_t reply;
+    reply.cluster = 77;
+    reply.to = 1;
+    reply.from = 2;
+    reply.term = 4;
+    reply.success = true;
+    reply.match_index = 4;
+    reply.round = 1;
+    node.step(wire::make_envelope(reply), now);
+}
+
+// Makes `node` the leader of term 4 whose first heartbeat round is confirmed at `now`.
+void make_leader(raft_node& node, core::time_point now)
+{
+    node.tick(now);
+    node.take_ready();
+    grant_vote(node, 4, true, now);
+    grant_vote(node, 4, false, now);
+    acknowledge(node, now);
+}
+
 // Returns whether `node` votes in term 4 for replica 2 with a log that ends as given.
 bool grants(raft_node& node, std::uint64_t last_index, std::uint64_t last_term)
 {
@@ -207,3 +244,27 @@
     }
     CHECK_FALSE(node.propose_members(members).has_value());
 }
+
+TEST(RaftNode, HoldsNoLeaseOnceItTransfersItsLeadership)
+{
+    auto node = follower_with_entries();
+    const auto now = start + std::chrono::seconds{2};
+    make_leader(node, now);
+    CHECK_TRUE(node.lease_end({}) > now);
+    node.transfer_leadership(now);
+    CHECK_TRUE(node.is_leader());
+    CHECK_FALSE(node.lease_end({}) > now);
+}
+
+TEST(RaftNode, StepsDownWhenATransferOfItsLeadershipFails)
+{
+    auto node = follower_with_entries();
+    auto now = start + std::chrono::seconds{2};
+    make_leader(node, now);
+    node.transfer_leadership(now);
+    node.tick(now + core::milliseconds{700});
+    acknowledge(node, now + core::milliseconds{700});
+    CHECK_TRUE(node.is_leader());
+    node.tick(now + core::milliseconds{800});
+    CHECK_FALSE(node.is_leader());
+}
