--- a/include/siskindrift/adapters/load_limiter.h
+++ b/include/siskindrift/adapters/load_limiter.h
@@ -29,9 +29,9 @@
     double increase = 0.1;
     /// Largest relative decrease at once.
     double max_decrease = 0.3;
-    /// Quantile of the load durations by which the limit is changed. Below the median, because
+    /// Quantile of the load durations by which the limit is changed. Low, because
     /// other causes only lengthen loads.
-    double quantile = 0.4;
+    double quantile = 0.25;
     /// Least number of loads by which the limit is changed.
     std::size_t min_sample = 4;
 };
@@ -77,6 +77,7 @@
     bool m_overload_seen = false;
     double m_unslowed_s = 0; ///< Duration of the fastest loads; 0: unknown.
     std::vector<sample> m_samples;
+    core::time_point m_changed_at{}; ///< Last change of the limit.
     std::size_t m_in_progress = 0;
     double m_load_seconds = 0; ///< Sum of `m_in_progress` over time.
     core::time_point m_summed_until{};
--- a/src/adapters/load_limiter.cpp
+++ b/src/adapters/load_limiter.cpp
@@ -19,6 +19,9 @@
         return;
     }
     set_in_progress(m_in_progress, now);
+    if (began < m_changed_at) {
+        return; // shows the effect of the previous limit
+    }
     m_samples.push_back({duration_s, (m_load_seconds - load_seconds) / duration_s});
     if (m_samples.size() < std::max(limit(), m_options.min_sample)) {
         return;
@@ -30,7 +33,11 @@
         [](const sample& left, const sample& right) { return left.duration_s < right.duration_s; });
     const auto typical = *chosen;
     m_samples.clear();
+    const auto before = limit();
     update(typical);
+    if (limit() != before) {
+        m_changed_at = now;
+    }
 }
 
 void load_limiter::update(const sample& typical)
