--- a/include/siskindrift/log/replica_store.h
+++ b/include/siskindrift/log/replica_store.h
@@ -31,6 +31,11 @@
     ///
     /// @returns false, with the error message in @p error, when the sync failed
     virtual bool sync(core::error_message& error) = 0;
+
+    /// Removes everything after the first @p size bytes.
+    ///
+    /// @returns false, with the error message in @p error, when that failed
+    virtual bool truncate(std::uint64_t size, core::error_message& error) = 0;
 };
 
 /// Opens append-only files. Tests replace it to inject faults.
@@ -71,7 +76,7 @@
                                                       recovery_report& report);
 
 /// Writes the state of a `raft_node` to its data folder. After a failed call the process must stop,
-/// because the content of the disk is unknown. Not thread-safe.
+/// because the content of the disk is unknown, unless `can_retry` returns true. Not thread-safe.
 class replica_store {
 public:
     replica_store(std::filesystem::path folder, file_opener& opener)
@@ -102,6 +107,10 @@
     bool store_snapshot(const consensus::snapshot& snapshot, const consensus::raft_node& node,
                         core::error_message& error);
 
+    /// Returns whether a call that failed may be repeated: nothing was written, for example because
+    /// the disk is full. A call that failed while syncing may not.
+    [[nodiscard]] bool can_retry() const { return !m_sync_failed; }
+
     /// Returns the number of records and snapshots that were synced since construction.
     [[nodiscard]] std::uint64_t syncs() const { return m_syncs; }
     /// Returns the number of bytes of log records that were synced since construction.
@@ -112,12 +121,16 @@
                              core::error_message& error);
     bool start_segment(const wire::log_record_t& first, core::error_message& error);
     bool write_record(const wire::log_record_t& record, core::error_message& error);
+    bool sync(append_file& file, core::error_message& error);
     void remove_obsolete_files(std::uint64_t segment, std::uint64_t snapshot_index);
 
     std::filesystem::path m_folder;
     file_opener& m_opener;
     std::unique_ptr<append_file> m_file;
     std::uint64_t m_segment = 0;
+    std::uint64_t m_segment_bytes = 0;    ///< Length of the complete records of the segment.
+    bool m_has_incomplete_record = false; ///< A write failed; its bytes must be removed.
+    bool m_sync_failed = false;
     consensus::hard_state m_hard;
     std::uint64_t m_syncs = 0;
     std::uint64_t m_written_bytes = 0;
--- a/src/apps/control_process.cpp
+++ b/src/apps/control_process.cpp
@@ -137,7 +137,9 @@
         handle_message(std::move(item));
     }
     m_core->tick();
-    if (!m_storage->run_cycle(*m_core, [this](const auto& messages) { send(messages); })) {
+    const auto result =
+        m_storage->run_cycle(*m_core, [this](const auto& messages) { send(messages); });
+    if (result != storage_result::done) {
         return false;
     }
     for (auto& reply : m_core->take_replies()) {
--- a/src/apps/coordinator_process.cpp
+++ b/src/apps/coordinator_process.cpp
@@ -173,9 +173,12 @@
 void coordinator_process::arm_timer()
 {
     const auto now = m_clock.now();
-    auto due = std::min(m_core->raft().next_due(), m_flush_due);
-    if (m_core->raft().cluster() == 0) {
-        due = m_flush_due;
+    auto due = m_flush_due;
+    if (m_storage->disk_full()) {
+        due = std::min(due, m_storage_retry_at);
+    }
+    else if (m_core->raft().cluster() != 0) {
+        due = std::min(due, m_core->raft().next_due());
     }
     due = std::min(due, m_join_due);
     if (m_placement_term != 0) {
@@ -220,7 +223,14 @@
 
 bool coordinator_process::run_replica()
 {
-    m_core->tick();
+    if (m_storage->disk_full()) {
+        if (m_clock.now() < m_storage_retry_at) {
+            return true;
+        }
+    }
+    else {
+        m_core->tick();
+    }
     constexpr int max_rounds = 8; // remaining work is left for the next cycle
     for (int round = 0; round < max_rounds; ++round) {
         const auto applied = m_core->applied();
@@ -228,7 +238,8 @@
         if (!run_replica_round()) {
             return false;
         }
-        if (m_core->applied() == applied && m_core->raft().commit_index() == commit) {
+        const bool idle = m_core->applied() == applied && m_core->raft().commit_index() == commit;
+        if (idle || m_storage->disk_full()) {
             return true;
         }
     }
@@ -238,9 +249,14 @@
 
 bool coordinator_process::run_replica_round()
 {
-    if (!m_storage->run_cycle(*m_core, [this](const auto& messages) { send_messages(messages); })) {
+    const auto result =
+        m_storage->run_cycle(*m_core, [this](const auto& messages) { send_messages(messages); });
+    if (result == storage_result::failed) {
         return false;
     }
+    if (result == storage_result::disk_full) {
+        m_storage_retry_at = m_clock.now() + storage_retry_interval;
+    }
     for (auto& reply : m_core->take_replies()) {
         send_reply(reply);
     }
@@ -250,7 +266,7 @@
 void coordinator_process::update_membership()
 {
     const auto members = m_membership.next_members(m_core->raft(), m_clock.now());
-    if (!members || m_stopping) {
+    if (!members || m_stopping || m_storage->disk_full()) {
         return;
     }
     // Refused while another change is in progress; a later cycle tries again.
@@ -288,7 +304,7 @@
 
 bool coordinator_process::is_leading() const
 {
-    return m_core->raft().has_committed_in_term() && !m_stopping;
+    return m_core->raft().has_committed_in_term() && !m_stopping && !m_storage->disk_full();
 }
 
 void coordinator_process::update_leadership()
@@ -347,7 +363,8 @@
     else if (const auto* join_request = message.body.Asjoin_request()) {
         m_membership.record_join_request(*join_request, m_clock.now());
     }
-    else {
+    else if (!m_storage->disk_full()) {
+        // The replica takes no part in consensus until its last state is on disk.
         m_core->on_peer(message);
     }
     schedule_cycle();
@@ -444,6 +461,10 @@
                                   const std::shared_ptr<http::responder>& responder)
 {
     const auto& raft = m_core->raft();
+    if (m_storage->disk_full()) {
+        respond_error(responder, 503, "the disk of this replica is full");
+        return;
+    }
     const auto voters = std::count_if(raft.members().begin(), raft.members().end(),
                                       [](const auto& info) { return info.voter; });
     if (!raft.is_leader() || m_stopping) {
--- a/src/apps/coordinator_process.h
+++ b/src/apps/coordinator_process.h
@@ -117,6 +117,7 @@
     observe::metrics m_metrics;
     metrics_endpoint m_metrics_endpoint;
     std::unique_ptr<replica_storage> m_storage;
+    core::time_point m_storage_retry_at{}; ///< While the disk is full.
     std::unique_ptr<control::control_core> m_core;
     control::membership_manager m_membership;
     /// Responders of proposed commands, keyed by client id.
--- a/src/apps/replica_storage.cpp
+++ b/src/apps/replica_storage.cpp
@@ -31,22 +31,40 @@
     return storage;
 }
 
-bool replica_storage::run_cycle(control::control_core& core, const send_function& send)
+storage_result replica_storage::run_cycle(control::control_core& core, const send_function& send)
 {
     core::error_message error;
-    const auto ready = core.take_ready();
-    send(ready.messages_before_sync);
+    const bool repeated = disk_full();
+    auto ready = repeated ? std::move(*m_unwritten) : core.take_ready();
+    m_unwritten.reset();
+    if (!repeated) {
+        send(ready.messages_before_sync);
+    }
     if (!m_store.persist(ready, core.raft(), error)) {
-        observe::error("storage_failed", {{"reason", error.text()}});
-        return false;
+        if (!m_store.can_retry()) {
+            observe::error("storage_failed", {{"reason", error.text()}});
+            return storage_result::failed;
+        }
+        if (!repeated) {
+            observe::error("disk_full", {{"reason", error.text()}});
+        }
+        m_unwritten = std::move(ready);
+        return storage_result::disk_full;
+    }
+    if (repeated) {
+        observe::info("disk_writable", {});
     }
     send(ready.messages_after_sync);
     const auto snapshot = core.apply_ready(ready);
     if (snapshot && !m_store.store_snapshot(*snapshot, core.raft(), error)) {
-        observe::error("storage_failed", {{"reason", error.text()}});
-        return false;
+        if (!m_store.can_retry()) {
+            observe::error("storage_failed", {{"reason", error.text()}});
+            return storage_result::failed;
+        }
+        // The log still holds what the snapshot covers.
+        observe::error("snapshot_not_stored", {{"reason", error.text()}});
     }
-    return true;
+    return storage_result::done;
 }
 
 } // namespace siskindrift::apps
--- a/src/apps/replica_storage.h
+++ b/src/apps/replica_storage.h
@@ -13,6 +13,13 @@
 
 namespace siskindrift::apps {
 
+/// Result of one cycle of a replica.
+enum class storage_result : std::uint8_t {
+    done,
+    disk_full, ///< Nothing was written; the next cycle tries again.
+    failed,    ///< The contents of the disk are unknown.
+};
+
 /// The data folder of a control replica, locked by this process, and the store in it.
 class replica_storage {
 public:
@@ -30,10 +37,11 @@
 
     /// Runs one cycle of @p core: sends the messages that need not wait for the disk, persists the
     /// state, sends the other messages, applies committed entries and stores a snapshot if one is
-    /// due.
-    /// @return false if the disk failed, which is logged; the contents of the disk are then
-    /// unknown.
-    bool run_cycle(control::control_core& core, const send_function& send);
+    /// due. While the disk is full, nothing is acknowledged or applied, as if the disk were slow.
+    /// Failures are logged.
+    storage_result run_cycle(control::control_core& core, const send_function& send);
+    /// Returns whether work waits for room on the disk.
+    [[nodiscard]] bool disk_full() const { return m_unwritten.has_value(); }
 
 private:
     explicit replica_storage(log::data_folder folder)
@@ -44,6 +52,7 @@
     log::data_folder m_folder;
     log::system_file_opener m_opener;
     log::replica_store m_store;
+    std::optional<consensus::ready> m_unwritten; ///< Waits for room on the disk.
 };
 
 } // namespace siskindrift::apps
--- a/src/log/replica_store.cpp
+++ b/src/log/replica_store.cpp
@@ -251,6 +251,15 @@
         return true;
     }
 
+    bool truncate(std::uint64_t size, core::error_message& error) override
+    {
+        if (::ftruncate(m_file, static_cast<off_t>(size)) != 0) {
+            error.set(std::string{"can't truncate the log: "} + std::strerror(errno));
+            return false;
+        }
+        return true;
+    }
+
 private:
     int m_file;
 };
@@ -335,26 +344,52 @@
     return state;
 }
 
+// The previous segment stays in use if the new one can't be written.
 bool replica_store::start_segment(const wire::log_record_t& first, core::error_message& error)
 {
-    ++m_segment;
-    const auto path = m_folder / make_numbered_name("log-", m_segment, ".seg");
-    m_file = m_opener.open(path, error);
-    const bool started = m_file && m_file->write(segment_magic, error) &&
-                         write_record(first, error) && sync_folder(m_folder, error);
+    const auto path = m_folder / make_numbered_name("log-", m_segment + 1, ".seg");
+    const auto bytes = std::string{segment_magic} + encode_record(wire::encode_table(first));
+    auto file = m_opener.open(path, error);
+    bool started = file && file->write(bytes, error);
+    if (started) {
+        started = sync(*file, error) && sync_folder(m_folder, error);
+        m_sync_failed = m_sync_failed || !started;
+    }
     if (!started) {
         std::error_code ignored; // if the file remains, it is skipped when the log is read
         fs::remove(path, ignored);
+        return false;
     }
-    return started;
+    ++m_segment;
+    m_file = std::move(file);
+    m_segment_bytes = bytes.size();
+    m_has_incomplete_record = false;
+    ++m_syncs;
+    m_written_bytes += bytes.size() - segment_magic.size();
+    return true;
+}
+
+bool replica_store::sync(append_file& file, core::error_message& error)
+{
+    m_sync_failed = m_sync_failed || !file.sync(error);
+    return !m_sync_failed;
 }
 
 bool replica_store::write_record(const wire::log_record_t& record, core::error_message& error)
 {
+    if (m_has_incomplete_record && !m_file->truncate(m_segment_bytes, error)) {
+        return false;
+    }
+    m_has_incomplete_record = false;
     const auto encoded = encode_record(wire::encode_table(record));
-    if (!m_file->write(encoded, error) || !m_file->sync(error)) {
+    if (!m_file->write(encoded, error)) {
+        m_has_incomplete_record = true;
+        return false;
+    }
+    if (!sync(*m_file, error)) {
         return false;
     }
+    m_segment_bytes += encoded.size();
     ++m_syncs;
     m_written_bytes += encoded.size();
     return true;
--- a/src/log/replica_store_test.cpp
+++ b/src/log/replica_store_test.cpp
@@ -30,6 +30,7 @@
         error.set("input/output error");
         return m_syncs_left-- > 0;
     }
+    bool truncate(std::uint64_t, core::error_message&) override { return true; }
 
 private:
     int& m_writes_left;
@@ -71,6 +72,10 @@
             return written && accepted == bytes.size();
         }
         bool sync(core::error_message& error) override { return m_inner->sync(error); }
+        bool truncate(std::uint64_t size, core::error_message& error) override
+        {
+            return m_inner->truncate(size, error);
+        }
 
     private:
         std::unique_ptr<append_file> m_inner;
@@ -183,6 +188,55 @@
     CHECK_TRUE(read_replica(folder, report).damaged);
 }
 
+TEST(ReplicaStore, WritesTheSameBatchAgainWhenAFullDiskHasRoomAgain)
+{
+    limited_opener limited;
+    {
+        replica_store store{folder, limited};
+        CHECK_TRUE(store.open(report, error).has_value());
+        CHECK_TRUE(store.persist(make_batch(1, 3), idle_node(), error));
+        limited.free_bytes = 20; // the record is written in part
+        CHECK_FALSE(store.persist(make_batch(4, 2), idle_node(), error));
+        CHECK_TRUE(store.can_retry());
+        limited.free_bytes = 1'000'000;
+        CHECK_TRUE(store.persist(make_batch(4, 2), idle_node(), error));
+        CHECK_TRUE(store.persist(make_batch(6, 1), idle_node(), error));
+    }
+    const auto state = read_replica(folder, report);
+    CHECK_FALSE(state.damaged);
+    UNSIGNED_LONGS_EQUAL(6, state.entries.size());
+}
+
+TEST(ReplicaStore, GoesOnWithItsSegmentWhenASnapshotDoesNotFitOnTheDisk)
+{
+    limited_opener limited;
+    {
+        replica_store store{folder, limited};
+        CHECK_TRUE(store.open(report, error).has_value());
+        CHECK_TRUE(store.persist(make_batch(1, 3), idle_node(), error));
+        limited.free_bytes = 10;
+        consensus::snapshot image;
+        image.last_index = 3;
+        CHECK_FALSE(store.store_snapshot(image, idle_node(), error));
+        CHECK_TRUE(store.can_retry());
+        limited.free_bytes = 1'000'000;
+        CHECK_TRUE(store.persist(make_batch(4, 2), idle_node(), error));
+    }
+    const auto state = read_replica(folder, report);
+    CHECK_FALSE(state.damaged);
+    UNSIGNED_LONGS_EQUAL(2, state.entries.size()); // after the snapshot
+}
+
+TEST(ReplicaStore, DoesNotRepeatABatchAfterAFailedSync)
+{
+    failing_opener failing;
+    replica_store store{folder, failing};
+    CHECK_TRUE(store.open(report, error).has_value());
+    failing.syncs_left = 0;
+    CHECK_FALSE(store.persist(make_batch(1, 1), idle_node(), error));
+    CHECK_FALSE(store.can_retry());
+}
+
 TEST(ReplicaStore, KeepsItsLogWhenTheDiskFillsUpInTheMiddleOfARecord)
 {
     limited_opener limited;
