Raise the unslowed load time slowly, and publish changed copies without delay

Its log shows 22 loads from a store that bears 8, after seconds in which few loads were slow because engines had failed: the limiter then took the store for a slower one, and every later load for a timely one. It shows 19 evictions of adapters in use (7 before), each of which blocks its engine for the length of the run; changed copies were published up to 5 ms late. Change: the duration of unslowed loads rises by at most a twentieth at a time; changes of copies are published at the former interval again (0.3 ms for each gateway).

--- a/include/siskindrift/adapters/load_limiter.h
+++ b/include/siskindrift/adapters/load_limiter.h
@@ -32,6 +32,8 @@
     /// Quantile of the load durations by which the limit is changed. Low, because
     /// other causes only lengthen loads.
     double quantile = 0.25;
+    /// Largest factor by which the duration of unslowed loads increases at once.
+    double unslowed_growth = 1.05;
     /// Least number of loads by which the limit is changed.
     std::size_t min_sample = 4;
 };
--- a/src/adapters/load_limiter.cpp
+++ b/src/adapters/load_limiter.cpp
@@ -56,8 +56,8 @@
         }
     }
     else if (stretch > m_options.max_stretch && typical.loads <= m_options.min_limit) {
-        // So few loads can't overload the store: it has become slower.
-        m_unslowed_s = typical.duration_s;
+        // So few loads hardly overload the store: it may have become slower.
+        m_unslowed_s = std::min(typical.duration_s, m_unslowed_s * m_options.unslowed_growth);
     }
     else if (stretch > m_options.max_stretch) {
         m_overload_seen = true;
--- a/src/apps/coordinator_fleet.cpp
+++ b/src/apps/coordinator_fleet.cpp
@@ -16,8 +16,6 @@
 constexpr core::milliseconds usability_check_interval{500};
 constexpr core::milliseconds summary_interval{1000};
 constexpr std::chrono::microseconds copy_update_interval_per_gateway{300}; // 27 ms at 91 gateways
-// Combines changes of several engines. Short compared with the load of an adapter from a cache.
-constexpr core::milliseconds min_copy_update_interval{5};
 constexpr std::chrono::microseconds plan_interval_per_gateway{100};
 constexpr core::milliseconds load_update_interval_per_gateway{4};
 // A quarter of the time that an engine takes to process one prompt.
@@ -258,9 +256,7 @@
     wire::engine_update_t update;
     update.term = m_placement_term;
     if (now >= m_copy_update_due) {
-        m_copy_update_due =
-            now + std::max<core::duration>(min_copy_update_interval,
-                                           copy_update_interval_per_gateway * m_gateways.size());
+        m_copy_update_due = now + copy_update_interval_per_gateway * m_gateways.size();
         for (auto& view : m_placer.take_changed_views()) {
             wire::append(update.engines, std::move(view));
         }
