--- a/include/siskindrift/adapters/placer.h
+++ b/include/siskindrift/adapters/placer.h
@@ -112,6 +112,7 @@
 struct placement_summary {
     std::size_t wanted = 0;        ///< Requested adapters that no engine holds or is loading.
     std::size_t store_loads = 0;   ///< Loads from the weight store that are in progress.
+    std::size_t store_limit = 0;   ///< Limit on `store_loads`.
     std::size_t engines = 0;       ///< Engines that take orders.
     std::size_t adapter_slots = 0; ///< Adapter slots of these engines.
     std::size_t in_use = 0;        ///< Adapter slots whose adapter has running requests.
@@ -276,6 +277,7 @@
     [[nodiscard]] std::vector<load_offer> collect_offers(core::time_point now);
     /// Returns whether no usable engine holds or loads the newest version.
     [[nodiscard]] static bool is_missing(const copy_index& copies, const demand& wanted);
+    /// Orders loads and evictions for the adapters that gateways wish for.
     void place_adapters(core::time_point now, std::vector<order>& orders);
     [[nodiscard]] bool should_wait_for_recent_engine(const demand& wanted,
                                                      core::time_point now) const;
@@ -315,6 +317,7 @@
                         bool unload);
     void apply_success(engine_state& engine, const order& given, order_result result,
                        core::time_point now);
+    /// Sets when a load in progress is polled next.
     void schedule_poll(adapter_copy& held, core::time_point now);
     /// Learns from a completed load how fast the store and the caches of the engines are.
     void learn_from_load(const adapter_copy& held, core::time_point now);
--- a/include/siskindrift/gateway/upstream_pool.h
+++ b/include/siskindrift/gateway/upstream_pool.h
@@ -146,7 +146,7 @@
         core::time_point last_connect_failure{};
         core::time_point last_trial{};  ///< Last request sent although the upstream was failing.
         core::time_point quiet_since{}; ///< Last byte, or the first request sent after a pause.
-        std::uint64_t born_ms = 0;      ///< Run of the upstream that the last two fields are about.
+        std::uint64_t born_ms = 0;      ///< Run of the upstream that these fields are about.
     };
     struct engine_state {
         std::uint64_t born_ms = 0;  ///< Start time, which identifies one run of the engine.
--- a/src/adapters/placer_plan.cpp
+++ b/src/adapters/placer_plan.cpp
@@ -204,6 +204,7 @@
         sum.wanted += is_missing(copies, wanted) ? 1 : 0;
     }
     sum.store_loads = store_loads();
+    sum.store_limit = m_store_limiter.limit();
     for (const auto& [id, engine] : m_engines) {
         if (!is_usable(engine) || !engine.state_known || capacity_of(engine) == nullptr) {
             continue;
--- a/src/apps/coordinator_fleet.cpp
+++ b/src/apps/coordinator_fleet.cpp
@@ -345,6 +345,7 @@
     }
     observe::info("adapters_wanted", {{"wanted", summary.wanted},
                                       {"store_loads", summary.store_loads},
+                                      {"store_limit", summary.store_limit},
                                       {"engines", summary.engines},
                                       {"places", summary.adapter_slots},
                                       {"in_use", summary.in_use},
