Log how each upstream's answer ended and how the caller's was framed

The client now reports the framing of the body and the error of a call; the gateway logs both, the caller's framing, the number of whole events and whether the stream stood inside one. No decision depends on them yet.

http::event_boundary follows a stream without buffering it.

--- a/include/siskindrift/http/buffered_client.h
+++ b/include/siskindrift/http/buffered_client.h
@@ -51,13 +51,13 @@
     {
         m_open[call].response.body += bytes;
     }
-    void on_end(std::uint64_t call, call_result how) override
+    void on_end(std::uint64_t call, const call_end& end) override
     {
         auto ended = m_open.extract(call);
         if (ended.empty()) {
             return;
         }
-        const bool complete = how == call_result::complete;
+        const bool complete = end.result == call_result::complete;
         ended.mapped().done(complete ? std::optional{std::move(ended.mapped().response)}
                                      : std::nullopt);
     }
--- a/include/siskindrift/http/client.h
+++ b/include/siskindrift/http/client.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "siskindrift/core/clock.h"
 #include "siskindrift/http/server.h"
@@ -19,6 +20,24 @@
     timed_out,       ///< A timeout expired after the connection was established.
 };
 
+/// How a response marks the end of its body.
+enum class body_framing : std::uint8_t {
+    none,        ///< No head was received, or the status allows no body.
+    length,      ///< `Content-Length`.
+    chunked,     ///< `Transfer-Encoding: chunked`.
+    until_close, ///< Neither: the body lasts until the connection closes.
+};
+
+/// Returns the name of @p framing for logs.
+[[nodiscard]] std::string_view to_string(body_framing framing);
+
+/// The end of a call.
+struct call_end {
+    call_result result = call_result::not_sent;
+    body_framing framing = body_framing::none;
+    std::string error; ///< Why the call failed; empty if it is complete.
+};
+
 /// Status and headers of a response.
 struct client_head {
     std::uint16_t status = 0;
@@ -68,7 +87,7 @@
     /// A part of the response body was received.
     virtual void on_data(std::uint64_t call, const std::string& bytes) = 0;
     /// The call ended. Always the last callback of a call, unless it was cancelled.
-    virtual void on_end(std::uint64_t call, call_result how) = 0;
+    virtual void on_end(std::uint64_t call, const call_end& end) = 0;
 };
 
 /// Sends HTTP requests over pooled connections. Thread-safe.
--- a/src/apps/entry_process.cpp
+++ b/src/apps/entry_process.cpp
@@ -419,10 +419,10 @@
     m_core->on_call_data(call, bytes);
 }
 
-void entry_process::on_end(std::uint64_t call, http::call_result result)
+void entry_process::on_end(std::uint64_t call, const http::call_end& end)
 {
     const std::lock_guard lock{m_mutex};
-    m_core->on_call_end(call, static_cast<requests::call_end>(result));
+    m_core->on_call_end(call, static_cast<requests::call_end>(end.result));
 }
 
 // --- requests of callers ---
--- a/src/apps/entry_process.h
+++ b/src/apps/entry_process.h
@@ -75,7 +75,7 @@
     // client_handler
     void on_head(std::uint64_t call, const http::client_head& head) override;
     void on_data(std::uint64_t call, const std::string& bytes) override;
-    void on_end(std::uint64_t call, http::call_result result) override;
+    void on_end(std::uint64_t call, const http::call_end& end) override;
 
     // Paths that this process answers itself.
     /// Answers the request if its path is one of these; returns false otherwise.
--- a/src/apps/gateway_exchanges.cpp
+++ b/src/apps/gateway_exchanges.cpp
@@ -38,6 +38,12 @@
 
 } // namespace
 
+std::string_view gateway_process::caller_framing(const exchange& item)
+{
+    return http::to_string(item.stream_begun ? http::body_framing::chunked
+                                             : http::body_framing::length);
+}
+
 core::duration gateway_process::time_left(const exchange& item) const
 {
     return item.deadline - m_clock.now();
@@ -65,6 +71,10 @@
                                         {"upstream", item.upstream_id},
                                         {"adapter", item.adapter.second},
                                         {"tokens", item.metadata.prompt_tokens},
+                                        {"framing", http::to_string(item.call_end.framing)},
+                                        {"caller_framing", caller_framing(item)},
+                                        {"events", item.events.events()},
+                                        {"inside_event", item.events.inside_event()},
                                         {"attempts", item.attempts_sent},
                                         {"sent_ms", ms_since_arrival(item.first_sent_at)},
                                         {"first_ms", ms_since_arrival(item.first_byte_at)},
@@ -377,6 +387,7 @@
 void gateway_process::forward_stream_data(exchange& item, const std::string& bytes)
 {
     if (!item.route.repeatable()) {
+        item.events.follow(bytes);
         item.responder->write_chunk(bytes);
         return;
     }
@@ -387,7 +398,7 @@
     }
 }
 
-void gateway_process::on_end(std::uint64_t call, http::call_result outcome)
+void gateway_process::on_end(std::uint64_t call, const http::call_end& call_end)
 {
     auto* item = find_exchange(call);
     if (item == nullptr) {
@@ -395,11 +406,13 @@
     }
     m_exchange_by_call.erase(call);
     item->call_id = 0;
+    item->call_end = call_end;
+    const auto outcome = call_end.result;
     record_prompt_processed(*item);
     m_pool.record_ended(item->upstream_id, item->adapter);
     if (item->stream_begun && item->response_head &&
         item->response_head->status < first_redirect_status) {
-        handle_stream_end(*item, outcome);
+        handle_stream_end(*item);
         return;
     }
     auto end = gateway::attempt_outcome::indeterminate;
@@ -456,6 +469,8 @@
                                          {"upstream", item.upstream_id},
                                          {"reason", core::to_string(reason)},
                                          {"status", status},
+                                         {"framing", http::to_string(item.call_end.framing)},
+                                         {"error", item.call_end.error},
                                          {"age_ms", core::to_ms(now - item.arrived_at)}});
     }
     gateway::forward_state state;
@@ -479,8 +494,17 @@
     }
 }
 
-void gateway_process::handle_stream_end(exchange& item, http::call_result outcome)
+void gateway_process::handle_stream_end(exchange& item)
 {
+    const auto outcome = item.call_end.result;
+    const bool inside_event = item.events.inside_event();
+    if (outcome == http::call_result::complete &&
+        item.call_end.framing == http::body_framing::until_close) {
+        m_metrics.count("siskindrift_streams_ended_by_close_total");
+    }
+    if (inside_event) {
+        m_metrics.count("siskindrift_streams_ended_inside_event_total");
+    }
     const bool complete =
         outcome == http::call_result::complete && !item.events.has_partial_event();
     m_pool.record_outcome(item.upstream_id, !complete, m_clock.now());
@@ -496,6 +520,9 @@
     observe::info("stream_broken", {{"request", item.metadata.request_id},
                                     {"upstream", item.upstream_id},
                                     {"reason", core::to_string(reason)},
+                                    {"framing", http::to_string(item.call_end.framing)},
+                                    {"error", item.call_end.error},
+                                    {"inside_event", inside_event},
                                     {"last_event", item.last_event_id}});
     gateway::forward_state state;
     state.repeatable = item.route.repeatable();
--- a/src/apps/gateway_process.h
+++ b/src/apps/gateway_process.h
@@ -106,6 +106,7 @@
         std::optional<http::client_head> response_head;
         gateway::response_metadata response_metadata;
         std::string response_body;
+        http::call_end call_end; ///< Of the last attempt that has ended.
         // Streaming response.
         bool stream_begun = false;
         gateway::event_splitter events;
@@ -156,11 +157,11 @@
     void handle_timeout(std::uint64_t id);
     void on_head(std::uint64_t call, const http::client_head& head) override;
     void on_data(std::uint64_t call, const std::string& bytes) override;
-    void on_end(std::uint64_t call, http::call_result outcome) override;
+    void on_end(std::uint64_t call, const http::call_end& call_end) override;
     void begin_stream(exchange& item);
     void forward_stream_data(exchange& item, const std::string& bytes);
     void handle_attempt_end(exchange& item, gateway::attempt_outcome end, core::reason reason);
-    void handle_stream_end(exchange& item, http::call_result outcome);
+    void handle_stream_end(exchange& item);
     void forward_response(exchange& item);
     void fail_request(exchange& item, core::reason reason);
     void abort_stream(exchange& item, core::reason reason);
@@ -172,6 +173,7 @@
     exchange* find_exchange(std::uint64_t call);
     [[nodiscard]] core::duration time_left(const exchange& item) const;
     void count_reason(core::reason reason);
+    [[nodiscard]] static std::string_view caller_framing(const exchange& item);
     void record_served(const exchange& item, std::uint16_t status);
 
     config::gateway_settings m_settings;
--- a/src/apps/load_run.cpp
+++ b/src/apps/load_run.cpp
@@ -220,10 +220,10 @@
     }
 }
 
-void load_run::on_end(std::uint64_t call, http::call_result result)
+void load_run::on_end(std::uint64_t call, const http::call_end& end)
 {
     if (call == m_refresh_call) {
-        if (result == http::call_result::complete) {
+        if (end.result == http::call_result::complete) {
             update_endpoints(m_refresh_body);
         }
         else {
@@ -236,7 +236,7 @@
         return;
     }
     auto& request = found->second;
-    if (result == http::call_result::not_sent) {
+    if (end.result == http::call_result::not_sent) {
         // No byte was sent, so going on to the next endpoint doesn't count as a resend.
         ++request.endpoint_index;
         --request.sends;
@@ -244,7 +244,7 @@
         return;
     }
     const bool complete_response =
-        result == http::call_result::complete && !request.verdict.empty();
+        end.result == http::call_result::complete && !request.verdict.empty();
     const bool refused = complete_response && request.verdict == "not_run" && request.status >= 429;
     if ((!complete_response || refused) && request.sends <= m_options.resends) {
         ++request.endpoint_index;
--- a/src/apps/load_run.h
+++ b/src/apps/load_run.h
@@ -72,7 +72,7 @@
 
     void on_head(std::uint64_t call, const http::client_head& head) override;
     void on_data(std::uint64_t call, const std::string& bytes) override;
-    void on_end(std::uint64_t call, http::call_result result) override;
+    void on_end(std::uint64_t call, const http::call_end& end) override;
 
     void schedule();
     void start_request();
--- a/src/gateway/event_splitter.cpp
+++ b/src/gateway/event_splitter.cpp
@@ -1,30 +1,15 @@
 #include "siskindrift/gateway/event_splitter.h"
 
-#include <algorithm>
-
 namespace siskindrift::gateway {
 namespace {
 
-// Returns the offset after the last blank line in @p text, or 0.
-std::size_t end_of_last_event(std::string_view text)
-{
-    const auto lf = text.rfind("\n\n");
-    const auto crlf = text.rfind("\n\r\n");
-    const auto end_lf = lf == std::string_view::npos ? 0 : lf + 2;
-    const auto end_crlf = crlf == std::string_view::npos ? 0 : crlf + 3;
-    return std::max(end_lf, end_crlf);
-}
-
 // Returns the value of the last "id" field in @p events, or an empty string.
 std::string_view last_id_field(std::string_view events)
 {
     std::string_view found;
     while (!events.empty()) {
-        const auto end = events.find('\n');
-        auto line = events.substr(0, end);
-        if (!line.empty() && line.back() == '\r') {
-            line.remove_suffix(1);
-        }
+        const auto end = events.find_first_of("\r\n");
+        const auto line = events.substr(0, end);
         if (line.starts_with("id:")) {
             found = line.substr(3);
             if (found.starts_with(' ')) {
@@ -43,14 +28,24 @@
 
 std::string event_splitter::feed(std::string_view bytes)
 {
+    const auto buffered = m_partial.size();
     m_partial.append(bytes);
-    const auto end = end_of_last_event(m_partial);
-    auto complete = m_partial.substr(0, end);
-    m_partial.erase(0, end);
+    const auto end = m_boundary.feed(bytes);
+    if (end == 0) {
+        return {};
+    }
+    auto complete = m_partial.substr(0, buffered + end);
+    m_partial.erase(0, buffered + end);
     if (const auto id = last_id_field(complete); !id.empty()) {
         m_last_event_id = std::string{id};
     }
     return complete;
 }
 
+void event_splitter::discard_partial_event()
+{
+    m_partial.clear();
+    m_boundary.reset();
+}
+
 } // namespace siskindrift::gateway
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -61,6 +61,21 @@
     return {};
 }
 
+std::string_view to_string(body_framing framing)
+{
+    switch (framing) {
+    case body_framing::none:
+        break;
+    case body_framing::length:
+        return "length";
+    case body_framing::chunked:
+        return "chunked";
+    case body_framing::until_close:
+        return "until_close";
+    }
+    return "none";
+}
+
 class client_exchange;
 
 class client::implementation : public std::enable_shared_from_this<client::implementation> {
@@ -191,13 +206,13 @@
         }
         const auto endpoint = net::parse_address(m_call.address);
         if (!endpoint) {
-            end(call_result::not_sent);
+            end(call_result::not_sent, "not an IP:port address: " + m_call.address);
             return;
         }
         m_stream->expires_after(m_call.connect_timeout);
         m_stream->async_connect(*endpoint, [self = shared_from_this()](error_code error) {
             if (error) {
-                self->end(call_result::not_sent);
+                self->end(call_result::not_sent, error.message());
                 return;
             }
             error_code ignored;
@@ -210,7 +225,7 @@
     void send()
     {
         if (m_cancelled) {
-            end(call_result::not_sent);
+            end(call_result::not_sent, "cancelled");
             return;
         }
         m_request.method_string(m_call.method);
@@ -302,7 +317,7 @@
         const bool follows =
             m_parser->get().keep_alive() && ++m_mismatched_responses <= max_mismatched_responses;
         if (!follows) {
-            end(call_result::connection_lost);
+            end(call_result::connection_lost, "the response belongs to another request");
             return;
         }
         read_head();
@@ -312,13 +327,27 @@
     {
         if (error == beast::error::timeout) {
             m_owner->close_idle(m_call.address);
-            end(call_result::timed_out);
+            end(call_result::timed_out, error.message());
             return;
         }
-        end(call_result::connection_lost);
+        end(call_result::connection_lost, error.message());
+    }
+
+    [[nodiscard]] body_framing framing() const
+    {
+        if (!m_parser || !m_parser->is_header_done()) {
+            return body_framing::none;
+        }
+        if (m_parser->chunked()) {
+            return body_framing::chunked;
+        }
+        if (m_parser->content_length()) {
+            return body_framing::length;
+        }
+        return m_parser->need_eof() ? body_framing::until_close : body_framing::none;
     }
 
-    void end(call_result how)
+    void end(call_result how, std::string error = {})
     {
         if (std::exchange(m_ended, true)) {
             return;
@@ -337,7 +366,7 @@
             m_stream->close();
         }
         if (!m_cancelled) {
-            m_owner->handler().on_end(m_call.id, how);
+            m_owner->handler().on_end(m_call.id, {how, framing(), std::move(error)});
         }
     }
 
--- a/src/standins/standin_process.cpp
+++ b/src/standins/standin_process.cpp
@@ -60,9 +60,9 @@
     m_next_entry = (m_next_entry + 1) % m_settings.entries.size();
 }
 
-void standin_process::on_end(std::uint64_t, http::call_result result)
+void standin_process::on_end(std::uint64_t, const http::call_end& end)
 {
-    if (result != http::call_result::complete) {
+    if (end.result != http::call_result::complete) {
         m_next_entry = (m_next_entry + 1) % m_settings.entries.size();
     }
 }
--- a/src/standins/standin_process.h
+++ b/src/standins/standin_process.h
@@ -80,7 +80,7 @@
 private:
     void on_head(std::uint64_t, const http::client_head&) override {}
     void on_data(std::uint64_t, const std::string&) override {}
-    void on_end(std::uint64_t call, http::call_result result) override;
+    void on_end(std::uint64_t call, const http::call_end& end) override;
     void on_request(std::uint64_t exchange, http::server_request request,
                     std::shared_ptr<http::responder> responder) override;
     void on_caller_disconnected(std::uint64_t) override {}
