Judge every event stream's end by its events, not only resumable ones

Cause: the gateway looked for an unfinished event only while it buffered events, which it does for resumable routes. On the others the HTTP framing alone decided, and a body with neither length nor chunks ends with any clean close. So a process that dies in the middle of an event looked like one that was done.

Now every answer of server-sent events is followed by http::event_boundary, also on plain routes, and one function decides from framing and events whether an answer is complete; it no longer depends on whether the route can be resumed. A stream without any event that ends only with its connection counts as broken off too: nothing shows that it was complete. Answers of other media types on a streaming route are judged by their framing and no longer held back.

--- a/include/siskindrift/gateway/event_splitter.h
+++ b/include/siskindrift/gateway/event_splitter.h
@@ -22,14 +22,16 @@
     /// Discards the buffered incomplete event, before the stream continues from another upstream.
     void discard_partial_event();
 
+    /// Returns whether the part of the stream that came from the current upstream may be complete.
+    /// @param marked whether the body's framing marked its end.
+    [[nodiscard]] bool may_end(bool marked) const { return m_boundary.may_end(marked); }
+
     /// Returns the id of the last complete event that had one, or an empty string; ids in bytes
     /// passed to `follow` don't count.
     [[nodiscard]] const std::string& last_event_id() const { return m_last_event_id; }
-    /// Returns whether an incomplete event is buffered.
-    [[nodiscard]] bool has_partial_event() const { return !m_partial.empty(); }
     /// Returns whether the stream stands inside an event, buffered or not.
     [[nodiscard]] bool inside_event() const { return m_boundary.inside_event(); }
-    /// Returns the number of complete events.
+    /// Returns the number of complete events from the current upstream.
     [[nodiscard]] std::uint64_t events() const { return m_boundary.events(); }
 
 private:
--- a/src/apps/gateway_exchanges.cpp
+++ b/src/apps/gateway_exchanges.cpp
@@ -198,6 +198,8 @@
     item.upstream_address = choice.address;
     item.response_head.reset();
     item.response_body.clear();
+    item.event_stream = false;
+    item.events.discard_partial_event();
     item.call_id = m_next_call++;
     m_exchange_by_call[item.call_id] = item.id;
     platform::forwarding_fields added;
@@ -349,10 +351,14 @@
     if (item->response_metadata.load) {
         m_pool.record_load(item->upstream_id, *item->response_metadata.load);
     }
+    const auto media_type = head.header("Content-Type");
+    const bool streaming = item->route.kind == gateway::route_kind::streaming;
     const bool success = head.status < first_redirect_status;
+    item->event_stream =
+        http::is_event_stream(media_type) || (streaming && success && media_type.empty());
     const bool answered = gateway::classify_response(item->response_metadata, head.status) ==
                           gateway::attempt_outcome::answered;
-    if (item->route.kind == gateway::route_kind::streaming && success && answered) {
+    if (streaming && success && answered) {
         begin_stream(*item);
     }
 }
@@ -380,14 +386,19 @@
         forward_stream_data(*item, bytes);
     }
     else {
+        if (item->event_stream) {
+            item->events.follow(bytes);
+        }
         item->response_body += bytes;
     }
 }
 
 void gateway_process::forward_stream_data(exchange& item, const std::string& bytes)
 {
-    if (!item.route.repeatable()) {
-        item.events.follow(bytes);
+    if (!item.event_stream || !item.route.repeatable()) {
+        if (item.event_stream) {
+            item.events.follow(bytes);
+        }
         item.responder->write_chunk(bytes);
         return;
     }
@@ -407,7 +418,6 @@
     m_exchange_by_call.erase(call);
     item->call_id = 0;
     item->call_end = call_end;
-    const auto outcome = call_end.result;
     record_prompt_processed(*item);
     m_pool.record_ended(item->upstream_id, item->adapter);
     if (item->stream_begun && item->response_head &&
@@ -416,20 +426,20 @@
         return;
     }
     auto end = gateway::attempt_outcome::indeterminate;
-    auto reason = reason_for(outcome);
-    if (outcome == http::call_result::not_sent) {
+    auto reason = reason_for(call_end.result);
+    if (call_end.result == http::call_result::not_sent) {
         end = gateway::attempt_outcome::not_sent;
     }
     else if (item->response_head) {
         end = gateway::classify_response(item->response_metadata, item->response_head->status);
-        if (end == gateway::attempt_outcome::answered && outcome != http::call_result::complete) {
+        if (end == gateway::attempt_outcome::answered && !ended_complete(*item)) {
             end = gateway::attempt_outcome::indeterminate;
         }
         if (end == gateway::attempt_outcome::not_executed) {
             reason = core::reason::upstream_refused;
         }
         else if (end == gateway::attempt_outcome::indeterminate &&
-                 outcome == http::call_result::complete) {
+                 call_end.result == http::call_result::complete) {
             reason = core::reason::answer_incomplete;
         }
     }
@@ -494,6 +504,17 @@
     }
 }
 
+// Returns whether the response that has ended is the upstream's whole response: by its framing, and
+// by its events where it consists of events.
+bool gateway_process::ended_complete(const exchange& item)
+{
+    if (item.call_end.result != http::call_result::complete) {
+        return false;
+    }
+    const bool marked = item.call_end.framing != http::body_framing::until_close;
+    return !item.event_stream || item.events.may_end(marked);
+}
+
 void gateway_process::handle_stream_end(exchange& item)
 {
     const auto outcome = item.call_end.result;
@@ -505,8 +526,7 @@
     if (inside_event) {
         m_metrics.count("siskindrift_streams_ended_inside_event_total");
     }
-    const bool complete =
-        outcome == http::call_result::complete && !item.events.has_partial_event();
+    const bool complete = ended_complete(item);
     m_pool.record_outcome(item.upstream_id, !complete, m_clock.now());
     if (complete) {
         record_served(item, item.response_head->status);
@@ -514,7 +534,6 @@
         remove_exchange(item);
         return;
     }
-    item.events.discard_partial_event();
     const auto reason = outcome == http::call_result::complete ? core::reason::answer_incomplete
                                                                : reason_for(outcome);
     observe::info("stream_broken", {{"request", item.metadata.request_id},
--- a/src/apps/gateway_process.h
+++ b/src/apps/gateway_process.h
@@ -109,6 +109,7 @@
         http::call_end call_end; ///< Of the last attempt that has ended.
         // Streaming response.
         bool stream_begun = false;
+        bool event_stream = false; ///< The current response consists of server-sent events.
         gateway::event_splitter events;
         /// Last event that the caller has received, also in an earlier request; empty if none.
         std::string last_event_id;
@@ -161,6 +162,7 @@
     void begin_stream(exchange& item);
     void forward_stream_data(exchange& item, const std::string& bytes);
     void handle_attempt_end(exchange& item, gateway::attempt_outcome end, core::reason reason);
+    [[nodiscard]] static bool ended_complete(const exchange& item);
     void handle_stream_end(exchange& item);
     void forward_response(exchange& item);
     void fail_request(exchange& item, core::reason reason);
--- a/src/gateway/event_splitter_test.cpp
+++ b/src/gateway/event_splitter_test.cpp
@@ -14,7 +14,7 @@
     STRCMP_EQUAL("", splitter.feed("id: 1\ndata: a").c_str());
     STRCMP_EQUAL("id: 1\ndata: ab\n\n", splitter.feed("b\n\nid: 2").c_str());
     STRCMP_EQUAL("1", splitter.last_event_id().c_str());
-    CHECK_TRUE(splitter.has_partial_event());
+    CHECK_TRUE(splitter.inside_event());
 }
 
 TEST(EventSplitter, ReturnsSeveralEventsOfOneRead)
@@ -22,7 +22,7 @@
     const std::string events = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
     STRCMP_EQUAL(events.c_str(), splitter.feed(events).c_str());
     STRCMP_EQUAL("2", splitter.last_event_id().c_str());
-    CHECK_FALSE(splitter.has_partial_event());
+    CHECK_FALSE(splitter.inside_event());
 }
 
 TEST(EventSplitter, HandlesABlankLineSplitBetweenReads)
@@ -32,6 +32,15 @@
     STRCMP_EQUAL("7", splitter.last_event_id().c_str());
 }
 
+TEST(EventSplitter, KnowsThatAStreamItDoesNotBufferEndsInsideAnEvent)
+{
+    splitter.follow("id: 1\ndata: a\n\nid: 2\nda");
+    CHECK_FALSE(splitter.may_end(true));
+    CHECK_FALSE(splitter.may_end(false));
+    splitter.follow("ta: b\n\n");
+    CHECK_TRUE(splitter.may_end(false));
+}
+
 TEST(EventSplitter, DiscardsAPartialEventThatIsSentAgain)
 {
     splitter.feed("id: 1\n\nid: 2\nda");
--- a/src/http/event_boundary.cpp
+++ b/src/http/event_boundary.cpp
@@ -1,9 +1,19 @@
 #include "siskindrift/http/event_boundary.h"
 
+#include <boost/beast/core/string.hpp>
 #include <utility>
 
 namespace siskindrift::http {
 
+bool is_event_stream(std::string_view content_type)
+{
+    auto type = content_type.substr(0, content_type.find(';'));
+    while (!type.empty() && (type.back() == ' ' || type.back() == '\t')) {
+        type.remove_suffix(1);
+    }
+    return boost::beast::iequals({type.data(), type.size()}, "text/event-stream");
+}
+
 std::size_t event_boundary::feed(std::string_view bytes)
 {
     std::size_t end = 0;
@@ -41,6 +51,12 @@
     m_line = line::empty;
     m_after_cr = false;
     m_has_fields = false;
+    m_events = 0;
+}
+
+bool event_boundary::may_end(bool marked) const
+{
+    return !inside_event() && (marked || m_events > 0);
 }
 
 bool event_boundary::inside_event() const
--- a/src/http/event_boundary_test.cpp
+++ b/src/http/event_boundary_test.cpp
@@ -47,10 +47,37 @@
     UNSIGNED_LONGS_EQUAL(1, boundary.events());
 }
 
+TEST(EventBoundary, MayEndOnlyOutsideOfAnEvent)
+{
+    CHECK_TRUE(boundary.may_end(true));
+    boundary.feed("data: a\n\n");
+    CHECK_TRUE(boundary.may_end(true));
+    CHECK_TRUE(boundary.may_end(false));
+    boundary.feed("data: b\n");
+    CHECK_FALSE(boundary.may_end(true));
+    CHECK_FALSE(boundary.may_end(false));
+}
+
+TEST(EventBoundary, MayNotEndWithAClosedConnectionBeforeTheFirstEvent)
+{
+    CHECK_FALSE(boundary.may_end(false));
+    boundary.feed(": ping\n\n");
+    CHECK_FALSE(boundary.may_end(false));
+}
+
+TEST(EventBoundary, RecognizesTheMediaTypeOfEvents)
+{
+    CHECK_TRUE(siskindrift::http::is_event_stream("text/event-stream"));
+    CHECK_TRUE(siskindrift::http::is_event_stream("Text/Event-Stream ; charset=utf-8"));
+    CHECK_FALSE(siskindrift::http::is_event_stream("application/json"));
+    CHECK_FALSE(siskindrift::http::is_event_stream(""));
+}
+
 TEST(EventBoundary, StartsAgainOutsideOfAnEvent)
 {
-    expect_end(0, true, "data: a\r");
+    expect_end(9, true, "data: a\n\ndata: b\r");
     boundary.reset();
     CHECK_FALSE(boundary.inside_event());
+    CHECK_FALSE(boundary.may_end(false));
     expect_end(0, true, "data: a\n");
 }
--- a/tests/answer_end_test.py
+++ b/tests/answer_end_test.py
@@ -196,11 +196,9 @@
         await self.expect_all(["/once/x"], cases, False)
         await self.expect_all(["/stream/x"], cases, None)
 
-    @unittest.expectedFailure  # KNOWN-RED.txt
     async def test_a_stream_that_closes_inside_an_event_is_not_framed_as_complete(self):
         await self.expect("/once/x", Case("until_close", "close", inside_event=True), False)
 
-    @unittest.expectedFailure  # KNOWN-RED.txt
     async def test_a_stream_whose_framing_ends_inside_an_event_is_not_framed_as_complete(self):
         cases = [Case(framing, "framed", inside_event=True) for framing in ("length", "chunked")]
         await self.expect_all(["/once/x"], cases, False)
