Don't take a reset during the write of a request for the end of its answer

What callers could see: a short answer framed as complete.

Cause: an answer with neither length nor chunks ends with a clean close. When the upstream resets the connection while the request is still being written, the kernel reports the reset to the first call that asks, the pending write, and the read then sees the end of the stream.

Now such an answer is complete only if the write has not failed. The write's handler runs first: both run on the connection's strand in the order in which the reactor completes them.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -244,6 +244,7 @@
                                      // The response may arrive before the request is
                                      // written completely.
                                      self->m_written = !error;
+                                     self->m_write_error = error;
                                  });
         read_head();
     }
@@ -285,6 +286,11 @@
                 skip_response();
                 return;
             }
+            // A reset fails the pending write only; the read then reports the end of the stream.
+            if (framing() == body_framing::until_close && m_write_error) {
+                fail(m_write_error);
+                return;
+            }
             end(call_result::complete);
             return;
         }
@@ -380,6 +386,7 @@
     beast::flat_buffer m_buffer;
     std::string m_read_buffer;
     bool m_written = false;
+    error_code m_write_error;
     bool m_mismatched = false; ///< The response being read belongs to another request.
     int m_mismatched_responses = 0;
     bool m_cancelled = false;
--- /dev/null
+++ b/src/http/client_test.cpp
@@ -0,0 +1,144 @@
+#include "siskindrift/http/client.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/write.hpp>
+#include <functional>
+#include <optional>
+#include <thread>
+
+#include "siskindrift/net/mesh.h"
+#include "tests/loopback.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace siskindrift;
+using namespace siskindrift::http;
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr auto read_delay = std::chrono::milliseconds{100}; // lets the client read what was sent
+
+/// Keeps what a call reported.
+class recorder final : public client_handler {
+public:
+    void on_head(std::uint64_t, const client_head& head) override
+    {
+        statuses.push_back(head.status);
+    }
+    void on_data(std::uint64_t, const std::string& bytes) override { body += bytes; }
+    void on_end(std::uint64_t, const call_end& how) override { end = how; }
+
+    std::vector<std::uint16_t> statuses;
+    std::string body;
+    std::optional<call_end> end;
+};
+
+} // namespace
+
+TEST_GROUP(Client)
+{
+    const std::string address = tests::unused_loopback_address();
+    asio::io_context context;
+    recorder handler;
+    client tested{context, handler};
+
+    // Sends a request with a body of @p body_bytes to a server that reads its head and then
+    // acts as @p serve says.
+    void call(const std::function<void(tcp::socket&)>& serve, std::size_t body_bytes = 0)
+    {
+        asio::io_context server_context;
+        tcp::acceptor acceptor{server_context, *net::parse_address(address)};
+        std::thread server{[&] {
+            auto socket = acceptor.accept();
+            asio::streambuf head;
+            boost::system::error_code ignored;
+            asio::read_until(socket, head, "\r\n\r\n", ignored);
+            serve(socket);
+        }};
+        client_call request;
+        request.id = 1;
+        request.address = address;
+        request.path = "/";
+        request.body = std::string(body_bytes, 'x');
+        tested.start(std::move(request));
+        context.restart();
+        context.run_for(std::chrono::seconds{5});
+        server.join();
+        CHECK_TRUE_TEXT(handler.end.has_value(), "the call has not ended");
+    }
+
+    static void send(tcp::socket & socket, const std::string& bytes)
+    {
+        boost::system::error_code ignored;
+        asio::write(socket, asio::buffer(bytes), ignored);
+        std::this_thread::sleep_for(read_delay);
+    }
+
+    static void reset(tcp::socket & socket)
+    {
+        socket.set_option(asio::socket_base::linger{true, 0});
+        socket.close();
+    }
+
+    void expect_end(call_result result, body_framing framing) const
+    {
+        LONGS_EQUAL_TEXT(static_cast<long>(result), static_cast<long>(handler.end->result),
+                         handler.end->error.c_str());
+        STRCMP_EQUAL(std::string{to_string(framing)}.c_str(),
+                     std::string{to_string(handler.end->framing)}.c_str());
+    }
+};
+
+TEST(Client, ReportsHowTheEndOfABodyWasMarked)
+{
+    call([](tcp::socket& socket) { send(socket, "HTTP/1.1 200 OK\r\n\r\nbody"); });
+    expect_end(call_result::complete, body_framing::until_close);
+    call([](tcp::socket& socket) {
+        send(socket, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab");
+    });
+    expect_end(call_result::complete, body_framing::length);
+    call([](tcp::socket& socket) {
+        send(socket, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n");
+    });
+    expect_end(call_result::complete, body_framing::chunked);
+    call([](tcp::socket& socket) { send(socket, "HTTP/1.1 204 No Content\r\n\r\n"); });
+    expect_end(call_result::complete, body_framing::none);
+}
+
+TEST(Client, ReportsABodyThatClosesBeforeItsMarkedEndAsBroken)
+{
+    call([](tcp::socket& socket) {
+        send(socket, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab");
+    });
+    expect_end(call_result::connection_lost, body_framing::length);
+    call([](tcp::socket& socket) {
+        send(socket, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n");
+    });
+    expect_end(call_result::connection_lost, body_framing::chunked);
+}
+
+TEST(Client, ReportsAnUnmarkedBodyThatIsResetAsBroken)
+{
+    call([](tcp::socket& socket) {
+        send(socket, "HTTP/1.1 200 OK\r\n\r\nbod");
+        reset(socket);
+    });
+    STRCMP_EQUAL("bod", handler.body.c_str());
+    expect_end(call_result::connection_lost, body_framing::until_close);
+}
+
+TEST(Client, DoesNotTakeAResetDuringTheWriteOfItsRequestForTheEndOfABody)
+{
+    constexpr std::size_t more_than_socket_buffers = 64UL * 1024 * 1024;
+    call(
+        [](tcp::socket& socket) {
+            send(socket, "HTTP/1.1 200 OK\r\n\r\nbod");
+            reset(socket);
+        },
+        more_than_socket_buffers);
+    expect_end(call_result::connection_lost, body_framing::until_close);
+}
