Don't take an interim response for the response

What callers could see: an informational response such as 103 passed on as the whole answer, and the real one lost.

Cause: a response with a status below 200 has no body, so the client reported the call as complete with it. Now interim responses are read past within the time for the head; a switch to another protocol, which no request asks for, fails the call.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -31,6 +31,7 @@
 // One or two late responses of earlier requests are tolerated; with more, the server is considered
 // faulty.
 constexpr int max_mismatched_responses = 2;
+constexpr unsigned first_final_status = 200; // lower ones are interim responses
 
 // Returns the idle timeout that the server states in a Keep-Alive header, less a margin and at most
 // `max_idle_lifetime`.
@@ -265,6 +266,10 @@
 
     void on_head()
     {
+        if (m_parser->get().result_int() < first_final_status) {
+            on_interim_response();
+            return;
+        }
         client_head head;
         head.status = static_cast<std::uint16_t>(m_parser->get().result_int());
         for (const auto& field : m_parser->get()) {
@@ -316,6 +321,16 @@
         read_body();
     }
 
+    // The response follows an interim one, except after a switch to another protocol.
+    void on_interim_response()
+    {
+        if (m_parser->get().result() == beast::http::status::switching_protocols) {
+            end(call_result::connection_lost, "the server switched to another protocol");
+            return;
+        }
+        read_head();
+    }
+
     // Skips the late response to an earlier request; the response to this call follows on the same
     // connection.
     void skip_response()
--- a/src/http/client_test.cpp
+++ b/src/http/client_test.cpp
@@ -142,3 +142,15 @@
         more_than_socket_buffers);
     expect_end(call_result::connection_lost, body_framing::until_close);
 }
+
+TEST(Client, DoesNotTakeAnInterimResponseForTheResponse)
+{
+    call([](tcp::socket& socket) {
+        send(socket, "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n");
+        send(socket, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab");
+    });
+    expect_end(call_result::complete, body_framing::length);
+    LONGS_EQUAL(1, handler.statuses.size());
+    LONGS_EQUAL(200, handler.statuses.front());
+    STRCMP_EQUAL("ab", handler.body.c_str());
+}
