Continue a stream only by the events of an answer that is accepted

Cause: once a stream had begun, every later success was forwarded, whatever its head said: the state of the caller's answer stood in for the judgement of the upstream's. Evidence: test_a_stream_is_not_continued_by_an_answer_without_a_seal and test_an_answer_that_is_no_event_stream_is_not_continued_by_another failed on the former code. Now the head of each attempt decides whether its bytes are forwarded, only events continue a stream, and only an event stream is continued.

--- a/src/apps/gateway_exchanges.cpp
+++ b/src/apps/gateway_exchanges.cpp
@@ -199,6 +199,7 @@
     item.response_head.reset();
     item.response_body.clear();
     item.event_stream = false;
+    item.forwarding = false;
     item.events.discard_partial_event();
     item.call_id = m_next_call++;
     m_exchange_by_call[item.call_id] = item.id;
@@ -358,7 +359,10 @@
         http::is_event_stream(media_type) || (streaming && success && media_type.empty());
     const bool answered = gateway::classify_response(item->response_metadata, head.status) ==
                           gateway::attempt_outcome::answered;
-    if (streaming && success && answered) {
+    // Only events continue a stream: any other response would start again at its beginning.
+    item->forwarding =
+        streaming && success && answered && (!item->stream_begun || item->event_stream);
+    if (item->forwarding) {
         begin_stream(*item);
     }
 }
@@ -380,9 +384,7 @@
         return;
     }
     m_pool.record_activity(item->upstream_id, m_clock.now());
-    const bool is_stream_data = item->stream_begun && item->response_head &&
-                                item->response_head->status < first_redirect_status;
-    if (is_stream_data) {
+    if (item->forwarding) {
         forward_stream_data(*item, bytes);
     }
     else {
@@ -420,8 +422,7 @@
     item->call_end = call_end;
     record_prompt_processed(*item);
     m_pool.record_ended(item->upstream_id, item->adapter);
-    if (item->stream_begun && item->response_head &&
-        item->response_head->status < first_redirect_status) {
+    if (item->forwarding) {
         handle_stream_end(*item);
         return;
     }
@@ -544,7 +545,7 @@
                                     {"inside_event", inside_event},
                                     {"last_event", item.last_event_id}});
     gateway::forward_state state;
-    state.repeatable = item.route.repeatable();
+    state.repeatable = item.route.repeatable() && item.event_stream;
     state.may_have_run = item.may_have_run;
     state.attempts_sent = item.attempts_sent;
     state.max_attempts = item.route.max_attempts;
--- a/src/apps/gateway_process.h
+++ b/src/apps/gateway_process.h
@@ -110,6 +110,7 @@
         // Streaming response.
         bool stream_begun = false;
         bool event_stream = false; ///< The current response consists of server-sent events.
+        bool forwarding = false;   ///< The current response is forwarded as it arrives.
         gateway::event_splitter events;
         /// Last event that the caller has received, also in an earlier request; empty if none.
         std::string last_event_id;
--- a/tests/answer_end_test.py
+++ b/tests/answer_end_test.py
@@ -37,6 +37,7 @@
     end: str              # whole, framed (its framing ends, too early) or one of BREAKS
     inside_event: bool = False
     inside_chunk: bool = False
+    events: bool = True   # a stream's media type is that of events
 
 
 WHOLE = Case("chunked", "whole")
@@ -60,7 +61,7 @@
         attempts.append(self.name)
         seal = expected_seal(request_id, self.name)
         if path in STREAM_PATHS:
-            media_type = "text/event-stream"
+            media_type = "text/event-stream" if case.events else "text/plain"
             parts = [f"id: {i}\ndata: {request_id}\n\n".encode()
                      for i in range(int(headers.get("last-event-id") or 0) + 1, EVENTS + 1)]
         else:
@@ -69,6 +70,8 @@
             parts = [body[i:i + 100] for i in range(0, len(body), 100)]
         head = {"Content-Type": media_type, "X-Siskindrift-Request-Id": request_id,
                 "X-Siskindrift-Response-Seal": seal}
+        if len(attempts) > 1 and self.platform.continue_without_seal:
+            del head["X-Siskindrift-Response-Seal"]
         whole_length = sum(map(len, parts))
         if case.end != "whole":
             half = parts[EVENTS_BEFORE_BREAK][:9] if case.inside_event else b""
@@ -111,6 +114,7 @@
     def __init__(self, folder):
         super().__init__(folder, coordinators=1, gateways=1, plain=0, engines=0)
         self.cases = {}
+        self.continue_without_seal = False  # for every attempt after the first of a request
         self.silence_s = []
         self.upstreams = [BreakingUpstream(self, f"plain-{i}", "desk", i) for i in (1, 2)]
         self.upstreams += [BreakingUpstream(self, f"engine-{i}", "models", 100 + i, adapter_slots=4)
@@ -209,6 +213,13 @@
                  Case("chunked", "framed", inside_event=True)]
         await self.expect_all(["/stream/x"], cases, True)
 
+    async def test_a_stream_is_not_continued_by_an_answer_without_a_seal(self):
+        self.platform.continue_without_seal = True
+        await self.expect("/stream/x", Case("chunked", "close"), False)
+
+    async def test_an_answer_that_is_no_event_stream_is_not_continued_by_another(self):
+        await self.expect("/stream/x", Case("chunked", "close", events=False), False)
+
     async def test_a_caller_that_leaves_ends_the_attempt_of_every_framing(self):
         for path, framing in itertools.product(STREAM_PATHS, FRAMINGS):
             with self.subTest(path=path, framing=framing):
