Frame streamed answers for HTTP/1.0 callers so that broken ones look broken

What callers could see: HTTP/1.0 has no chunks, so such a caller got the chunk sizes inside its body and took any end of the connection, also of a broken answer, for the end of the answer.

Evidence: Server.SendsNoChunksToAnHttp10Caller and Server.ResetsTheConnectionOf AnHttp10CallerWhoseResponseIsBrokenOff failed on the former code. Now the answer lasts until the connection closes, and a connection whose answer was not ended as complete is reset, also when the process is killed: the option is set with the answer's head and taken back by its end.

--- a/include/siskindrift/http/server.h
+++ b/include/siskindrift/http/server.h
@@ -39,15 +39,18 @@
 
     /// Sends a complete response; `Content-Length` is added.
     virtual void respond(std::uint16_t status, header_list headers, std::string body) = 0;
-    /// Sends the status and headers of a chunked response.
+    /// Sends the status and headers of a response whose length is not known yet. It is chunked;
+    /// for an HTTP/1.0 caller it lasts until the connection closes.
     virtual void begin(std::uint16_t status, header_list headers) = 0;
-    /// Sends one chunk; empty data is ignored, because an empty chunk would end the response.
+    /// Sends a part of such a response; empty data is ignored, because an empty chunk would end it.
     virtual void write_chunk(std::string data) = 0;
-    /// Ends a chunked response.
+    /// Ends such a response as complete.
     virtual void end() = 0;
-    /// Closes the connection, so that the caller can't mistake a partial response for a complete
-    /// one.
+    /// Closes the connection at once, so that the caller can't mistake a partial response for a
+    /// complete one.
     virtual void abort() = 0;
+    /// Like `abort`, but sends what was written before.
+    virtual void break_off() = 0;
     /// Returns how many bytes of the response are not yet written to the socket.
     [[nodiscard]] virtual std::size_t backlog() const = 0;
 };
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -109,6 +109,31 @@
         });
     }
 
+    // Closes the connection as soon as the bytes written so far are sent.
+    void break_off(std::uint64_t exchange)
+    {
+        asio::post(m_stream.get_executor(), [self = shared_from_this(), exchange] {
+            if (exchange == self->m_exchange) {
+                self->m_breaking_off = true;
+                if (!self->m_writing) {
+                    self->close();
+                }
+            }
+        });
+    }
+
+    // Ends the response to an HTTP/1.0 caller with a reset unless it is ended as complete: a
+    // connection that closes marks its end.
+    void reset_unless_complete(std::uint64_t exchange)
+    {
+        asio::post(m_stream.get_executor(), [self = shared_from_this(), exchange] {
+            if (exchange == self->m_exchange && !self->m_closed) {
+                self->m_close_after = true;
+                self->reset_on_close(true);
+            }
+        });
+    }
+
     [[nodiscard]] bool closing() const { return m_shared->closing; }
     [[nodiscard]] std::size_t backlog() const { return m_backlog; }
     [[nodiscard]] const server_limits& limits() const { return m_shared->limits; }
@@ -227,7 +252,10 @@
     void write_next()
     {
         if (m_queue.empty()) {
-            if (m_last_queued) {
+            if (m_breaking_off) {
+                close();
+            }
+            else if (m_last_queued) {
                 finish_response();
             }
             return;
@@ -264,6 +292,9 @@
         m_exchange = 0;
         if (m_close_after || m_shared->closing) {
             error_code ignored;
+            if (m_resets_on_close) {
+                reset_on_close(false);
+            }
             m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
             close();
             return;
@@ -280,6 +311,16 @@
         }
     }
 
+    void reset_on_close(bool reset)
+    {
+        error_code failed;
+        m_resets_on_close = reset;
+        m_stream.socket().set_option(asio::socket_base::linger{reset, 0}, failed);
+        if (failed && reset) {
+            close(); // without the reset, a partial response would look complete
+        }
+    }
+
     void close()
     {
         if (m_closed) {
@@ -307,6 +348,8 @@
     bool m_writing = false;
     bool m_last_queued = false;
     bool m_close_after = false;
+    bool m_resets_on_close = false;
+    bool m_breaking_off = false; ///< Closes after the queued bytes, without the response's end.
     bool m_closed = false;
 };
 
@@ -315,8 +358,9 @@
 class connection_responder final : public responder {
 public:
     connection_responder(std::shared_ptr<server_connection> connection, std::uint64_t exchange,
-                         bool close_after)
-        : m_connection(std::move(connection)), m_exchange(exchange), m_close_after(close_after)
+                         bool close_after, bool chunked)
+        : m_connection(std::move(connection)), m_exchange(exchange), m_close_after(close_after),
+          m_chunked(chunked)
     {
     }
 
@@ -329,7 +373,13 @@
 
     void begin(std::uint16_t status, header_list headers) override
     {
-        headers.emplace_back("Transfer-Encoding", "chunked");
+        if (m_chunked) {
+            headers.emplace_back("Transfer-Encoding", "chunked");
+        }
+        else {
+            m_close_after = true;
+            m_connection->reset_unless_complete(m_exchange);
+        }
         add_connection_header(headers);
         m_connection->write(m_exchange, render_head(status, headers) + "\r\n", false);
     }
@@ -337,12 +387,14 @@
     void write_chunk(std::string data) override
     {
         if (!data.empty()) {
-            m_connection->write(m_exchange, render_chunk(data), false);
+            m_connection->write(m_exchange, m_chunked ? render_chunk(data) : std::move(data),
+                                false);
         }
     }
 
-    void end() override { m_connection->write(m_exchange, "0\r\n\r\n", true); }
+    void end() override { m_connection->write(m_exchange, m_chunked ? "0\r\n\r\n" : "", true); }
     void abort() override { m_connection->abort(m_exchange); }
+    void break_off() override { m_connection->break_off(m_exchange); }
     [[nodiscard]] std::size_t backlog() const override { return m_connection->backlog(); }
 
 private:
@@ -356,6 +408,7 @@
     std::shared_ptr<server_connection> m_connection;
     std::uint64_t m_exchange;
     bool m_close_after;
+    bool m_chunked;
 };
 
 } // namespace
@@ -376,14 +429,16 @@
         request.headers.emplace_back(field.name_string(), field.value());
     }
     m_close_after = !message.keep_alive();
+    constexpr unsigned first_version_with_chunks = 11; // HTTP/1.1
+    const bool chunked = message.version() >= first_version_with_chunks;
     request.body = std::move(message.body());
     m_exchange = m_shared->next_exchange++;
     m_responding = true;
     ++m_shared->pending_responses;
     watch_caller();
-    m_shared->handler.on_request(
-        m_exchange, std::move(request),
-        std::make_shared<connection_responder>(shared_from_this(), m_exchange, m_close_after));
+    m_shared->handler.on_request(m_exchange, std::move(request),
+                                 std::make_shared<connection_responder>(
+                                     shared_from_this(), m_exchange, m_close_after, chunked));
 }
 
 class server::implementation : public std::enable_shared_from_this<server::implementation> {
--- a/src/http/server_test.cpp
+++ b/src/http/server_test.cpp
@@ -23,6 +23,17 @@
     void on_request(std::uint64_t, server_request request,
                     std::shared_ptr<responder> response) override
     {
+        if (request.target == "/stream" || request.target == "/broken") {
+            response->begin(200, {});
+            response->write_chunk("part");
+            if (request.target == "/stream") {
+                response->end();
+            }
+            else {
+                response->break_off();
+            }
+            return;
+        }
         response->respond(200, {}, request.body);
         pending_after_respond = observed->pending_responses();
     }
@@ -81,6 +92,18 @@
         return {asio::buffers_begin(answer.data()), asio::buffers_end(answer.data())};
     }
 
+    // Sends a request and returns all that follows until the connection ends.
+    std::string receive_until_end(const std::string& request, boost::system::error_code& ended)
+    {
+        asio::io_context own;
+        asio::ip::tcp::socket socket{own};
+        socket.connect(*net::parse_address(address));
+        asio::write(socket, asio::buffer(request));
+        std::string received;
+        asio::read(socket, asio::dynamic_buffer(received), ended);
+        return received;
+    }
+
     void expect_alive()
     {
         const auto answer =
@@ -146,3 +169,29 @@
     }
     expect_alive();
 }
+
+TEST(Server, EndsAChunkedResponseThatIsBrokenOffWithoutItsLastChunk)
+{
+    boost::system::error_code ended;
+    const auto whole =
+        receive_until_end("GET /stream HTTP/1.1\r\nConnection: close\r\n\r\n", ended);
+    CHECK_TRUE_TEXT(whole.ends_with("4\r\npart\r\n0\r\n\r\n"), whole.c_str());
+    const auto broken = receive_until_end("GET /broken HTTP/1.1\r\n\r\n", ended);
+    CHECK_TRUE_TEXT(broken.ends_with("4\r\npart\r\n"), broken.c_str());
+}
+
+TEST(Server, SendsNoChunksToAnHttp10Caller)
+{
+    boost::system::error_code ended;
+    const auto whole = receive_until_end("GET /stream HTTP/1.0\r\n\r\n", ended);
+    CHECK_TRUE_TEXT(whole.ends_with("\r\n\r\npart"), whole.c_str());
+    CHECK_TRUE(whole.find("chunked") == std::string::npos);
+    CHECK_TRUE_TEXT(ended == asio::error::eof, ended.message().c_str());
+}
+
+TEST(Server, ResetsTheConnectionOfAnHttp10CallerWhoseResponseIsBrokenOff)
+{
+    boost::system::error_code ended;
+    receive_until_end("GET /broken HTTP/1.0\r\n\r\n", ended);
+    CHECK_TRUE_TEXT(ended == asio::error::connection_reset, ended.message().c_str());
+}
