End a failed stream of the entry without its last chunk

What callers saw: a model stream whose engine was lost ended with the event of its verdict and then with a final chunk, so to HTTP it was a complete answer; only a caller that reads the verdict could tell.

Evidence: test_a_broken_model_stream_has_no_last_chunk failed on the former code (the answer of an engine is lost, the request may not be repeated). Now the connection closes after the verdict event unless the request ran. siskindrift-load counts such an answer by its verdict.

--- a/src/apps/entry_process.cpp
+++ b/src/apps/entry_process.cpp
@@ -305,7 +305,12 @@
                                                  {"Siskindrift-Adapter", request.adapter.value()}});
         }
         pending.responder->write_chunk(requests::stream_end_events(request, response));
-        pending.responder->end();
+        if (result.verdict == verdict::ran) {
+            pending.responder->end();
+        }
+        else {
+            pending.responder->break_off();
+        }
         return;
     }
     auto headers = outcome_headers(request.id, result, request.adapter.value());
--- a/src/apps/load_run.cpp
+++ b/src/apps/load_run.cpp
@@ -243,8 +243,10 @@
         resend_later(call, core::milliseconds{20});
         return;
     }
+    // A stream that failed carries its verdict and then ends without its last chunk.
+    const bool failed = !request.verdict.empty() && request.verdict != "ran";
     const bool complete_response =
-        end.result == http::call_result::complete && !request.verdict.empty();
+        !request.verdict.empty() && (failed || end.result == http::call_result::complete);
     const bool refused = complete_response && request.verdict == "not_run" && request.status >= 429;
     if ((!complete_response || refused) && request.sends <= m_options.resends) {
         ++request.endpoint_index;
