Break answers off in the soak; true resets in the relay of the tests

Now the fixture's upstreams frame each answer by a length, by chunks or by the close of their connection, the soak breaks half of an upstream's answers off for up to 2 s at a time, callers also use a stream that can't be resumed, and the relay resets.

--- a/tests/answer_end_test.py
+++ b/tests/answer_end_test.py
@@ -9,22 +9,20 @@
 import itertools
 import os
 import shutil
-import socket
-import struct
 import sys
 import tempfile
 import time
 import unittest
 
-from platform_fixture import (Connection, PlatformFixture, Upstream, event_numbers, expected_body,
-                              expected_seal, render, request_headers)
+from platform_fixture import (FRAMINGS, Connection, PlatformFixture, Upstream, event_numbers,
+                              expected_body, expected_seal, render, request_headers,
+                              reset_connection)
 
 EVENTS = 6
 EVENTS_BEFORE_BREAK = 3
 DEADLINE_S = 4.0
 SILENT_DEADLINE_S = 1.0  # for upstreams that stop sending
 CANCELLED_S = 0.5        # time from the caller's close until its upstream notices
-FRAMINGS = ("length", "chunked", "until_close")
 BREAKS = ("close", "reset", "silence")
 PLAIN_PATHS = ("/safe/x", "/unsafe/x")
 STREAM_PATHS = ("/once/x", "/stream/x")  # not resumable, resumable
@@ -47,7 +45,7 @@
     """Answers the first attempt of each request as the platform's `cases` say."""
 
     async def start(self):
-        self.address = self.link.target  # the relay would turn a reset into a clean close
+        self.address = self.link.target  # without the relay
         self.readers = {}  # by writer
         await super().start()
 
@@ -103,9 +101,7 @@
             self.platform.silence_s.append(time.monotonic() - started)
             return False
         if case.end == "reset":
-            writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
-                                                       struct.pack("ii", 1, 0))
-            writer.transport.abort()
+            reset_connection(writer)
             return False
         return case.end in ("whole", "framed") and case.framing != "until_close"
 
@@ -122,13 +118,6 @@
         for upstream in self.upstreams:
             upstream.adapters = {"a1": 1} if upstream.adapter_slots else {}
 
-    def document(self, version):
-        document = super().document(version)
-        resumable = next(route for route in document["Routes"] if route.get("Resumable"))
-        document["Routes"].append({**resumable, "Name": "once", "PathPrefix": "/once/",
-                                   "Resumable": False, "MaxAttempts": 1})
-        return document
-
 
 class AnswerEndTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
--- a/tests/entry_answer_end_test.py
+++ b/tests/entry_answer_end_test.py
@@ -9,8 +9,6 @@
 import pathlib
 import re
 import shutil
-import socket
-import struct
 import sys
 import tempfile
 import time
@@ -21,12 +19,11 @@
 
 import fleet  # noqa: E402, needs the sys.path entry above
 import uuid7  # noqa: E402
-from platform_fixture import read_body, read_head, render  # noqa: E402
+from platform_fixture import FRAMINGS, read_body, read_head, render, reset_connection  # noqa: E402
 
 UPSTREAM = "breaking-1"
 ANNOUNCE_S = 0.3
 LIMIT_S = 15.0
-FRAMINGS = ("length", "chunked", "until_close")
 EVENT = b"data: one\n\n"
 TOO_LARGE_TO_KEEP = 70_000  # bytes; control keeps answers of up to 64 KiB with their claims
 
@@ -90,9 +87,7 @@
         await writer.drain()
         await asyncio.sleep(0.05)
         if self.end == "reset":
-            writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
-                                                       struct.pack("ii", 1, 0))
-            writer.transport.abort()
+            reset_connection(writer)
         else:
             writer.close()
 
--- a/tests/fault_soak.py
+++ b/tests/fault_soak.py
@@ -16,8 +16,8 @@
 import tempfile
 import time
 
-from platform_fixture import (APPLY_S, Connection, GRACE_S, PlatformFixture, call_once,
-                              check_answer, request_headers)
+from platform_fixture import (APPLY_S, Connection, GRACE_S, PlatformFixture, STREAM_PREFIXES,
+                              call_once, check_answer, request_headers)
 
 CALLERS = 12
 STREAM_EVENTS = 9
@@ -34,6 +34,7 @@
 
     def __init__(self, platform, seed, seconds):
         self.platform = platform
+        self.seed = seed
         self.random = random.Random(seed)
         self.seconds = seconds
         self.answers = []  # (request id, path, answer)
@@ -73,8 +74,8 @@
     async def send_request(self, rng, connection, deadline_s=4.0):
         self.next_id += 1
         request_id = f"{self.next_id:016x}"
-        path = rng.choice(["/safe/x", "/unsafe/x", "/unsafe/x", "/stream/x"])
-        adapter = f"a{rng.randrange(ADAPTERS)}" if path.startswith("/stream/") else ""
+        path = rng.choice(["/safe/x", "/unsafe/x", "/unsafe/x", "/stream/x", "/once/x"])
+        adapter = f"a{rng.randrange(ADAPTERS)}" if path.startswith(STREAM_PREFIXES) else ""
         limit = deadline_s if rng.random() < 0.95 else 0.1  # 5% of callers time out early
         headers = request_headers(request_id, deadline_s, adapter, STREAM_EVENTS)
         answer = await connection.call("POST", path, headers, limit=limit + 0.5)
@@ -221,6 +222,18 @@
         await asyncio.sleep(self.random.uniform(0.2, 2.0))
         upstream.lost_response_share = 0.0
 
+    async def break_responses(self):
+        """Breaks answers off beside the other faults, whose sequence for a seed stays the same."""
+        rng = random.Random(self.seed)
+        end = time.monotonic() + self.seconds
+        while time.monotonic() < end:
+            await asyncio.sleep(rng.uniform(0.0, 2.0))
+            upstream = rng.choice(self.platform.upstreams)
+            self.log_event(f"break responses of {upstream.name}")
+            upstream.broken_response_share = 0.5
+            await asyncio.sleep(rng.uniform(0.2, 2.0))
+            upstream.broken_response_share = 0.0
+
     async def restart_engine(self):
         engines = [item for item in self.platform.upstreams if item.adapter_slots]
         engine = self.random.choice(engines)
@@ -275,7 +288,7 @@
         background = [asyncio.create_task(self.caller(i)) for i in range(CALLERS)]
         background.append(asyncio.create_task(self.read_documents()))
         background.append(asyncio.create_task(self.restart_exited()))
-        await self.inject_faults()
+        await asyncio.gather(self.inject_faults(), self.break_responses())
         await asyncio.sleep(RECOVERY_S)
         await self.check_recovery()
         self.stop_callers = True
--- a/tests/platform_fixture.py
+++ b/tests/platform_fixture.py
@@ -14,6 +14,8 @@
 import resource
 import shutil
 import signal
+import socket
+import struct
 import subprocess
 import sys
 import threading
@@ -34,6 +36,8 @@
 SLOTS = 8         # announced by each upstream; it answers 503 from 4 * SLOTS running requests on
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)  # guarantee that the request was not executed
 CONNECT_S = 1.0   # callers' connect timeout
+FRAMINGS = ("length", "chunked", "until_close")  # how an upstream marks the end of a body
+STREAM_PREFIXES = ("/once/", "/stream/")  # streaming routes: not resumable, resumable
 FULL_DISK_BYTES = 64  # file size limit: a segment header fits, a record does not
 
 
@@ -86,6 +90,14 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
 
 
+def reset_connection(writer):
+    """Closes a connection with a reset; `abort` alone may close it cleanly."""
+    if not writer.transport.is_closing():
+        writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                                                   struct.pack("ii", 1, 0))
+        writer.transport.abort()
+
+
 class Connection:
     """A caller's connection to one gateway or coordinator."""
 
@@ -177,6 +189,7 @@
         self.running = 0
         self.draining = False
         self.lost_response_share = 0.0  # share of responses lost after execution
+        self.broken_response_share = 0.0  # share of responses broken off midway
         self.work_s = 0.02
         self.event_pause_s = 0.02
         self.server = None
@@ -269,7 +282,7 @@
         return 202 if order["Op"] == "model_load" else 200
 
     async def execute(self, writer, path, headers, request_id):
-        stream = path.startswith("/stream/")
+        stream = path.startswith(STREAM_PREFIXES)
         execution = Execution(request_id, self.name, path, time.monotonic(),
                               int(headers.get("last-event-id") or 0) + 1)
         self.platform.executions.setdefault(request_id, []).append(execution)
@@ -277,28 +290,55 @@
         try:
             await asyncio.sleep(self.work_s)
             if self.platform.random.random() < self.lost_response_share:
-                writer.transport.abort()
+                reset_connection(writer)
                 return False
             seal = expected_seal(request_id, self.name)
             if stream:
                 events = int(headers.get("x-siskindrift-token-count", "0,9").split(",")[1])
                 return await self.stream(writer, request_id, seal, execution.first_event, events)
-            return await self.reply(writer, 200, request_id, expected_body(request_id, seal), seal)
+            body = expected_body(request_id, seal)
+            parts = [body[i:i + 100] for i in range(0, len(body), 100)]
+            return await self.send_parts(writer, request_id, seal, "text/plain", parts, 0.0)
         finally:
             self.running -= 1
 
     async def stream(self, writer, request_id, seal, first, events):
-        head = {"Content-Type": "text/event-stream", "Transfer-Encoding": "chunked",
-                "X-Siskindrift-Request-Id": request_id, "X-Siskindrift-Response-Seal": seal}
+        parts = [f"id: {number}\ndata: {request_id}\n\n".encode()
+                 for number in range(first, events + 1)]
+        return await self.send_parts(writer, request_id, seal, "text/event-stream", parts,
+                                     self.event_pause_s)
+
+    async def send_parts(self, writer, request_id, seal, media_type, parts, pause_s):
+        """Sends an answer in some framing, perhaps broken off.
+
+        Returns whether the connection can be used again.
+        """
+        rng = self.platform.random
+        framing = rng.choice(FRAMINGS)
+        end = "whole"
+        head = {"Content-Type": media_type, "X-Siskindrift-Request-Id": request_id,
+                "X-Siskindrift-Response-Seal": seal}
+        if framing == "length":
+            head["Content-Length"] = str(sum(map(len, parts)))
+        elif framing == "chunked":
+            head["Transfer-Encoding"] = "chunked"
+        if parts and rng.random() < self.broken_response_share:
+            parts = parts[:rng.randrange(len(parts)) + 1]
+            parts[-1] = parts[-1][:rng.randrange(1, len(parts[-1]))]
+            # A plain body that lasts until the connection closes can only be broken by a reset.
+            plain_until_close = framing == "until_close" and media_type == "text/plain"
+            end = "reset" if plain_until_close else rng.choice(["reset", "close"])
         writer.write(render("HTTP/1.1 200 OK", head))
-        for number in range(first, events + 1):
-            event = f"id: {number}\ndata: {request_id}\n\n".encode()
-            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+        for part in parts:
+            writer.write(b"%x\r\n%s\r\n" % (len(part), part) if framing == "chunked" else part)
             await writer.drain()
-            await asyncio.sleep(self.event_pause_s)
-        writer.write(b"0\r\n\r\n")
-        await writer.drain()
-        return True
+            await asyncio.sleep(pause_s)
+        if end == "reset":
+            reset_connection(writer)
+        elif end == "whole" and framing == "chunked":
+            writer.write(b"0\r\n\r\n")
+            await writer.drain()
+        return end == "whole" and framing != "until_close"
 
     async def reply(self, writer, status, request_id, body=b"", seal="", not_run=False):
         headers = {"Content-Length": str(len(body))}
@@ -333,7 +373,7 @@
         try:
             inner_reader, inner_writer = await asyncio.open_connection(ip, int(port))
         except OSError:
-            writer.transport.abort()
+            reset_connection(writer)
             return
         self.writers |= {writer, inner_writer}
         try:
@@ -355,12 +395,16 @@
                 writer.write(data)
                 await writer.drain()
         except OSError:
-            pass  # the other direction is closed as well
-        writer.close()
+            lost = True  # the sender reset its connection
+        # A clean close can't follow bytes that were lost.
+        if lost:
+            reset_connection(writer)
+        else:
+            writer.close()
 
     def reset(self):
         for writer in list(self.writers):
-            writer.transport.abort()
+            reset_connection(writer)
 
 
 class PlatformFixture:
@@ -518,6 +562,8 @@
         routes = [route("safe", "desk"), route("unsafe", "desk", MaxAttempts=1)]
         stream = route("streaming", "models", GapTargetMs=400, Resumable=True, TimeoutMs=12000)
         routes.append({**stream, "PathPrefix": "/stream/"})
+        routes.append({**stream, "Name": "once", "PathPrefix": "/once/", "Resumable": False,
+                       "MaxAttempts": 1})
         routes.append({**route("safe", "desk"), "Name": "newest", "PathPrefix": f"/v{version}/"})
         engine = {"Slots": SLOTS, "KvCapacity": 100000, "AdapterSlots": 4, "LoadsPerS": 2.0,
                   "WeightsMb": 2000, "Models": [{"Name": MODEL, "WeightsMb": 1000, "LoadS": 0.1,
@@ -599,7 +645,7 @@
 def check_answer(platform, request_id, path, answer, events=9):
     """Reports each guarantee that an answer violates, given the executions at the upstreams."""
     executions = platform.executions.get(request_id, [])
-    if not path.startswith("/safe/") and not path.startswith("/stream/") and len(executions) > 1:
+    if not path.startswith(("/safe/", "/stream/")) and len(executions) > 1:
         platform.report_violation(f"{request_id} {path}: executed {len(executions)} times")
     if answer.status in NOT_EXECUTED_STATUSES and executions and not path.startswith("/safe/"):
         platform.report_violation(
@@ -610,7 +656,7 @@
     if seal not in [expected_seal(request_id, execution.upstream) for execution in executions]:
         platform.report_violation(
             f"{request_id} {path}: success without the seal of an upstream that executed it")
-    if path.startswith("/stream/"):
+    if path.startswith(STREAM_PREFIXES):
         numbers = event_numbers(answer.body)
         if numbers != list(range(1, len(numbers) + 1)):
             platform.report_violation(
