--- a/tests/entry_answer_end_test.py
+++ b/tests/entry_answer_end_test.py
@@ -110,9 +110,10 @@
         shutil.rmtree(self.folder)
 
     async def call(self, path, body, key):
-        """Sends a call that may run once; returns status, headers and body as received.
+        """Sends a call that may run once.
 
-        The connection is kept open by the caller: it ends early only if the entry VM closes it.
+        Returns the status, the headers, the body as far as received and whether it was framed as
+        complete.
         """
         ip, port = self.fleet.caller_address(0).split(":")
         reader, writer = await asyncio.open_connection(ip, int(port))
@@ -122,17 +123,18 @@
             "Siskindrift-Idempotent": "false", "Idempotency-Key": key,
             "Siskindrift-Deadline-Ms": "8000", "Content-Length": str(len(data))}, data))
         line, headers = await asyncio.wait_for(read_head(reader), LIMIT_S)
-        received = bytearray()
-        whole = True
+        received = b""
+
+        def store_partial(data):
+            nonlocal received
+            received = data
         try:
-            await asyncio.wait_for(
-                read_body(reader, headers, lambda part: received.__setitem__(slice(None), part)),
-                LIMIT_S) if "chunked" in headers.get("transfer-encoding", "") else \
-                received.extend(await asyncio.wait_for(read_body(reader, headers), LIMIT_S))
+            received = await asyncio.wait_for(read_body(reader, headers, store_partial), LIMIT_S)
+            whole = True
         except (OSError, asyncio.IncompleteReadError):
             whole = False
         writer.close()
-        return int(line.split(" ")[1]), headers, bytes(received), whole
+        return int(line.split(" ")[1]), headers, received, whole
 
     async def call_service(self, key=None):
         """Calls the service until its call reaches this test's instance."""
@@ -195,7 +197,8 @@
         self.assertEqual((409, "may_have_run"), (status, verdict))
 
     async def stream_model(self, key, prompt):
-        """Returns the text, the verdict and whether the stream was framed as complete."""
+        """Returns the text, the verdict, whether the stream was framed as complete and whether it
+        held its end marker."""
         _, _, body, whole = await self.call("/v1/completions", {
             "model": "adapter-00000@1", "prompt": prompt, "max_tokens": 8, "stream": True}, key)
         events = [json.loads(data) for data in re.findall(r"^data: (\{.*)$", body.decode(), re.M)]
