--- a/src/apps/load_run.cpp
+++ b/src/apps/load_run.cpp
@@ -246,8 +246,8 @@
     // A stream that failed carries its verdict and then ends without its last chunk; its status was
     // sent before it failed.
     const bool failed_stream = request.status == 200 && request.verdict != "ran";
-    const bool complete_response = !request.verdict.empty() &&
-                                   (failed_stream || end.result == http::call_result::complete);
+    const bool complete_response =
+        !request.verdict.empty() && (failed_stream || end.result == http::call_result::complete);
     const bool refused = complete_response && request.verdict == "not_run" && request.status >= 429;
     if ((!complete_response || refused) && request.sends <= m_options.resends) {
         ++request.endpoint_index;
