--- a/include/siskindrift/gateway/request_metadata.h
+++ b/include/siskindrift/gateway/request_metadata.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "siskindrift/core/clock.h"
+#include "siskindrift/core/request_rate.h"
 
 namespace siskindrift::gateway {
 
@@ -63,6 +64,9 @@
     bool sealed = false; ///< Has the seal header, which marks a response of the upstream itself.
     bool content_encoded = false; ///< The body was re-encoded on the way.
     std::optional<upstream_load> load;
+    /// Requests that the upstream takes from all gateways together, the lowest if it named several.
+    std::optional<core::request_rate> limit;
+    bool limit_malformed = false; ///< It named a limit that is no rate.
 };
 
 } // namespace siskindrift::gateway
--- a/src/apps/gateway_exchanges.cpp
+++ b/src/apps/gateway_exchanges.cpp
@@ -387,6 +387,7 @@
     if (item->response_metadata.load) {
         m_pool.record_load(item->upstream_id, *item->response_metadata.load);
     }
+    record_limit(*item);
     const auto media_type = head.header("Content-Type");
     const bool streaming = item->route.kind == gateway::route_kind::streaming;
     const bool success = head.status < first_redirect_status;
--- a/src/apps/gateway_guards.cpp
+++ b/src/apps/gateway_guards.cpp
@@ -95,6 +95,20 @@
     send_prompt_evidence();
 }
 
+// Logs the limit that an upstream names in an answer.
+void gateway_process::record_limit(const exchange& item)
+{
+    const auto& answer = item.response_metadata;
+    if (answer.limit || answer.limit_malformed) {
+        observe::info("upstream_limit_named",
+                      {{"request", item.metadata.request_id},
+                       {"upstream", item.upstream_id},
+                       {"status", item.response_head->status},
+                       {"per_s", answer.limit.value_or(core::request_rate{}).per_s},
+                       {"malformed", answer.limit_malformed}});
+    }
+}
+
 bool gateway_process::consume_retry(exchange& item, const gateway::pool_choice& choice)
 {
     const auto now = m_clock.now();
--- a/src/apps/gateway_process.h
+++ b/src/apps/gateway_process.h
@@ -204,6 +204,7 @@
     void refuse_blocked_prompts();
     void record_answer(exchange& item);
     void record_crash(exchange& item);
+    void record_limit(const exchange& item);
     [[nodiscard]] static std::string_view caller_framing(const exchange& item);
     void record_served(const exchange& item, std::uint16_t status);
 
