--- a/tests/platform_fixture.py
+++ b/tests/platform_fixture.py
@@ -199,6 +199,7 @@
         self.refusing = False  # answers each request with 503, not executed
         self.lost_response_share = 0.0  # share of responses lost after execution
         self.broken_response_share = 0.0  # share of responses broken off midway
+        self.limit = None  # requests a second, named in each answer
         self.work_s = 0.02
         self.event_pause_s = 0.02
         self.server = None
@@ -285,6 +286,7 @@
         prompt = [part.partition(":")[0]
                   for part in headers.get("x-siskindrift-prompt-prefix", "").split(",")]
         self.platform.arrivals.append((time.monotonic(), self.service, request_id))
+        self.platform.arrivals_by_upstream.append((time.monotonic(), self.name))
         self.platform.prompts.setdefault(request_id, prompt)
         if self.refusing or self.running >= 4 * SLOTS:
             return await self.reply(writer, 503, request_id, not_run=True)
@@ -350,6 +352,9 @@
         finally:
             self.running -= 1
 
+    def limit_header(self):
+        return {} if self.limit is None else {"Server-Limit": str(self.limit)}
+
     async def stream(self, writer, request_id, seal, first, events):
         parts = [f"id: {number}\ndata: {request_id}\n\n".encode()
                  for number in range(first, events + 1)]
@@ -376,7 +381,7 @@
             # A plain body that lasts until the connection closes can only be broken by a reset.
             plain_until_close = framing == "until_close" and media_type == "text/plain"
             end = "reset" if plain_until_close else rng.choice(["reset", "close"])
-        writer.write(render("HTTP/1.1 200 OK", head))
+        writer.write(render("HTTP/1.1 200 OK", {**head, **self.limit_header()}))
         for part in parts:
             writer.write(b"%x\r\n%s\r\n" % (len(part), part) if framing == "chunked" else part)
             await writer.drain()
@@ -389,7 +394,7 @@
         return end == "whole" and framing != "until_close"
 
     async def reply(self, writer, status, request_id, body=b"", seal="", not_run=False):
-        headers = {"Content-Length": str(len(body))}
+        headers = {"Content-Length": str(len(body)), **self.limit_header()}
         if request_id:
             headers["X-Siskindrift-Request-Id"] = request_id
         if seal:
@@ -475,6 +480,7 @@
         self.prompts = {}  # ids of the parts of each prompt, by request id
         self.crash_times = []
         self.arrivals = []  # (time, service, request id) of each request that reached an upstream
+        self.arrivals_by_upstream = []  # (time, upstream)
         self.violations = []
         self.finished = False  # stops background loops
         self.upstreams = [Upstream(self, f"plain-{i + 1}", "desk", i + 1) for i in range(plain)]
