Keep all gateways together to the limit that an upstream names

What callers saw: a back end in need that had named a limit of 1 a second got 14 requests in 4 s where 11 are allowed, and answered late or with errors. Cause: nothing read the limit, and nothing could divide one among gateways that don't know of each other's sends. The class: a bound that holds for all gateways together and is known to one. Change: a gateway that reads a limit tells the leader, which replicates it; every gateway gets it with the upstreams, so it knows it before it sends anything, also after a restart. Each send to such an upstream needs a permit of the leader, which takes all of them from one token bucket (control/upstream_limit_manager, gateway/upstream_limits). A request waits 50 ms at most for a permit, then goes elsewhere; if nobody has room it is refused at once with upstream_limit and the time at which there is room for it. The placer loads adapters elsewhere that only an engine at its limit holds. Of answers that overlap the lower limit counts, else the newest. Why it works: a permit ends half a second after it was asked for by the gateway's own clock, and a new leader begins with an empty bucket, so cuts, freezes, restarts and changes of leader lose permits and never double them. With requests that arrive up to 1 s late that makes at most 5.75 times the limit and 2 in any 4 s, where 6 times and 5 are allowed. Weighed against equal shares as for retries: they starve an upstream that takes 1 a second from 90 gateways, or send it 90.

--- a/include/siskindrift/adapters/placer.h
+++ b/include/siskindrift/adapters/placer.h
@@ -151,6 +151,9 @@
     /// without leadership, so that a new leader places adapters where they are cached.
     /// @param usable whether the upstream may be given orders.
     void on_announcement(const wire::fleet_upstream_t& announcement, bool usable);
+    /// Sets the engines that take only a limited rate of requests. Their copies don't serve wishes,
+    /// and adapters are loaded on them only if there are no other engines.
+    void set_limited(std::set<std::string> engines) { m_limited = std::move(engines); }
     /// Updates an engine from the answer to a poll.
     /// @param report the report, or none if the poll failed.
     /// @param asked time at which the poll was sent.
@@ -301,6 +304,7 @@
     [[nodiscard]] std::optional<double> placement_cost_ms(const load_offer& offer,
                                                           const demand& wanted) const;
     [[nodiscard]] bool held_recently(const engine_state& engine, adapter_key key) const;
+    [[nodiscard]] bool has_unlimited_engines() const;
     [[nodiscard]] bool many_slots_idle() const;
     /// Returns whether an adapter without any copy has waited too long for an adapter slot.
     [[nodiscard]] bool slots_scarce(const std::vector<demand>& list, const copy_index& copies,
@@ -336,6 +340,7 @@
     std::map<std::string, engine_state> m_engines;
     std::map<std::string, gateway_state> m_gateways;
     std::set<std::string> m_changed_engines;
+    std::set<std::string> m_limited;  ///< Engines that take only a limited rate of requests.
     core::duration m_store_load_time; ///< Estimate of a load from the weight store.
     load_limiter m_store_limiter;
     cache_size_estimate m_cache_size;
--- /dev/null
+++ b/include/siskindrift/control/upstream_limit_manager.h
@@ -0,0 +1,93 @@
+// Divides the limits that upstreams name among the gateways.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "siskindrift/core/clock.h"
+#include "siskindrift/core/request_rate.h"
+#include "siskindrift/state/control_state.h"
+#include "siskindrift/wire/messages.h"
+
+namespace siskindrift::control {
+
+/// Parameters of an upstream limit manager.
+struct upstream_limit_options {
+    /// Permits that may be saved up while no gateway asks, and the time over which more of them
+    /// accumulate.
+    double burst = 2;
+    core::duration burst_time = core::milliseconds{250};
+    /// Permits for requests that are only expected cover at most this time of the limit.
+    core::duration spare_time = core::milliseconds{100};
+    /// Least time between two changes of the replicated limits.
+    core::duration change_interval = core::milliseconds{100};
+    /// Time after the begin of a term in which an upstream that isn't announced may still be there.
+    core::duration announcement_wait = core::milliseconds{10'000};
+    /// Longest time after which refused callers are told to return.
+    core::duration max_retry_after = core::milliseconds{10'000};
+    std::size_t max_limits = 1024;
+};
+
+/// Keeps on the leader the limits that upstreams name, and gives out permits to send requests to
+/// these upstreams. Performs no I/O.
+///
+/// All permits of an upstream come from one token bucket, which is empty at the begin of a term, so
+/// all gateways together keep to the limit for any number of them. A permit is used within its
+/// lifetime or not at all, and the lifetime begins when it is asked for. So a gateway that was cut
+/// off or frozen can't use permits beside those that others got in its place.
+class upstream_limit_manager {
+public:
+    /// Returns the start time of the current run of an upstream, or none if it is not known.
+    using run_lookup = std::function<std::optional<std::uint64_t>(const std::string& upstream)>;
+
+    explicit upstream_limit_manager(upstream_limit_options options = {}) : m_options(options) {}
+
+    /// Forgets what is not replicated. Gateways repeat what they observed last.
+    void begin_term(core::time_point now);
+
+    /// Records an answer that a gateway read. Answers may be told in any order: one counts if its
+    /// request was sent after the answer that counts was read, or else if its limit is lower.
+    /// @return whether it changed the limit.
+    bool record_observation(const wire::limit_observation_t& observed,
+                            const state::upstream_limits& limits, core::time_point now);
+
+    /// Returns the change to propose, if any. None is returned before the last one was applied.
+    /// @param run_of looks up the runs of upstreams; a limit ends with its run.
+    [[nodiscard]] std::optional<wire::change_upstream_limits_t>
+    next_change(const state::upstream_limits& limits, const run_lookup& run_of,
+                core::time_point now);
+
+    /// Gives out permits.
+    [[nodiscard]] wire::send_permit_t grant(const wire::send_permit_wish_t& wish,
+                                            const state::upstream_limits& limits,
+                                            core::time_point now);
+
+private:
+    /// Latest observation of this term.
+    struct observation {
+        std::uint64_t born_ms = 0;
+        std::optional<core::request_rate> rate; ///< None if no limit is named any more.
+        core::time_point at{};
+    };
+    struct bucket {
+        double tokens = 0;
+        core::time_point refilled{};
+        core::time_point next_return{}; ///< When the last refused caller was told to return.
+    };
+
+    [[nodiscard]] std::optional<core::request_rate>
+    rate_of(const std::string& upstream, const state::upstream_limits& limits) const;
+    void refill(bucket& item, core::request_rate rate, core::time_point now) const;
+
+    upstream_limit_options m_options;
+    core::time_point m_term_began{};
+    core::time_point m_last_change{};
+    std::map<std::string, observation> m_observed; ///< By upstream.
+    std::map<std::string, bucket> m_buckets;       ///< By upstream.
+    std::optional<std::uint64_t> m_proposed_on;    ///< Generation that the last change is based on.
+};
+
+} // namespace siskindrift::control
--- a/include/siskindrift/gateway/upstream_pool.h
+++ b/include/siskindrift/gateway/upstream_pool.h
@@ -13,6 +13,7 @@
 #include "siskindrift/core/random.h"
 #include "siskindrift/fleet/roster.h"
 #include "siskindrift/gateway/request_metadata.h"
+#include "siskindrift/gateway/upstream_limits.h"
 #include "siskindrift/wire/messages.h"
 
 namespace siskindrift::gateway {
@@ -65,13 +66,16 @@
     enum class kind : std::uint8_t {
         send,               ///< Send the request to `upstream`.
         adapter_not_loaded, ///< No untried engine holds a usable version of the adapter.
+        needs_permit,       ///< Ask the leader for a permit to send the request to `upstream`.
+        limited,            ///< All usable upstreams have used up their limits.
         none,               ///< The service has no usable upstream left to try.
     };
     kind result = kind::none;
     std::string upstream;
     std::string address;
     std::optional<std::uint64_t> adapter_version; ///< Of the chosen copy, if known.
-    bool crowded = false; ///< Another copy of the adapter would reduce the delay.
+    bool crowded = false;         ///< Another copy of the adapter would reduce the delay.
+    core::duration retry_after{}; ///< When a caller should return, if `limited`.
 };
 
 /// Tracks the load, the adapters and the failures of the upstreams, including the requests that
@@ -82,8 +86,10 @@
 class upstream_pool {
 public:
     /// @param roster upstreams to choose from; must outlive the pool.
-    upstream_pool(const fleet::roster& roster, std::uint64_t seed, pool_options options = {})
-        : m_roster(roster), m_random(seed), m_options(options)
+    /// @param limits limits of the upstreams; must outlive the pool.
+    upstream_pool(const fleet::roster& roster, const upstream_limits& limits, std::uint64_t seed,
+                  pool_options options = {})
+        : m_roster(roster), m_limits(limits), m_random(seed), m_options(options)
     {
     }
 
@@ -97,8 +103,11 @@
     /// Chooses an upstream of @p service that is not among @p tried.
     /// @param wanted adapter that the upstream must hold; an empty model for services without
     /// engines.
+    /// @param permitted upstream for which the request has waited for a permit, or empty. It is
+    /// chosen if there is one, because another request may not come before the permit expires.
     [[nodiscard]] pool_choice choose(const std::string& service, const adapter_name& wanted,
-                                     const std::set<std::string>& tried, core::time_point now);
+                                     const std::set<std::string>& tried, core::time_point now,
+                                     const std::string& permitted = {});
 
     /// Records that a request was sent to @p upstream.
     /// @param tokens prompt tokens that the upstream has to process before the first token.
@@ -168,6 +177,7 @@
                                        core::time_point now) const;
 
     const fleet::roster& m_roster;
+    const upstream_limits& m_limits;
     core::random_source m_random;
     pool_options m_options;
     std::size_t m_gateway_count = 1;
--- a/include/siskindrift/state/control_state.h
+++ b/include/siskindrift/state/control_state.h
@@ -11,6 +11,8 @@
 #include <unordered_map>
 #include <utility>
 
+#include "siskindrift/core/request_rate.h"
+#include "siskindrift/state/shared_table.h"
 #include "siskindrift/wire/messages.h"
 
 namespace siskindrift::state {
@@ -78,6 +80,15 @@
     std::map<std::string, blocked_part> parts;
 };
 
+/// Requests that a run of an upstream takes from all gateways together.
+struct upstream_limit {
+    std::uint64_t born_ms = 0; ///< Start of the run.
+    core::request_rate rate;
+};
+
+/// The limits that upstreams name, by upstream.
+using upstream_limits = shared_table<upstream_limit>;
+
 /// Base model, then adapter. The adapter is empty for the base model itself.
 using adapter_name = std::pair<std::string, std::string>;
 
@@ -125,6 +136,10 @@
     }
     [[nodiscard]] const retry_shares& current_retry_shares() const { return m_retry_shares; }
     [[nodiscard]] const blocked_parts& current_blocked_parts() const { return m_blocked_parts; }
+    [[nodiscard]] const upstream_limits& current_upstream_limits() const
+    {
+        return m_upstream_limits;
+    }
     [[nodiscard]] std::size_t claim_count() const { return m_claims.size(); }
     /// Returns the claim on a key, or null.
     [[nodiscard]] const claim* find_claim(const claim_key& key) const;
@@ -155,6 +170,7 @@
     wire::control_reply_t apply(const wire::name_adapter_version_t& request);
     wire::control_reply_t apply(const wire::change_retry_shares_t& request);
     wire::control_reply_t apply(const wire::change_blocked_parts_t& request);
+    wire::control_reply_t apply(const wire::change_upstream_limits_t& request);
 
     void accept_change(const wire::apply_change_t& change);
     void store_change_result(const std::string& change_id, change_result result);
@@ -178,6 +194,7 @@
     std::map<adapter_name, std::uint64_t> m_adapter_versions;
     retry_shares m_retry_shares;
     blocked_parts m_blocked_parts;
+    upstream_limits m_upstream_limits;
     std::map<claim_key, claim> m_claims;
     std::set<std::pair<std::uint64_t, claim_key>> m_claims_by_time; ///< By time in the key.
 };
--- a/src/adapters/placer_plan.cpp
+++ b/src/adapters/placer_plan.cpp
@@ -62,8 +62,9 @@
     const auto interval = many_slots_idle() ? m_options.additional_copy_interval_idle
                                             : m_options.additional_copy_interval;
     copy_index index;
+    const bool others_unlimited = has_unlimited_engines();
     for (const auto& [id, engine] : m_engines) {
-        if (!is_usable(engine)) {
+        if (!is_usable(engine) || (others_unlimited && m_limited.contains(id))) {
             continue;
         }
         const auto wait_ms =
@@ -88,6 +89,13 @@
     return index;
 }
 
+bool placer::has_unlimited_engines() const
+{
+    return std::any_of(m_engines.begin(), m_engines.end(), [&](const auto& item) {
+        return is_usable(item.second) && !m_limited.contains(item.first);
+    });
+}
+
 // A copy may be in use although no gateway has reported it yet.
 core::duration placer::min_idle_before_eviction() const
 {
@@ -144,8 +152,9 @@
 std::vector<placer::load_offer> placer::collect_offers(core::time_point now)
 {
     std::vector<load_offer> offers;
+    const bool others_unlimited = has_unlimited_engines();
     for (auto& [id, engine] : m_engines) {
-        if (!can_take_order(engine)) {
+        if (!can_take_order(engine) || (others_unlimited && m_limited.contains(id))) {
             continue;
         }
         const auto* capacity = capacity_of(engine);
--- a/src/adapters/placer_test.cpp
+++ b/src/adapters/placer_test.cpp
@@ -573,3 +573,16 @@
     adapter_placer.on_report("a", old, clock.now());
     LONGS_EQUAL(0, static_cast<long>(plan().size())); // x is still loading
 }
+
+TEST(Placer, LoadsAnAdapterElsewhereIfTheOnlyEngineThatHoldsItIsAtItsLimit)
+{
+    engine("a", {"x"});
+    engine("b");
+    wish("x");
+    LONGS_EQUAL(0, plan().size());
+    adapter_placer.set_limited({"a"});
+    wish("x");
+    const auto orders = plan();
+    LONGS_EQUAL(1, orders.size());
+    STRCMP_EQUAL("b", orders.front().upstream.c_str());
+}
--- a/src/apps/coordinator_fleet.cpp
+++ b/src/apps/coordinator_fleet.cpp
@@ -184,6 +184,7 @@
         wire::append(update.gateways, *gateway.attach_message.info);
     }
     append_blocked_parts(update);
+    append_upstream_limits(update);
     append_all(update.upstreams, m_roster.snapshot(m_clock.now()));
     for (const auto& [name, version] : m_core->state().adapter_versions()) {
         wire::adapter_copy_t item;
@@ -242,6 +243,10 @@
         m_published_blocks = m_core->state().current_blocked_parts().generation;
         append_blocked_parts(update);
     }
+    if (m_published_limits != m_core->state().current_upstream_limits().generation) {
+        m_published_limits = m_core->state().current_upstream_limits().generation;
+        append_upstream_limits(update);
+    }
     m_mesh->reply_all(gateway_connections(), wire::make_envelope(std::move(update)));
 }
 
@@ -429,6 +434,84 @@
     }
 }
 
+// Only a leader that no other leader can have replaced gives out permits.
+void coordinator_process::handle_permit_query(net::connection_id from,
+                                              const wire::send_permit_query_t& query)
+{
+    if (!holds_lease()) {
+        return;
+    }
+    const auto now = m_clock.now();
+    const auto& limits = m_core->state().current_upstream_limits();
+    for (const auto& observed : query.observed) {
+        if (m_upstream_limits.record_observation(*observed, limits, now)) {
+            observe::info("upstream_limit_observed", {{"upstream", observed->upstream},
+                                                      {"gateway", query.vm},
+                                                      {"ended", observed->ended},
+                                                      {"per_s", observed->per_s}});
+        }
+    }
+    if (query.wishes.empty()) {
+        return;
+    }
+    wire::send_permit_grant_t grant;
+    grant.asked_ms = query.sent_ms;
+    for (const auto& wish : query.wishes) {
+        auto permit = m_upstream_limits.grant(*wish, limits, now);
+        observe::routine("send_permits", {{"upstream", permit.upstream},
+                                          {"gateway", query.vm},
+                                          {"waiting", wish->waiting},
+                                          {"granted", permit.granted},
+                                          {"next_ms", permit.next_ms}});
+        wire::append(grant.permits, std::move(permit));
+    }
+    m_mesh->reply(from, wire::make_envelope(std::move(grant)));
+}
+
+// Proposes the next change of the limits that upstreams name, and publishes those that were
+// applied.
+void coordinator_process::update_upstream_limits()
+{
+    const auto& limits = m_core->state().current_upstream_limits();
+    if (m_published_limits != limits.generation) {
+        m_flush_requested = true;
+        std::set<std::string> limited;
+        for (const auto& [upstream, limit] : limits.entries) {
+            limited.insert(upstream);
+        }
+        m_placer.set_limited(std::move(limited));
+    }
+    if (!holds_lease()) {
+        return;
+    }
+    const auto run_of = [&](const std::string& upstream) -> std::optional<std::uint64_t> {
+        const auto* entry = m_roster.find(upstream);
+        return entry != nullptr ? std::optional{entry->info.born_ms} : std::nullopt;
+    };
+    const auto change = m_upstream_limits.next_change(limits, run_of, m_clock.now());
+    if (!change) {
+        return;
+    }
+    observe::info("upstream_limits_change",
+                  {{"set", change->set.size()}, {"remove", change->remove.size()}});
+    m_core->on_request(0, wire::make_control_request(*change));
+    schedule_cycle();
+}
+
+void coordinator_process::append_upstream_limits(wire::fleet_update_t& update) const
+{
+    const auto& limits = m_core->state().current_upstream_limits();
+    update.limits_included = true;
+    update.limits_generation = limits.generation;
+    for (const auto& [upstream, limit] : limits.entries) {
+        wire::upstream_limit_t item;
+        item.upstream = upstream;
+        item.born_ms = limit.born_ms;
+        item.per_s = limit.rate.per_s;
+        wire::append(update.limits, std::move(item));
+    }
+}
+
 void coordinator_process::update_gauges(observe::metrics& metrics) const
 {
     metrics.set("siskindrift_document_version", static_cast<double>(m_document_version));
@@ -437,6 +520,9 @@
     metrics.set(
         "siskindrift_retry_share_holders",
         static_cast<double>(m_core ? m_core->state().current_retry_shares().holders.size() : 0));
+    metrics.set(
+        "siskindrift_limited_upstreams",
+        static_cast<double>(m_core ? m_core->state().current_upstream_limits().entries.size() : 0));
     metrics.set("siskindrift_placing_term", static_cast<double>(m_placement_term));
     metrics.set("siskindrift_open_engine_calls", static_cast<double>(m_calls.open_calls()));
 }
--- a/src/apps/coordinator_process.cpp
+++ b/src/apps/coordinator_process.cpp
@@ -225,6 +225,7 @@
     update_leadership();
     update_retry_shares();
     update_blocked_parts();
+    update_upstream_limits();
     apply_document();
     place_adapters();
     flush_updates();
@@ -338,6 +339,7 @@
     const auto now = m_clock.now();
     m_retry_shares.begin_term(now);
     m_prompt_judge.begin_term(now);
+    m_upstream_limits.begin_term(now);
     m_announced_shares = 0;
     m_placer.begin_leadership(must_wait ? now + m_settings.order_lease + order_transit_margin
                                         : now);
@@ -369,6 +371,9 @@
     else if (const auto* evidence = message.body.Asprompt_evidence()) {
         handle_prompt_evidence(*evidence);
     }
+    else if (const auto* wishes = message.body.Assend_permit_query()) {
+        handle_permit_query(from, *wishes);
+    }
     else if (const auto* query = message.body.Asretry_share_query()) {
         handle_retry_share_query(from, *query);
     }
--- a/src/apps/coordinator_process.h
+++ b/src/apps/coordinator_process.h
@@ -20,6 +20,7 @@
 #include "siskindrift/control/membership_manager.h"
 #include "siskindrift/control/prompt_judge.h"
 #include "siskindrift/control/retry_share_manager.h"
+#include "siskindrift/control/upstream_limit_manager.h"
 #include "siskindrift/fleet/roster.h"
 #include "siskindrift/fleet/update_pacer.h"
 #include "siskindrift/http/buffered_client.h"
@@ -105,6 +106,9 @@
     void check_engine(const control::suspected_crash& crash);
     void update_blocked_parts();
     void append_blocked_parts(wire::fleet_update_t& update) const;
+    void handle_permit_query(net::connection_id from, const wire::send_permit_query_t& query);
+    void update_upstream_limits();
+    void append_upstream_limits(wire::fleet_update_t& update) const;
     [[nodiscard]] bool holds_lease() const;
     void update_gauges(observe::metrics& metrics) const;
     [[nodiscard]] std::vector<net::connection_id> gateway_connections() const;
@@ -131,7 +135,9 @@
     control::membership_manager m_membership;
     control::retry_share_manager m_retry_shares;
     control::prompt_judge m_prompt_judge;
+    control::upstream_limit_manager m_upstream_limits;
     std::uint64_t m_published_blocks = 0; ///< Generation that the gateways were sent.
+    std::uint64_t m_published_limits = 0; ///< Generation that the gateways were sent.
     std::uint64_t m_announced_shares = 0; ///< Generation that this leader announced last.
     /// Responders of proposed commands, keyed by client id.
     std::map<std::uint64_t, std::shared_ptr<http::responder>> m_pending_responders;
--- a/src/apps/gateway_exchanges.cpp
+++ b/src/apps/gateway_exchanges.cpp
@@ -161,7 +161,9 @@
     if (refuse_blocked_prompt(item)) {
         return;
     }
-    const auto choice = m_pool.choose(item.service, item.adapter, item.tried_upstreams, now);
+    const auto choice =
+        m_pool.choose(item.service, item.adapter, item.tried_upstreams, now, item.permit_upstream);
+    stop_awaiting_permit(item);
     if (choice.crowded) {
         m_overloaded_adapters[item.adapter] = now;
         schedule_report();
@@ -170,6 +172,12 @@
     case gateway::pool_choice::kind::send:
         send_attempt(item, choice);
         return;
+    case gateway::pool_choice::kind::needs_permit:
+        request_permit(item, choice.upstream);
+        return;
+    case gateway::pool_choice::kind::limited:
+        refuse_limited(item, choice.retry_after);
+        return;
     case gateway::pool_choice::kind::adapter_not_loaded:
         wait_for_upstream(item);
         return;
@@ -193,6 +201,18 @@
     }
     item.waiting = false;
     m_waiting.erase(item.id);
+    const auto* entry = m_roster.find(choice.upstream);
+    item.upstream_born_ms = entry != nullptr ? entry->info.born_ms : 0;
+    item.sent_at = now;
+    const auto limit = m_limits.limit_of(choice.upstream, item.upstream_born_ms);
+    item.uses_permit = limit.has_value();
+    if (limit) {
+        m_limits.consume(choice.upstream, now);
+        observe::info("sent_under_limit", {{"request", item.metadata.request_id},
+                                           {"upstream", choice.upstream},
+                                           {"per_s", limit->per_s},
+                                           {"generation", m_limits.generation()}});
+    }
     if (!item.first_sent_at) {
         item.first_sent_at = now;
         m_metrics.observe_ms("siskindrift_wait_ms",
@@ -329,6 +349,11 @@
         abort_stream(item, core::reason::deadline_passed);
         return;
     }
+    if (!item.permit_upstream.empty() && item.deadline > m_clock.now()) {
+        m_limits.record_silence(item.permit_upstream, m_clock.now());
+        dispatch(item);
+        return;
+    }
     const bool possibly_executed = item.may_have_run > 0;
     auto reason = core::reason::deadline_passed;
     if (m_awaiting_document.contains(id)) {
@@ -471,6 +496,9 @@
     item->call_end = call_end;
     if (call_end.result == http::call_result::not_sent) {
         refund_retry(*item);
+        if (std::exchange(item->uses_permit, false)) {
+            m_limits.restore(item->upstream_id);
+        }
     }
     settle_retry_late(*item);
     record_prompt_processed(*item);
@@ -728,6 +756,7 @@
 void gateway_process::remove_exchange(exchange& item)
 {
     m_waiting.erase(item.id);
+    m_awaiting_permit.erase(item.id);
     m_awaiting_document.erase(item.id);
     m_kept_bytes -= item.response_body.size();
     m_exchanges.erase(item.id);
--- a/src/apps/gateway_guards.cpp
+++ b/src/apps/gateway_guards.cpp
@@ -7,6 +7,7 @@
 
 constexpr core::milliseconds blocked_retry_after{30'000}; // a blocked prompt part is tried again
 constexpr std::uint16_t first_redirect_status = 300;
+constexpr std::uint16_t other_run_status = 421; // may come from another run at the address
 
 } // namespace
 
@@ -95,18 +96,99 @@
     send_prompt_evidence();
 }
 
-// Logs the limit that an upstream names in an answer.
+// Records the limit that an upstream names in an answer, or that it names none any more. Errors
+// without a limit end none: they may come from a part of the upstream that doesn't know it.
 void gateway_process::record_limit(const exchange& item)
 {
     const auto& answer = item.response_metadata;
-    if (answer.limit || answer.limit_malformed) {
+    const auto status = item.response_head->status;
+    const bool ends = !answer.limit && !answer.limit_malformed && status < first_redirect_status;
+    if (status == other_run_status || (!answer.limit && !answer.limit_malformed && !ends)) {
+        return;
+    }
+    bool changed = false;
+    if (!answer.limit_malformed || answer.limit) {
+        changed = m_limits.record_answer(
+            {item.upstream_id, item.upstream_born_ms, answer.limit, item.sent_at}, m_clock.now());
+    }
+    if (changed || answer.limit_malformed) {
         observe::info("upstream_limit_named",
                       {{"request", item.metadata.request_id},
                        {"upstream", item.upstream_id},
-                       {"status", item.response_head->status},
+                       {"status", status},
+                       {"ended", ends},
                        {"per_s", answer.limit.value_or(core::request_rate{}).per_s},
                        {"malformed", answer.limit_malformed}});
     }
+    if (changed) {
+        send_permit_query();
+    }
+}
+
+// Lets a request wait for the leader's permit to send it to an upstream with a limit.
+void gateway_process::request_permit(exchange& item, const std::string& upstream)
+{
+    item.permit_upstream = upstream;
+    item.waiting = false;
+    m_waiting.erase(item.id);
+    m_awaiting_permit.insert(item.id);
+    m_limits.add_wish(upstream);
+    arm_timer(item, std::min(m_limits.answer_timeout(), time_left(item)));
+    send_permit_query();
+}
+
+void gateway_process::stop_awaiting_permit(exchange& item)
+{
+    item.permit_upstream.clear();
+    m_awaiting_permit.erase(item.id);
+}
+
+// Tells the leader about limits that answers named, and asks it for permits.
+void gateway_process::send_permit_query()
+{
+    const auto leader = leader_address();
+    if (leader.empty()) {
+        return;
+    }
+    if (auto query = m_limits.take_query(m_clock.now())) {
+        m_mesh->send(leader, wire::make_envelope(std::move(*query)));
+    }
+}
+
+void gateway_process::apply_permits(const wire::send_permit_grant_t& grant)
+{
+    m_limits.apply_grant(grant, m_clock.now());
+    std::set<std::string_view> upstreams;
+    for (const auto& permit : grant.permits) {
+        upstreams.insert(permit->upstream);
+        observe::routine("send_permits", {{"upstream", permit->upstream},
+                                          {"granted", permit->granted},
+                                          {"next_ms", permit->next_ms},
+                                          {"retry_after_ms", permit->retry_after_ms}});
+    }
+    for (const auto id : std::set<std::uint64_t>{m_awaiting_permit}) {
+        const auto found = m_exchanges.find(id);
+        if (found != m_exchanges.end() && upstreams.contains(found->second->permit_upstream)) {
+            dispatch(*found->second);
+        }
+    }
+    send_permit_query();
+}
+
+// Refuses a request because all upstreams that could run it have used up their limits.
+void gateway_process::refuse_limited(exchange& item, core::duration retry_after)
+{
+    observe::info("request_limited", {{"request", item.metadata.request_id},
+                                      {"service", item.service},
+                                      {"generation", m_limits.generation()},
+                                      {"retry_after_ms", core::to_ms(retry_after)}});
+    if (item.stream_begun || item.may_have_run > 0) {
+        fail_request(item, item.may_have_run > 0 && !item.stream_begun
+                               ? item.failure_reason
+                               : core::reason::upstream_limit);
+        return;
+    }
+    respond_with_error(item, 503, core::reason::upstream_limit, retry_after);
 }
 
 bool gateway_process::consume_retry(exchange& item, const gateway::pool_choice& choice)
--- a/src/apps/gateway_process.cpp
+++ b/src/apps/gateway_process.cpp
@@ -76,7 +76,7 @@
       m_metrics_endpoint(m_context, m_metrics,
                          [this](observe::metrics& metrics) { update_gauges(metrics); }),
       m_incarnation(core::random_nonzero()), m_roster(roster_options(m_settings.announcement)),
-      m_pool(m_roster, core::random_nonzero()),
+      m_limits(m_settings.vm), m_pool(m_roster, m_limits, core::random_nonzero()),
       m_retry_share(m_clock.now(), m_settings.retry_window), m_prompt_guard(m_settings.vm)
 {
 }
@@ -168,6 +168,7 @@
     metrics.set("siskindrift_upstreams", static_cast<double>(m_roster.entries().size()));
     metrics.set("siskindrift_blocked_prompt_parts",
                 static_cast<double>(m_prompt_guard.blocked_parts()));
+    metrics.set("siskindrift_limited_upstreams", static_cast<double>(m_limits.size()));
     metrics.set("siskindrift_retry_share", m_retry_share.fraction(m_clock.now()));
     metrics.set("siskindrift_leader_term", static_cast<double>(m_engine_term));
 }
@@ -273,6 +274,9 @@
             send_prompt_evidence();
         }
     }
+    else if (const auto* grant = message.body.Assend_permit_grant()) {
+        apply_permits(*grant);
+    }
     else if (const auto* share = message.body.Asretry_share()) {
         if (m_retry_share.apply(*share, m_clock.now())) {
             observe::info("retry_share", {{"generation", share->generation},
@@ -294,6 +298,8 @@
         schedule_report();
         send_share_query();
         send_prompt_evidence();
+        m_limits.report_again();
+        send_permit_query();
     }
     m_document_follower.set_offered_version(update.address, update.document_version);
     if (update.gateways_included) {
@@ -315,6 +321,10 @@
                                                {"parts", m_prompt_guard.blocked_parts()}});
         refuse_blocked_prompts();
     }
+    if (m_limits.apply_limits(update, now)) {
+        observe::info("upstream_limits",
+                      {{"generation", m_limits.generation()}, {"limits", m_limits.size()}});
+    }
     for (const auto& upstream : update.upstreams) {
         m_roster.update(*upstream, now, core::milliseconds{upstream->age_ms});
     }
@@ -474,6 +484,7 @@
         if (!error) {
             send_share_query();
             send_prompt_evidence();
+            send_permit_query();
         }
     });
 }
--- a/src/apps/gateway_process.h
+++ b/src/apps/gateway_process.h
@@ -25,6 +25,7 @@
 #include "siskindrift/gateway/retry_budget.h"
 #include "siskindrift/gateway/retry_share.h"
 #include "siskindrift/gateway/route_table.h"
+#include "siskindrift/gateway/upstream_limits.h"
 #include "siskindrift/gateway/upstream_pool.h"
 #include "siskindrift/http/client.h"
 #include "siskindrift/http/server.h"
@@ -101,10 +102,11 @@
         std::unique_ptr<boost::asio::steady_timer> timer;
         std::set<std::string> tried_upstreams;
         unsigned attempts_sent = 0;
-        unsigned crashes = 0;      ///< Engines that ended as they began to answer it.
-        bool on_trial = false;     ///< Is sent although its prompt has a blocked part.
-        unsigned may_have_run = 0; ///< Attempts whose upstream may have run the request.
-        bool waiting = false;      ///< For an upstream or an adapter.
+        unsigned crashes = 0;        ///< Engines that ended as they began to answer it.
+        bool on_trial = false;       ///< Is sent although its prompt has a blocked part.
+        unsigned may_have_run = 0;   ///< Attempts whose upstream may have run the request.
+        bool waiting = false;        ///< For an upstream or an adapter.
+        std::string permit_upstream; ///< Upstream for which it waits for a permit; empty for none.
         core::reason failure_reason = core::reason::none;
         // Current attempt at an upstream.
         std::uint64_t call_id = 0;       ///< 0 if no attempt is open.
@@ -114,6 +116,9 @@
         bool counts_as_retry = false; ///< The retry budget counts it, and it may still arrive.
         std::string upstream_id;
         std::string upstream_address;
+        std::uint64_t upstream_born_ms = 0; ///< Start of the upstream's run.
+        core::time_point sent_at{};
+        bool uses_permit = false; ///< Is sent under the upstream's limit.
         std::uint32_t unprocessed_prompt_tokens =
             0; ///< Prompt tokens the upstream has yet to process.
         std::optional<http::client_head> response_head;
@@ -205,6 +210,11 @@
     void record_answer(exchange& item);
     void record_crash(exchange& item);
     void record_limit(const exchange& item);
+    void request_permit(exchange& item, const std::string& upstream);
+    void send_permit_query();
+    void apply_permits(const wire::send_permit_grant_t& grant);
+    void stop_awaiting_permit(exchange& item);
+    void refuse_limited(exchange& item, core::duration retry_after);
     [[nodiscard]] static std::string_view caller_framing(const exchange& item);
     void record_served(const exchange& item, std::uint16_t status);
 
@@ -238,6 +248,7 @@
     std::optional<gateway::deployment> m_deployment;
     gateway::document_follower m_document_follower;
     gateway::route_table m_routes;
+    gateway::upstream_limits m_limits;
     gateway::upstream_pool m_pool;
     std::map<std::string, gateway::retry_budget> m_retry_budgets;
     gateway::retry_share m_retry_share;
@@ -247,6 +258,7 @@
     std::map<std::uint64_t, std::unique_ptr<exchange>> m_exchanges;
     std::map<std::uint64_t, std::uint64_t> m_exchange_by_call; ///< Exchange id by call id.
     std::set<std::uint64_t> m_waiting; ///< Exchanges that wait for an upstream or an adapter.
+    std::set<std::uint64_t> m_awaiting_permit;
     /// Exchanges that were received before the first deployment document.
     std::set<std::uint64_t> m_awaiting_document;
     /// Adapters that need a further copy, and when the pool last said so.
--- a/src/control/control_core.cpp
+++ b/src/control/control_core.cpp
@@ -26,6 +26,7 @@
     case wire::control_body::name_adapter_version:
     case wire::control_body::change_retry_shares:
     case wire::control_body::change_blocked_parts:
+    case wire::control_body::change_upstream_limits:
         return true;
     default:
         return false;
--- a/src/gateway/upstream_pool.cpp
+++ b/src/gateway/upstream_pool.cpp
@@ -1,6 +1,7 @@
 #include "siskindrift/gateway/upstream_pool.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace siskindrift::gateway {
 namespace {
@@ -133,14 +134,18 @@
 }
 
 pool_choice upstream_pool::choose(const std::string& service, const adapter_name& wanted,
-                                  const std::set<std::string>& tried, core::time_point now)
+                                  const std::set<std::string>& tried, core::time_point now,
+                                  const std::string& permitted)
 {
     struct candidate {
         const fleet::roster_entry* entry;
         std::optional<std::uint64_t> version;
         double load;
         bool ejected;
+        bool needs_permit;
     };
+    std::optional<core::duration> retry_after; // of upstreams that have used up their limits
+    bool any_unlimited = false;
     std::vector<candidate> candidates;
     bool any_usable = false;
     const auto current = m_current_versions.find(wanted);
@@ -151,6 +156,7 @@
             continue;
         }
         any_usable = true;
+        any_unlimited = any_unlimited || !m_limits.limit_of(id, entry.info.born_ms);
         auto& stats = m_stats[id];
         const bool unreachable =
             refuses_connections(entry, stats, now) || is_silent(entry, stats, now);
@@ -163,9 +169,18 @@
         if (!wanted.first.empty() && !version) {
             continue;
         }
+        const auto admission = m_limits.admission(id, entry.info.born_ms, now);
+        if (admission.result == send_admission::kind::refused) {
+            if (!tried.contains(id)) {
+                retry_after =
+                    std::min(retry_after.value_or(admission.retry_after), admission.retry_after);
+            }
+            continue;
+        }
         current_exists = current_exists || (version && *version >= current_version);
         candidates.push_back({&entry, version, load(entry, stats, !wanted.first.empty()),
-                              unreachable || is_ejected(stats, now)});
+                              unreachable || is_ejected(stats, now),
+                              admission.result == send_admission::kind::needs_permit});
     }
     std::erase_if(candidates, [&](const candidate& one) {
         return tried.contains(one.entry->info.id) ||
@@ -174,6 +189,12 @@
     });
     pool_choice choice;
     if (candidates.empty()) {
+        if (retry_after && (wanted.first.empty() || !any_unlimited)) {
+            choice.result = pool_choice::kind::limited;
+            choice.retry_after = *retry_after;
+            return choice;
+        }
+        choice.crowded = retry_after.has_value(); // an engine without a limit can load it
         choice.result = any_usable && !wanted.first.empty() ? pool_choice::kind::adapter_not_loaded
                                                             : pool_choice::kind::none;
         return choice;
@@ -183,8 +204,12 @@
     for (std::size_t i = candidates.size() - 1; i > 0; --i) {
         std::swap(candidates[i], candidates[core::uniform_below(m_random, i + 1)]);
     }
-    const auto better = [](const candidate& left, const candidate& right) {
-        return std::pair{left.ejected, left.load} < std::pair{right.ejected, right.load};
+    const auto is_other = [&](const candidate& one) {
+        return one.needs_permit || one.entry->info.id != permitted;
+    };
+    const auto better = [&](const candidate& left, const candidate& right) {
+        return std::tuple{left.ejected, is_other(left), left.load} <
+               std::tuple{right.ejected, is_other(right), right.load};
     };
     const candidate least_loaded = *std::min_element(candidates.begin(), candidates.end(), better);
     // Many gateways with the same outdated view would all choose the same engine, so each of them
@@ -192,7 +217,7 @@
     constexpr std::size_t compared = 2;
     const bool uses_engines = !wanted.first.empty();
     if (uses_engines && m_gateway_count >= m_options.two_choices_gateways &&
-        candidates.size() > compared) {
+        candidates.size() > compared && is_other(least_loaded)) {
         if (!least_loaded.ejected) {
             std::erase_if(candidates, [](const candidate& one) { return one.ejected; });
         }
@@ -203,7 +228,7 @@
     if (best->ejected) {
         m_stats[best->entry->info.id].last_trial = now;
     }
-    choice.result = pool_choice::kind::send;
+    choice.result = best->needs_permit ? pool_choice::kind::needs_permit : pool_choice::kind::send;
     choice.upstream = best->entry->info.id;
     choice.address = best->entry->info.address;
     if (!wanted.second.empty()) {
--- a/src/gateway/upstream_pool_test.cpp
+++ b/src/gateway/upstream_pool_test.cpp
@@ -9,7 +9,8 @@
 {
     core::manual_clock clock;
     fleet::roster roster;
-    upstream_pool pool{roster, 1};
+    upstream_limits limits{"vm"};
+    upstream_pool pool{roster, limits, 1};
     const adapter_name wanted{"base", "a1"};
     const adapter_name none{};
 
@@ -41,6 +42,29 @@
         pool.update_engine(view);
     }
 
+    void name_limit(const std::string& id)
+    {
+        limits.record_answer({id, 100, core::request_rate{1}, clock.now()}, clock.now());
+    }
+
+    void grant(const std::string& id, std::uint32_t granted, std::uint32_t next_ms)
+    {
+        wire::send_permit_grant_t message;
+        message.asked_ms = static_cast<std::uint64_t>(core::to_ms(clock.now().time_since_epoch()));
+        wire::send_permit_t item;
+        item.upstream = id;
+        item.granted = granted;
+        item.next_ms = next_ms;
+        item.retry_after_ms = next_ms;
+        wire::append(message.permits, std::move(item));
+        limits.apply_grant(message, clock.now());
+    }
+
+    void refuse(const std::string& id)
+    {
+        grant(id, 0, 400);
+    }
+
     pool_choice choose(const adapter_name& name, const std::set<std::string>& tried = {})
     {
         return pool.choose("llm", name, tried, clock.now());
@@ -259,3 +283,55 @@
     clock.advance(core::milliseconds{1100});
     LONGS_EQUAL(0, static_cast<long>(pool.unreachable_upstreams(clock.now()).size()));
 }
+
+TEST(UpstreamPool, SendsElsewhereWhereALimitIsUsedUp)
+{
+    announce("a");
+    announce("b");
+    name_limit("a");
+    refuse("a");
+    for (int i = 0; i < 20; ++i) {
+        const auto choice = choose(none);
+        CHECK_TRUE(choice.result == pool_choice::kind::send);
+        STRCMP_EQUAL("b", choice.upstream.c_str());
+    }
+}
+
+TEST(UpstreamPool, SaysWhenToReturnIfAllLimitsAreUsedUp)
+{
+    announce("a");
+    announce("b");
+    name_limit("a");
+    name_limit("b");
+    CHECK_TRUE(choose(none).result == pool_choice::kind::needs_permit);
+    refuse("a");
+    refuse("b");
+    const auto choice = choose(none);
+    CHECK_TRUE(choice.result == pool_choice::kind::limited);
+    LONGS_EQUAL(400, core::to_ms(choice.retry_after));
+}
+
+TEST(UpstreamPool, ChoosesTheUpstreamForWhichARequestGotAPermit)
+{
+    announce("a");
+    announce("b");
+    name_limit("a");
+    pool.record_sent("a", none, clock.now());
+    grant("a", 1, 0);
+    const auto choice = pool.choose("llm", none, {}, clock.now(), "a");
+    CHECK_TRUE(choice.result == pool_choice::kind::send);
+    STRCMP_EQUAL("a", choice.upstream.c_str());
+}
+
+TEST(UpstreamPool, WantsACopyElsewhereIfTheOnlyEngineThatHoldsAnAdapterIsAtItsLimit)
+{
+    announce("a");
+    set_held_version("a", 1);
+    name_limit("a");
+    refuse("a");
+    CHECK_TRUE(choose(wanted).result == pool_choice::kind::limited);
+    announce("b");
+    const auto choice = choose(wanted);
+    CHECK_TRUE(choice.result == pool_choice::kind::adapter_not_loaded);
+    CHECK_TRUE(choice.crowded);
+}
--- a/src/state/control_state.cpp
+++ b/src/state/control_state.cpp
@@ -78,6 +78,9 @@
     if (const auto* request = body.Aschange_blocked_parts()) {
         return apply(*request);
     }
+    if (const auto* request = body.Aschange_upstream_limits()) {
+        return apply(*request);
+    }
     return make_refusal("not a logged command");
 }
 
@@ -127,6 +130,18 @@
     return {};
 }
 
+wire::control_reply_t control_state::apply(const wire::change_upstream_limits_t& request)
+{
+    ++m_upstream_limits.generation;
+    for (const auto& upstream : request.remove) {
+        m_upstream_limits.entries.erase(upstream);
+    }
+    for (const auto& item : request.set) {
+        m_upstream_limits.entries[item->upstream] = {item->born_ms, {item->per_s}};
+    }
+    return {};
+}
+
 wire::control_reply_t control_state::make_change_reply(const change_result& stored)
 {
     wire::control_reply_t reply;
--- a/src/state/control_state_snapshot.cpp
+++ b/src/state/control_state_snapshot.cpp
@@ -97,6 +97,14 @@
         item.trial_vm = blocked.trial_vm;
         wire::append(image.blocked, item);
     }
+    image.limits_generation = m_upstream_limits.generation;
+    for (const auto& [upstream, limit] : m_upstream_limits.entries) {
+        wire::upstream_limit_t item;
+        item.upstream = upstream;
+        item.born_ms = limit.born_ms;
+        item.per_s = limit.rate.per_s;
+        wire::append(image.limits, item);
+    }
     return wire::encode_table(image);
 }
 
@@ -141,6 +149,10 @@
     for (const auto& item : image->blocked) {
         fresh.m_blocked_parts.parts[item->part] = {item->strikes, item->trial_vm};
     }
+    fresh.m_upstream_limits.generation = image->limits_generation;
+    for (const auto& item : image->limits) {
+        fresh.m_upstream_limits.entries[item->upstream] = {item->born_ms, {item->per_s}};
+    }
     for (const auto& item : image->claims) {
         const claim_key key{item->team, item->key};
         fresh.m_claims.emplace(key, from_stored_claim(*item));
--- a/src/state/control_state_test.cpp
+++ b/src/state/control_state_test.cpp
@@ -324,3 +324,26 @@
     STRCMP_EQUAL("five", restored.current_document().content.c_str());
     LONGS_EQUAL(4, static_cast<long>(restored.adapter_versions().at({"m", "a"})));
 }
+
+TEST(ControlStateDocument, KeepsTheLimitsOfUpstreamsInASnapshot)
+{
+    wire::change_upstream_limits_t change;
+    for (const auto* upstream : {"a", "b"}) {
+        wire::upstream_limit_t item;
+        item.upstream = upstream;
+        item.born_ms = 7;
+        item.per_s = 1.5;
+        wire::append(change.set, std::move(item));
+    }
+    apply(change);
+    change.set.clear();
+    change.remove.push_back("b");
+    apply(change);
+    control_state restored;
+    CHECK_TRUE(restored.restore(state.save()));
+    const auto& limits = restored.current_upstream_limits();
+    LONGS_EQUAL(2, limits.generation);
+    LONGS_EQUAL(1, limits.entries.size());
+    LONGS_EQUAL(7, limits.find("a")->born_ms);
+    DOUBLES_EQUAL(1.5, limits.find("a")->rate.per_s, 0);
+}
--- a/tests/fault_soak.py
+++ b/tests/fault_soak.py
@@ -26,6 +26,9 @@
 ADAPTERS = 10            # more than the engines' eight adapter slots, so that some are evicted
 RECOVERY_S = 8.0         # time from the last fault until requests must be served again
 DISK_RECOVERY_S = 4.0    # time until a coordinator has recovered from the loss of its disk
+LIMIT_PER_S = 4.0        # named by one upstream at a time
+LIMIT_LEARNING_S = 3.0   # time from the first answer with the limit until it must be kept
+LIMIT_WINDOW_S = 4.0     # in which at most one and a half times the limit and 5 may arrive
 MIN_SERVED_SHARE = 0.9   # of RECOVERY_REQUESTS
 RECOVERY_REQUESTS = 60
 OVERHEAD_S = 90.0        # time limit of a run for start, recovery and stop, added to --seconds
@@ -237,6 +240,32 @@
             await asyncio.sleep(rng.uniform(0.2, 2.0))
             upstream.broken_response_share = 0.0
 
+    async def name_limits(self):
+        """Names limits beside the other faults, whose sequence for a seed stays the same."""
+        rng = random.Random(self.seed + 1)
+        end = time.monotonic() + self.seconds
+        while time.monotonic() < end:
+            upstream = rng.choice([item for item in self.platform.upstreams
+                                   if not item.adapter_slots])
+            self.log_event(f"{upstream.name} names a limit of {LIMIT_PER_S} a second")
+            upstream.limit = LIMIT_PER_S
+            begin = time.monotonic() + LIMIT_LEARNING_S
+            await asyncio.sleep(rng.uniform(4.0, 8.0))
+            upstream.limit = None
+            self.check_limit(upstream.name, begin, time.monotonic())
+            await asyncio.sleep(rng.uniform(0.2, 1.0))
+
+    def check_limit(self, name, begin, end):
+        times = [at for at, upstream in self.platform.arrivals_by_upstream
+                 if upstream == name and begin <= at <= end]
+        allowed = 1.5 * LIMIT_PER_S * LIMIT_WINDOW_S + 5
+        for first in times:
+            arrived = sum(first <= at <= first + LIMIT_WINDOW_S for at in times)
+            if arrived > allowed:
+                self.platform.report_violation(
+                    f"{name}: {arrived} requests in {LIMIT_WINDOW_S} s, {allowed} allowed")
+                return
+
     async def restart_engine(self):
         engines = [item for item in self.platform.upstreams if item.adapter_slots]
         engine = self.random.choice(engines)
@@ -293,7 +322,7 @@
         background = [asyncio.create_task(self.caller(i)) for i in range(CALLERS)]
         background.append(asyncio.create_task(self.read_documents()))
         background.append(asyncio.create_task(self.restart_exited()))
-        await asyncio.gather(self.inject_faults(), self.break_responses())
+        await asyncio.gather(self.inject_faults(), self.break_responses(), self.name_limits())
         for upstream in self.platform.upstreams:
             upstream.crashing_parts = set()
         await asyncio.sleep(RECOVERY_S)
