Log a digest by which a request is recognized when it comes again

Logs of lost requests didn't show whether they were alike: second1 has requests without a prompt. The digest covers what the users say stays the same, path, caller and body, with XXH3 over the body. Only logged: nothing is decided by it yet.

--- a/src/apps/gateway_exchanges.cpp
+++ b/src/apps/gateway_exchanges.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway_process.h"
 #include "platform/calls.h"
+#include "siskindrift/gateway/request_digest.h"
 #include "siskindrift/observe/log.h"
 
 namespace siskindrift::apps {
@@ -95,6 +96,7 @@
     item.request = std::move(request);
     item.responder = std::move(responder);
     item.metadata = platform::decode_request(item.request);
+    item.digest = gateway::request_digest(item.request);
     item.arrived_at = m_clock.now();
     m_metrics.count("siskindrift_requests_total");
     m_exchanges[id] = std::move(new_exchange);
@@ -578,6 +580,7 @@
                                          {"framing", http::to_string(item.call_end.framing)},
                                          {"error", item.call_end.error},
                                          {"prompt", gateway::to_string(item.metadata.prompt)},
+                                         {"digest", item.digest},
                                          {"age_ms", core::to_ms(now - item.arrived_at)}});
     }
     gateway::forward_state state;
--- a/src/apps/gateway_process.h
+++ b/src/apps/gateway_process.h
@@ -91,6 +91,7 @@
         http::server_request request;
         std::shared_ptr<http::responder> responder;
         gateway::request_metadata metadata;
+        std::string digest; ///< By which the request is recognized when it comes again.
         gateway::route route;
         std::string service;
         /// Empty model if the service has no engines or the request names no model.
