--- a/tests/platform_fixture.py
+++ b/tests/platform_fixture.py
@@ -193,6 +193,7 @@
         self.running = 0
         self.draining = False
         self.crashing_parts = set()  # ends when it begins an answer on one of these prompt parts
+        self.crashing_requests = set()  # (path, body); ends after it has begun to run one
         self.down = False
         self.crashes = 0
         self.connections = set()
@@ -293,7 +294,7 @@
         adapter = headers.get("x-siskindrift-model", "").partition("/")[2]
         if self.adapter_slots and adapter not in self.adapters:
             return await self.reply(writer, 421, request_id, not_run=True)
-        return await self.execute(writer, path, headers, request_id)
+        return await self.execute(writer, path, headers, request_id, body)
 
     def apply_order(self, order):
         """Applies a load or unload order immediately; returns the HTTP status."""
@@ -319,8 +320,11 @@
         self.orders += 1
         return 202 if order["Op"] == "model_load" else 200
 
-    async def execute(self, writer, path, headers, request_id):
+    async def execute(self, writer, path, headers, request_id, request_body):
         stream = path.startswith(STREAM_PREFIXES)
+        crashes = (path, request_body) in self.crashing_requests
+        if crashes:
+            self.platform.crashing_arrivals.append(time.monotonic())
         execution = Execution(request_id, self.name, path, time.monotonic(),
                               int(headers.get("last-event-id") or 0) + 1)
         self.platform.executions.setdefault(request_id, []).append(execution)
@@ -330,7 +334,9 @@
             if self.platform.random.random() < self.lost_response_share:
                 reset_connection(writer)
                 return False
-            if self.down:
+            if crashes and not self.down:
+                self.platform.tasks.append(asyncio.create_task(self.crash(CRASH_DOWN_S)))
+            if self.down or crashes:
                 return False
             seal = expected_seal(request_id, self.name)
             prompt = self.platform.prompts.get(request_id, [])
@@ -479,6 +485,7 @@
         self.executions = {}
         self.prompts = {}  # ids of the parts of each prompt, by request id
         self.crash_times = []
+        self.crashing_arrivals = []  # times at which requests arrived that crash their upstream
         self.arrivals = []  # (time, service, request id) of each request that reached an upstream
         self.arrivals_by_upstream = []  # (time, upstream)
         self.violations = []
