Find the requests that crash upstreams, with or without a prompt

What callers saw: the upstreams of a service ended one after the other, again and again, and nearly nothing was served: 9 and 16 sends more of a request under which three had ended. Cause: the prompt guard knew only prompts, and counted only crashes that leave the head of an answer. This request has no prompt, and its upstreams just close the connection. Change: the whole request, by its digest, is one more part that the guard, the judge and the replicated blocks know; there is no second mechanism. Three upstreams that ended under it with no answer between make it suspected, at whatever times they ended; it is then tried alone, one request of a service at a time, and only a crash of its own blocks it. Answers are now counted by service. A check also sees another run under the same id. Why it works: sound requests that are lost beside it are answered on trial or elsewhere, which acquits them; the crashing one costs one more upstream. If another suspect was still on its way to the upstream that ended, nobody is convicted. PromptJudge's evidence names the service of its answers. Each check is kept.

--- a/include/siskindrift/control/prompt_judge.h
+++ b/include/siskindrift/control/prompt_judge.h
@@ -1,4 +1,4 @@
-// Finds the prompt parts that crash engines.
+// Finds the parts of requests that crash upstreams.
 #pragma once
 
 #include <compare>
@@ -32,8 +32,9 @@
     /// How long a part is blocked before one request tries it again; longer after each failure.
     core::duration first_block = core::milliseconds{30'000};
     core::duration longest_block = std::chrono::hours{1};
-    /// A trial without a result ends after this.
+    /// A trial without a result ends after this; one of a request that is only suspected earlier.
     core::duration trial_timeout = core::milliseconds{15'000};
+    core::duration suspect_trial_timeout = core::milliseconds{3000};
     /// A part that nobody asks for is released after this.
     core::duration idle_release = core::milliseconds{600'000};
     std::size_t max_suspects = 512;
@@ -44,18 +45,24 @@
 struct suspected_crash {
     std::string upstream;
     std::string request;
+    std::uint64_t born_ms = 0; ///< Start of the run that may have ended, or 0.
 
     friend auto operator<=>(const suspected_crash&, const suspected_crash&) = default;
 };
 
-/// Decides on the leader which prompt parts are blocked. Performs no I/O.
+/// Decides on the leader which parts of requests are blocked. Performs no I/O.
 ///
+/// A part is a piece of a prompt that several requests share, or a whole request that comes again.
 /// A part is blocked by evidence of its own: several engines ended, one after the other, just as
 /// they began an answer on it, no engine went on with an answer on it meanwhile, and so few other
 /// answers are lost that this is no coincidence. Parts that only accompany it are answered
 /// elsewhere, which acquits them, and engines whose end a blocked part explains count against no
 /// other part. Each engine is checked, so that an answer that was only
 /// broken off counts for nothing.
+///
+/// A whole request under which three upstreams ended, at whatever times, and that none answered
+/// meanwhile is suspected. It is tried alone as soon as it comes again, one request of a service at
+/// a time: sound requests that were lost with a crashing one are answered and released.
 class prompt_judge {
 public:
     explicit prompt_judge(prompt_judge_options options = {}) : m_options(options) {}
@@ -99,6 +106,10 @@
         std::string refused_by; ///< Gateway that refused it last.
         bool trial_crashed = false;
         bool trial_survived = false;
+        core::time_point trial_crash{};
+        std::set<std::string> ended; ///< Upstreams that ended under it.
+        /// Upstreams that ended under a request of it that was sent before it was blocked.
+        std::set<std::string> strays;
     };
 
     void record_crash(const wire::prompt_crash_t& item, const state::blocked_parts& blocked,
@@ -107,16 +118,25 @@
                          core::time_point now);
     [[nodiscard]] core::time_point acquitted_from(const suspect& item) const;
     [[nodiscard]] bool is_acquitted(const std::string& part, core::time_point crash) const;
-    [[nodiscard]] double answers_since(core::time_point begin, core::time_point now) const;
-    [[nodiscard]] double share_lost(const suspect& item, core::time_point now) const;
-    [[nodiscard]] bool is_guilty(const suspect& item, core::time_point now) const;
+    [[nodiscard]] double answers_since(const std::string& service, core::time_point begin,
+                                       core::time_point now) const;
+    [[nodiscard]] double share_lost(const std::string& part, const suspect& item,
+                                    core::time_point now) const;
+    [[nodiscard]] bool is_guilty(const std::string& part, const suspect& item,
+                                 core::time_point now) const;
+    [[nodiscard]] bool is_suspicious(const std::string& part, const suspect& item,
+                                     core::time_point now) const;
     [[nodiscard]] const std::string* find_guilty(const state::blocked_parts& blocked,
                                                  core::time_point now) const;
-    void explain_crashes(const std::string& guilty);
+    void explain_crashes(const std::string& guilty, const std::set<std::string>& ended);
+    [[nodiscard]] std::set<std::string> choose_trials(const state::blocked_parts& blocked,
+                                                      core::time_point now);
     void judge_suspects(const state::blocked_parts& blocked, wire::change_blocked_parts_t& change,
                         core::time_point now);
-    void judge_block(const std::string& part, const state::blocked_part& block,
+    void judge_block(const std::string& part, const state::blocked_parts& blocked, bool trial_due,
                      wire::change_blocked_parts_t& change, core::time_point now);
+    [[nodiscard]] bool may_be_company(const std::string& part, const state::blocked_parts& blocked,
+                                      core::time_point now);
     [[nodiscard]] core::duration block_time(std::uint32_t strikes) const;
     block_times& times_of(const std::string& part, core::time_point now);
 
@@ -126,13 +146,16 @@
     struct check {
         core::time_point at{};     ///< Of the crash.
         std::optional<bool> ended; ///< Empty while the engine is being checked.
+        std::string service;
+        bool without_head = false;
     };
     struct answer_counts {
         std::vector<std::uint32_t> by_second; ///< The newest first.
         core::time_point reported{};
     };
     std::map<suspected_crash, check> m_checks;
-    std::map<std::string, answer_counts> m_answered;     ///< By gateway.
+    /// By gateway, then service.
+    std::map<std::string, std::map<std::string, answer_counts>> m_answered;
     std::map<std::string, core::time_point> m_survivals; ///< Last answer on parts once suspected.
     std::set<std::string> m_explained;          ///< Upstreams that ended under a blocked part.
     std::set<std::string> m_announced;          ///< Suspects that the gateways were told.
--- a/include/siskindrift/core/verdict.h
+++ b/include/siskindrift/core/verdict.h
@@ -63,6 +63,7 @@
     X(retry_budget)                                                                                \
     X(attempts_exhausted)                                                                          \
     X(crashing_prompt)                                                                             \
+    X(crashing_request)                                                                            \
     X(upstream_limit)                                                                              \
     X(caller_left)                                                                                 \
     X(caller_too_slow)                                                                             \
--- a/src/apps/coordinator_fleet.cpp
+++ b/src/apps/coordinator_fleet.cpp
@@ -13,7 +13,8 @@
 constexpr core::milliseconds lease_margin{40};
 constexpr core::milliseconds engine_connect_timeout{300};   // several round trips
 constexpr core::milliseconds engine_response_timeout{1000}; // engines respond immediately
-constexpr std::uint16_t other_upstream_status = 421;        // another run uses the address
+constexpr std::uint16_t ok_status = 200;
+constexpr std::uint16_t other_upstream_status = 421; // another run uses the address
 constexpr core::milliseconds usability_check_interval{500};
 constexpr core::milliseconds summary_interval{1000};
 constexpr std::chrono::microseconds copy_update_interval_per_gateway{300}; // 27 ms at 91 gateways
@@ -382,12 +383,16 @@
     m_calls.start(std::move(call), [this, crash, begun = m_clock.now()](
                                        std::optional<http::buffered_response> response) {
         const bool refused = !response && m_clock.now() - begun < engine_connect_timeout;
-        const bool replaced = response && response->head.status == other_upstream_status;
+        bool replaced = response && response->head.status == other_upstream_status;
+        if (response && response->head.status == ok_status && crash.born_ms != 0) {
+            const auto report = platform::decode_report(response->body);
+            replaced = report && report->born_ms > crash.born_ms; // the same id, another run
+        }
         const bool ended = refused || replaced;
-        observe::info("engine_checked", {{"upstream", crash.upstream},
-                                         {"request", crash.request},
-                                         {"status", response ? response->head.status : 0},
-                                         {"ended", ended}});
+        observe::info("upstream_checked", {{"upstream", crash.upstream},
+                                           {"request", crash.request},
+                                           {"status", response ? response->head.status : 0},
+                                           {"ended", ended}});
         m_prompt_judge.record_check(crash, ended);
         schedule_cycle();
     });
@@ -408,13 +413,13 @@
         return;
     }
     for (const auto& item : change->block) {
-        observe::warn("prompt_part_blocked", {{"part", item->part},
-                                              {"strikes", item->strikes},
-                                              {"trial", item->trial_vm},
-                                              {"crashes", m_prompt_judge.crashes_of(item->part)}});
+        observe::warn("part_blocked", {{"part", item->part},
+                                       {"strikes", item->strikes},
+                                       {"trial", item->trial_vm},
+                                       {"crashes", m_prompt_judge.crashes_of(item->part)}});
     }
     for (const auto& part : change->release) {
-        observe::warn("prompt_part_released", {{"part", part}});
+        observe::warn("part_released", {{"part", part}});
     }
     m_core->on_request(0, wire::make_control_request(*change));
     schedule_cycle();
--- a/src/apps/gateway_exchanges.cpp
+++ b/src/apps/gateway_exchanges.cpp
@@ -129,6 +129,7 @@
     if (service.engine && !item.metadata.model.empty()) {
         item.adapter = {item.metadata.model, item.metadata.adapter};
     }
+    item.parts = gateway::prompt_guard::parts_of(item.service, item.metadata.prompt, item.digest);
     item.last_event_id = item.metadata.last_event_id;
     const auto max_wait = item.metadata.deadline.value_or(default_deadline) - response_margin;
     item.deadline = item.arrived_at + std::min<core::duration>(max_wait, item.route.timeout);
@@ -160,7 +161,7 @@
         handle_timeout(item.id);
         return;
     }
-    if (refuse_blocked_prompt(item)) {
+    if (refuse_blocked(item)) {
         return;
     }
     const auto choice =
@@ -592,7 +593,7 @@
     state.status = status;
     switch (gateway::decide_next_step(end, state)) {
     case gateway::next_step::retry:
-        if (item.crashes >= max_crashes) {
+        if (item.crashes >= max_crashes || (item.on_trial && item.crashes > 0)) {
             fail_request(item, reason);
             return;
         }
@@ -758,6 +759,7 @@
 
 void gateway_process::remove_exchange(exchange& item)
 {
+    restore_trial(item);
     m_waiting.erase(item.id);
     m_awaiting_permit.erase(item.id);
     m_awaiting_document.erase(item.id);
--- a/src/apps/gateway_guards.cpp
+++ b/src/apps/gateway_guards.cpp
@@ -1,46 +1,58 @@
 // The retry budget and the prompt guard in the life of a request.
 #include "gateway_process.h"
+#include "siskindrift/fleet/request_part.h"
 #include "siskindrift/observe/log.h"
 
 namespace siskindrift::apps {
 namespace {
 
-constexpr core::milliseconds blocked_retry_after{30'000}; // a blocked prompt part is tried again
+constexpr core::milliseconds blocked_retry_after{30'000}; // a blocked part is tried again
+constexpr core::milliseconds suspected_retry_after{1000}; // a suspected request is tried alone
 constexpr std::uint16_t first_redirect_status = 300;
 constexpr std::uint16_t other_run_status = 421; // may come from another run at the address
 
+core::reason reason_for(const gateway::blocked_request& blocked)
+{
+    return fleet::is_whole_request(blocked.part) ? core::reason::crashing_request
+                                                 : core::reason::crashing_prompt;
+}
+
 } // namespace
 
-// Refuses a request whose prompt has a part that crashes engines. Returns whether it did.
-bool gateway_process::refuse_blocked_prompt(exchange& item)
+// Refuses a request that has a part which crashes upstreams. Returns whether it did.
+bool gateway_process::refuse_blocked(exchange& item)
 {
-    if (item.on_trial || !m_prompt_guard.has_blocked(item.service, item.metadata.prompt)) {
+    if (item.on_trial || !m_prompt_guard.has_blocked(item.parts)) {
         return false;
     }
-    const auto part = m_prompt_guard.find_blocked(item.service, item.metadata.prompt);
-    observe::info(part ? "prompt_refused" : "prompt_on_trial",
+    const auto blocked = m_prompt_guard.find_blocked(item.parts);
+    observe::info(blocked ? "request_blocked" : "request_on_trial",
                   {{"request", item.metadata.request_id},
-                   {"part", part.value_or("")},
+                   {"part", blocked ? blocked->part : std::string{}},
+                   {"suspected", blocked && blocked->suspected},
+                   {"digest", item.digest},
                    {"prompt", gateway::to_string(item.metadata.prompt)},
                    {"generation", m_prompt_guard.generation()}});
-    if (!part) {
+    if (!blocked) {
         item.on_trial = true;
         return false;
     }
+    const auto reason = reason_for(*blocked);
     if (item.stream_begun) {
-        abort_stream(item, core::reason::crashing_prompt);
+        abort_stream(item, reason);
         return true;
     }
     const bool possibly_executed = item.may_have_run > 0;
-    respond_with_error(item, possibly_executed ? 502 : 503, core::reason::crashing_prompt,
-                       possibly_executed ? std::nullopt
-                                         : std::optional<core::duration>{blocked_retry_after});
+    const core::duration retry_after =
+        blocked->suspected ? suspected_retry_after : blocked_retry_after;
+    respond_with_error(item, possibly_executed ? 502 : 503, reason,
+                       possibly_executed ? std::nullopt : std::optional{retry_after});
     return true;
 }
 
-// Refuses the open requests whose prompts have a part that was blocked just now, unless an engine
-// has begun to answer them.
-void gateway_process::refuse_blocked_prompts()
+// Refuses the open requests that have a part which was blocked just now, unless an upstream has
+// begun to answer them. Those of a part that is only suspected may be answered, which acquits it.
+void gateway_process::refuse_newly_blocked()
 {
     std::vector<std::uint64_t> ids;
     for (const auto& [id, item] : m_exchanges) {
@@ -50,52 +62,76 @@
     }
     for (const auto id : ids) {
         const auto found = m_exchanges.find(id);
-        if (found == m_exchanges.end() ||
-            !m_prompt_guard.has_blocked(found->second->service, found->second->metadata.prompt) ||
-            found->second->on_trial) {
+        if (found == m_exchanges.end() || found->second->on_trial) {
             continue;
         }
-        if (found->second->call_id != 0) {
-            // An engine may begin it at any moment.
-            cancel_attempt(*found->second);
-            respond_with_error(*found->second, 502, core::reason::crashing_prompt, std::nullopt);
+        auto& item = *found->second;
+        if (item.call_id == 0) {
+            refuse_blocked(item);
         }
-        else {
-            refuse_blocked_prompt(*found->second);
+        else if (m_prompt_guard.has_guilty(item.parts)) {
+            // An upstream may begin it at any moment.
+            const auto blocked = m_prompt_guard.find_blocked(item.parts);
+            cancel_attempt(item);
+            respond_with_error(item, 502,
+                               blocked ? reason_for(*blocked) : core::reason::crashing_request,
+                               std::nullopt);
         }
     }
 }
 
 void gateway_process::record_answer(exchange& item)
 {
-    if (!std::exchange(item.answer_recorded, true) && !item.metadata.prompt.empty()) {
-        m_prompt_guard.record_answer(item.service, item.metadata.prompt, m_clock.now());
+    if (!std::exchange(item.answer_recorded, true)) {
+        m_prompt_guard.record_answer(item.service, item.parts, m_clock.now());
         if (m_prompt_guard.has_news()) {
             send_prompt_evidence();
         }
     }
 }
 
-// Records a connection that ended just as the engine began its answer.
+// Records a connection that ended before the upstream had gone on with its answer. Without the head
+// of an answer only the whole request is suspected: the upstream may not have begun it yet.
 void gateway_process::record_crash(exchange& item)
 {
+    const bool without_head = !item.response_head.has_value();
     const bool success = item.response_head && item.response_head->status < first_redirect_status;
     const bool begun = item.events.events() >= item.events_before + events_begun;
-    if (!success || begun || item.metadata.prompt.empty() ||
+    if ((!success && !without_head) || begun ||
         item.call_end.result == http::call_result::timed_out) {
         return;
     }
-    ++item.crashes;
-    observe::info("engine_ended_under_request",
+    gateway::crash_report crash;
+    crash.parts = item.parts;
+    if (without_head) {
+        crash.parts = {item.parts.back()};
+    }
+    if (!without_head || item.on_trial) {
+        ++item.crashes;
+    }
+    crash.upstream = item.upstream_id;
+    crash.born_ms = item.upstream_born_ms;
+    crash.request = item.metadata.request_id;
+    crash.without_head = without_head;
+    observe::info("upstream_ended_under_request",
                   {{"request", item.metadata.request_id},
                    {"service", item.service},
                    {"upstream", item.upstream_id},
+                   {"without_head", without_head},
+                   {"digest", item.digest},
                    {"prompt", gateway::to_string(item.metadata.prompt)}});
-    m_prompt_guard.record_crash(item.service, item.metadata.prompt, item.upstream_id,
-                                item.metadata.request_id, m_clock.now());
+    m_prompt_guard.record_crash(crash, m_clock.now());
     send_prompt_evidence();
 }
 
+// Lets another request try a blocked part, if this one was to try it and was never sent.
+void gateway_process::restore_trial(exchange& item)
+{
+    if (std::exchange(item.on_trial, false) && item.attempts_sent == 0) {
+        m_prompt_guard.restore_trial(item.parts);
+    }
+}
+
 // Records the limit that an upstream names in an answer, or that it names none any more. Errors
 // without a limit end none: they may come from a part of the upstream that doesn't know it.
 void gateway_process::record_limit(const exchange& item)
--- a/src/apps/gateway_process.cpp
+++ b/src/apps/gateway_process.cpp
@@ -166,8 +166,7 @@
     metrics.set("siskindrift_document_version",
                 static_cast<double>(m_deployment ? m_deployment->version : 0));
     metrics.set("siskindrift_upstreams", static_cast<double>(m_roster.entries().size()));
-    metrics.set("siskindrift_blocked_prompt_parts",
-                static_cast<double>(m_prompt_guard.blocked_parts()));
+    metrics.set("siskindrift_blocked_parts", static_cast<double>(m_prompt_guard.blocked_parts()));
     metrics.set("siskindrift_limited_upstreams", static_cast<double>(m_limits.size()));
     metrics.set("siskindrift_retry_share", m_retry_share.fraction(m_clock.now()));
     metrics.set("siskindrift_leader_term", static_cast<double>(m_engine_term));
@@ -317,9 +316,9 @@
         }
     }
     if (m_prompt_guard.apply_blocked(update)) {
-        observe::info("blocked_prompt_parts", {{"generation", m_prompt_guard.generation()},
-                                               {"parts", m_prompt_guard.blocked_parts()}});
-        refuse_blocked_prompts();
+        observe::info("blocked_parts", {{"generation", m_prompt_guard.generation()},
+                                        {"parts", m_prompt_guard.blocked_parts()}});
+        refuse_newly_blocked();
     }
     if (m_limits.apply_limits(update, now)) {
         observe::info("upstream_limits",
--- a/src/apps/gateway_process.h
+++ b/src/apps/gateway_process.h
@@ -92,6 +92,7 @@
         std::shared_ptr<http::responder> responder;
         gateway::request_metadata metadata;
         std::string digest; ///< By which the request is recognized when it comes again.
+        gateway::request_parts parts;
         gateway::route route;
         std::string service;
         /// Empty model if the service has no engines or the request names no model.
@@ -104,7 +105,7 @@
         std::set<std::string> tried_upstreams;
         unsigned attempts_sent = 0;
         unsigned crashes = 0;        ///< Engines that ended as they began to answer it.
-        bool on_trial = false;       ///< Is sent although its prompt has a blocked part.
+        bool on_trial = false;       ///< Is sent although it has a blocked part.
         unsigned may_have_run = 0;   ///< Attempts whose upstream may have run the request.
         bool waiting = false;        ///< For an upstream or an adapter.
         std::string permit_upstream; ///< Upstream for which it waits for a permit; empty for none.
@@ -206,10 +207,11 @@
     void settle_retry(exchange& item);
     void settle_retry_late(exchange& item);
     void refund_retry(exchange& item);
-    bool refuse_blocked_prompt(exchange& item);
-    void refuse_blocked_prompts();
+    bool refuse_blocked(exchange& item);
+    void refuse_newly_blocked();
     void record_answer(exchange& item);
     void record_crash(exchange& item);
+    void restore_trial(exchange& item);
     void record_limit(const exchange& item);
     void request_permit(exchange& item, const std::string& upstream);
     void send_permit_query();
--- a/src/control/prompt_judge.cpp
+++ b/src/control/prompt_judge.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "siskindrift/fleet/request_part.h"
+
 namespace siskindrift::control {
 namespace {
 
@@ -49,7 +51,11 @@
                                                            const state::blocked_parts& blocked,
                                                            core::time_point now)
 {
-    m_answered[evidence.vm] = {evidence.answered, now};
+    auto& answered = m_answered[evidence.vm];
+    answered.clear();
+    for (const auto& item : evidence.answered) {
+        answered[item->service] = {item->by_second, now};
+    }
     for (const auto& item : evidence.crashes) {
         record_crash(*item, blocked, now);
     }
@@ -68,8 +74,9 @@
         if (m_checks.size() >= max_checks) {
             m_checks.clear();
         }
-        suspected_crash key{item->upstream, item->request};
-        const check unknown{now - core::milliseconds{item->age_ms}, std::nullopt};
+        suspected_crash key{item->upstream, item->request, item->born_ms};
+        const check unknown{now - core::milliseconds{item->age_ms}, std::nullopt,
+                            fleet::service_of(item->part), item->without_head};
         if (m_checks.try_emplace(key, unknown).second) {
             to_check.push_back(std::move(key));
         }
@@ -81,7 +88,7 @@
                                 const state::blocked_parts& blocked, core::time_point now)
 {
     const auto at = now - core::milliseconds{item.age_ms};
-    const auto check = m_checks.find({item.upstream, item.request});
+    const auto check = m_checks.find({item.upstream, item.request, item.born_ms});
     const auto ended = check == m_checks.end() ? std::nullopt : check->second.ended;
     if (ended == false) {
         return;
@@ -97,6 +104,7 @@
     const auto block = blocked.parts.find(item.part);
     if (block != blocked.parts.end() &&
         (block->second.trial_vm.empty() || at < times_of(item.part, now).since)) {
+        times_of(item.part, now).strays.insert(item.upstream);
         return;
     }
     auto& suspected = m_suspects[item.part];
@@ -114,8 +122,8 @@
     const auto block = blocked.parts.find(item.part);
     if (block != blocked.parts.end()) {
         auto& times = times_of(item.part, now);
-        times.trial_survived =
-            times.trial_survived || (!block->second.trial_vm.empty() && at > times.since);
+        const bool counts = !block->second.trial_vm.empty() || block->second.strikes == 0;
+        times.trial_survived = times.trial_survived || (counts && at > times.since);
         return;
     }
     if (m_survivals.size() >= max_survivals && !m_survivals.contains(item.part)) {
@@ -174,13 +182,19 @@
     return first - m_options.acquittal_age;
 }
 
-// Returns the number of answers that engines went on with in the whole seconds after `begin`.
-double prompt_judge::answers_since(core::time_point begin, core::time_point now) const
+// Returns the number of answers of a service that upstreams went on with in the whole seconds after
+// `begin`.
+double prompt_judge::answers_since(const std::string& service, core::time_point begin,
+                                   core::time_point now) const
 {
     double answers = 0;
-    for (const auto& [vm, counts] : m_answered) {
-        auto second_begin = counts.reported;
-        for (const auto count : counts.by_second) {
+    for (const auto& [vm, services] : m_answered) {
+        const auto counts = services.find(service);
+        if (counts == services.end()) {
+            continue;
+        }
+        auto second_begin = counts->second.reported;
+        for (const auto count : counts->second.by_second) {
             second_begin -= std::chrono::seconds{1};
             if (second_begin < begin || begin > now) {
                 break;
@@ -191,16 +205,20 @@
     return answers;
 }
 
-// Returns the share of the answers on other parts that were lost as they began, in the time in
-// which an answer on this part would have acquitted it.
-double prompt_judge::share_lost(const suspect& item, core::time_point now) const
+// Returns the share of the service's answers on other parts that were lost, in the time in which an
+// answer on this part would have acquitted it. For a prompt part only answers that had begun count.
+double prompt_judge::share_lost(const std::string& part, const suspect& item,
+                                core::time_point now) const
 {
+    const auto service = fleet::service_of(part);
+    const bool whole = fleet::is_whole_request(part);
     const auto begin = acquitted_from(item);
     const auto recent = [&](core::time_point at) { return at >= begin; };
-    const double answered = answers_since(begin, now);
+    const double answered = answers_since(service, begin, now);
     double lost = 0;
     for (const auto& [crash, check] : m_checks) {
-        const bool counts = !m_explained.contains(crash.upstream);
+        const bool counts = !m_explained.contains(crash.upstream) && check.service == service &&
+                            (whole || !check.without_head);
         lost += counts && check.ended == true && recent(check.at) ? 1 : 0;
     }
     for (const auto& [upstream, crash] : item.crashes) {
@@ -213,7 +231,8 @@
     return lost / (answered + lost + 1);
 }
 
-bool prompt_judge::is_guilty(const suspect& item, core::time_point now) const
+bool prompt_judge::is_guilty(const std::string& part, const suspect& item,
+                             core::time_point now) const
 {
     if (item.crashes.size() < m_options.crashes_to_block) {
         return false;
@@ -225,7 +244,7 @@
         }
     }
     std::sort(times.begin(), times.end());
-    const auto lost = share_lost(item, now);
+    const auto lost = share_lost(part, item, now);
     std::size_t separate = 0;
     std::optional<core::time_point> last;
     for (const auto at : times) {
@@ -241,6 +260,17 @@
     return false;
 }
 
+// Returns whether a whole request must be tried before it is sent as usual again.
+bool prompt_judge::is_suspicious(const std::string& part, const suspect& item,
+                                 core::time_point now) const
+{
+    const auto ended = std::count_if(item.crashes.begin(), item.crashes.end(),
+                                     [](const auto& crash) { return crash.second.ended; });
+    return fleet::is_whole_request(part) &&
+           static_cast<std::size_t>(ended) >= m_options.crashes_to_block &&
+           now - item.last_crash >= m_options.acquittal_wait;
+}
+
 // Returns the guilty part under which most engines ended, of those that engines have answered on
 // least recently, or null.
 const std::string* prompt_judge::find_guilty(const state::blocked_parts& blocked,
@@ -259,7 +289,7 @@
                    : left_survival < right_survival;
     };
     for (const auto& [part, suspected] : m_suspects) {
-        const bool found = !blocked.parts.contains(part) && is_guilty(suspected, now);
+        const bool found = !blocked.parts.contains(part) && is_guilty(part, suspected, now);
         if (found && (guilty == nullptr || is_worse(part, *guilty))) {
             guilty = &part;
         }
@@ -267,26 +297,26 @@
     return guilty;
 }
 
-// Removes the engines that ended under `guilty` from the evidence against other parts.
-void prompt_judge::explain_crashes(const std::string& guilty)
+// Removes the upstreams that ended under `guilty` from the evidence against other parts.
+void prompt_judge::explain_crashes(const std::string& guilty, const std::set<std::string>& ended)
 {
-    const auto& explained = m_suspects.at(guilty).crashes;
     if (m_explained.size() > max_explained) {
         m_explained.clear();
     }
-    for (const auto& [upstream, crash] : explained) {
-        m_explained.insert(upstream);
-    }
+    m_explained.insert(ended.begin(), ended.end());
     for (auto& [part, suspected] : m_suspects) {
         if (part != guilty) {
             std::erase_if(suspected.crashes,
-                          [&](const auto& crash) { return explained.contains(crash.first); });
+                          [&](const auto& crash) { return ended.contains(crash.first); });
         }
     }
 }
 
 core::duration prompt_judge::block_time(std::uint32_t strikes) const
 {
+    if (strikes == 0) {
+        return {};
+    }
     auto time = m_options.first_block;
     for (std::uint32_t i = 1; i < strikes && time < m_options.longest_block; ++i) {
         time *= block_growth;
@@ -300,7 +330,18 @@
     const auto* guilty = find_guilty(blocked, now);
     if (guilty != nullptr && blocked.parts.size() < m_options.max_blocked) {
         wire::append(change.block, make_block(*guilty, 1, ""));
-        explain_crashes(*guilty);
+        std::set<std::string> ended;
+        for (const auto& [upstream, crash] : m_suspects.at(*guilty).crashes) {
+            ended.insert(upstream);
+        }
+        explain_crashes(*guilty, ended);
+    }
+    for (const auto& [part, suspected] : m_suspects) {
+        const auto size = blocked.parts.size() + change.block.size();
+        if ((guilty == nullptr || part != *guilty) && !blocked.parts.contains(part) &&
+            size < m_options.max_blocked && is_suspicious(part, suspected, now)) {
+            wire::append(change.block, make_block(part, 0, ""));
+        }
     }
     for (auto item = m_suspects.begin(); item != m_suspects.end();) {
         const auto& [part, suspected] = *item;
@@ -310,7 +351,12 @@
             const bool crashed = std::any_of(suspected.crashes.begin(), suspected.crashes.end(),
                                              [](const auto& crash) { return crash.second.ended; });
             if (crashed) {
-                times_of(part, now).trial_crashed = true;
+                auto& times = times_of(part, now);
+                times.trial_crash = suspected.last_crash;
+                times.trial_crashed = true;
+                for (const auto& [upstream, crash] : suspected.crashes) {
+                    times.ended.insert(upstream);
+                }
                 item = m_suspects.erase(item);
                 continue;
             }
@@ -323,29 +369,93 @@
     }
 }
 
-void prompt_judge::judge_block(const std::string& part, const state::blocked_part& block,
-                               wire::change_blocked_parts_t& change, core::time_point now)
+// Returns the blocked parts that may be tried now. Of the whole requests of a service only one is
+// tried at a time, so that a crash speaks against that one.
+std::set<std::string> prompt_judge::choose_trials(const state::blocked_parts& blocked,
+                                                  core::time_point now)
+{
+    std::set<std::string> trials;
+    std::set<std::string> busy; // services
+    for (const auto& [part, block] : blocked.parts) {
+        if (fleet::is_whole_request(part) && !block.trial_vm.empty()) {
+            busy.insert(fleet::service_of(part));
+        }
+    }
+    std::map<std::string, std::string> oldest; // by service
+    for (const auto& [part, block] : blocked.parts) {
+        const auto& times = times_of(part, now);
+        if (!block.trial_vm.empty() || now - times.since <= block_time(block.strikes) ||
+            times.last_refusal <= times.since || times.refused_by.empty()) {
+            continue;
+        }
+        if (!fleet::is_whole_request(part)) {
+            trials.insert(part);
+            continue;
+        }
+        const auto service = fleet::service_of(part);
+        auto& first = oldest[service];
+        if (first.empty() || times.since < times_of(first, now).since) {
+            first = part;
+        }
+    }
+    for (const auto& [service, part] : oldest) {
+        if (!busy.contains(service)) {
+            trials.insert(part);
+        }
+    }
+    return trials;
+}
+
+// Returns whether the upstream that ended under a suspected request on trial may have ended because
+// of another one, which was on its way there when it was blocked.
+bool prompt_judge::may_be_company(const std::string& part, const state::blocked_parts& blocked,
+                                  core::time_point now)
+{
+    const auto& ended = times_of(part, now).ended;
+    return std::any_of(blocked.parts.begin(), blocked.parts.end(), [&](const auto& other) {
+        const auto& strays = times_of(other.first, now).strays;
+        return other.first != part && fleet::is_whole_request(other.first) &&
+               std::any_of(strays.begin(), strays.end(),
+                           [&](const auto& upstream) { return ended.contains(upstream); });
+    });
+}
+
+void prompt_judge::judge_block(const std::string& part, const state::blocked_parts& blocked,
+                               bool trial_due, wire::change_blocked_parts_t& change,
+                               core::time_point now)
 {
+    const auto& block = blocked.parts.at(part);
     auto& times = times_of(part, now);
     const auto restart = [&](std::uint32_t strikes, const std::string& trial_vm) {
         wire::append(change.block, make_block(part, strikes, trial_vm));
         times.since = now;
         times.trial_crashed = false;
         times.trial_survived = false;
+        times.strays.clear();
     };
     const bool in_trial = !block.trial_vm.empty();
     const bool crashed = in_trial && times.trial_crashed;
-    const bool answered = in_trial && !crashed && times.trial_survived;
+    const bool suspected = block.strikes == 0;
+    const bool answered = (in_trial || suspected) && !crashed && times.trial_survived;
     const bool unasked = !in_trial && now - times.last_refusal > m_options.idle_release;
-    const bool trial_due = !in_trial && now - times.since > block_time(block.strikes) &&
-                           times.last_refusal > times.since && !times.refused_by.empty();
-    if (crashed) {
+    const auto timeout = suspected ? m_options.suspect_trial_timeout : m_options.trial_timeout;
+    if (crashed && suspected) {
+        if (now - times.trial_crash < m_options.acquittal_wait) {
+            return; // what else was lost there is told by then
+        }
+        const bool guilty = !may_be_company(part, blocked, now);
+        if (guilty) {
+            explain_crashes(part, times.ended);
+        }
+        restart(guilty ? 1 : 0, "");
+    }
+    else if (crashed) {
         restart(block.strikes + 1, "");
     }
     else if (answered || unasked) {
         change.release.push_back(part);
     }
-    else if (in_trial && now - times.since > m_options.trial_timeout) {
+    else if (in_trial && now - times.since > timeout) {
         restart(block.strikes, "");
     }
     else if (trial_due) {
@@ -363,8 +473,9 @@
                   [&](const auto& item) { return !blocked.parts.contains(item.first); });
     wire::change_blocked_parts_t change;
     judge_suspects(blocked, change, now);
+    const auto trials = choose_trials(blocked, now);
     for (const auto& [part, block] : blocked.parts) {
-        judge_block(part, block, change, now);
+        judge_block(part, blocked, trials.contains(part), change, now);
     }
     if (change.block.empty() && change.release.empty()) {
         return std::nullopt;
--- a/src/control/prompt_judge_test.cpp
+++ b/src/control/prompt_judge_test.cpp
@@ -7,17 +7,24 @@
 using namespace siskindrift;
 using namespace siskindrift::control;
 
-TEST_GROUP(PromptJudge)
-{
+class judge_fixture : public Utest {
+public:
     core::manual_clock clock;
     prompt_judge judge;
     state::control_state state;
     int next_crash = 0;
     std::vector<std::uint32_t> answered = std::vector<std::uint32_t>(60, 15); ///< In each second.
 
-    void setup() override
+    void setup() override { judge.begin_term(clock.now()); }
+
+    wire::prompt_evidence_t make_evidence(const std::string& service = "") const
     {
-        judge.begin_term(clock.now());
+        wire::prompt_evidence_t evidence;
+        wire::service_answers_t item;
+        item.service = service;
+        item.by_second = answered;
+        wire::append(evidence.answered, std::move(item));
+        return evidence;
     }
 
     [[nodiscard]] const state::blocked_parts& blocked() const
@@ -45,8 +52,7 @@
                core::milliseconds pause = core::milliseconds{700})
     {
         const auto number = std::to_string(++next_crash);
-        wire::prompt_evidence_t evidence;
-        evidence.answered = answered;
+        auto evidence = make_evidence();
         for (const auto& part : parts) {
             wire::prompt_crash_t item;
             item.part = part;
@@ -63,8 +69,7 @@
 
     void answer(const std::string& part, core::milliseconds age = core::milliseconds{0})
     {
-        wire::prompt_evidence_t evidence;
-        evidence.answered = answered;
+        auto evidence = make_evidence();
         wire::prompt_survival_t item;
         item.part = part;
         item.age_ms = static_cast<std::uint32_t>(age.count());
@@ -97,6 +102,8 @@
     }
 };
 
+TEST_GROUP_BASE(PromptJudge, judge_fixture){};
+
 TEST(PromptJudge, BlocksAPartUnderWhichThreeEnginesEnded)
 {
     crash({"bad"});
@@ -141,8 +148,7 @@
 TEST(PromptJudge, BlocksNoPartThatLosesAnswersInCompanyOfManyOthers)
 {
     for (int i = 0; i < 5; ++i) {
-        wire::prompt_evidence_t evidence;
-        evidence.answered = answered;
+        auto evidence = make_evidence();
         for (int request = 0; request < 12; ++request) {
             wire::prompt_crash_t item;
             item.part = request == 0 ? "rare" : "other-" + std::to_string(i * 12 + request);
@@ -163,8 +169,7 @@
 {
     for (int i = 0; i < 8; ++i) {
         const auto number = std::to_string(i);
-        wire::prompt_evidence_t evidence;
-        evidence.answered = answered;
+        auto evidence = make_evidence();
         for (const std::string part : {"bad", "bystander"}) {
             wire::prompt_crash_t item;
             item.part = part;
@@ -288,3 +293,167 @@
     const auto suspects = judge.take_suspects();
     CHECK_TRUE(suspects && suspects->parts.size() <= prompt_judge_options{}.max_suspects);
 }
+
+TEST_GROUP_BASE(RequestJudge, judge_fixture)
+{
+    const std::string bad = "desk:=bad";
+
+    /// An upstream ends under requests, without the head of an answer.
+    void lose(const std::string& upstream, const std::vector<std::string>& parts,
+              core::milliseconds pause = core::milliseconds{50}, bool ended = true)
+    {
+        auto evidence = make_evidence("desk");
+        for (const auto& part : parts) {
+            wire::prompt_crash_t item;
+            item.part = part;
+            item.upstream = upstream;
+            item.request = std::to_string(++next_crash);
+            item.without_head = true;
+            wire::append(evidence.crashes, std::move(item));
+        }
+        for (const auto& check : judge.record_evidence(evidence, blocked(), clock.now())) {
+            judge.record_check(check, ended);
+        }
+        clock.advance(pause);
+        apply_changes();
+    }
+
+    void lose_three(const std::vector<std::string>& parts)
+    {
+        lose("u-1", parts, core::milliseconds{0});
+        lose("u-2", parts);
+        lose("u-3", parts);
+        clock.advance(core::milliseconds{400});
+        apply_changes();
+    }
+
+    std::uint32_t strikes(const std::string& part) const
+    {
+        return blocked().parts.at(part).strikes;
+    }
+
+    bool is_on_trial(const std::string& part) const
+    {
+        return !blocked().parts.at(part).trial_vm.empty();
+    }
+};
+
+TEST(RequestJudge, SuspectsARequestUnderWhichThreeUpstreamsEndedWithinMilliseconds)
+{
+    lose("u-1", {bad}, core::milliseconds{0});
+    lose("u-2", {bad}, core::milliseconds{0});
+    clock.advance(core::milliseconds{1000});
+    apply_changes();
+    CHECK_FALSE(is_blocked(bad));
+    lose("u-3", {bad});
+    CHECK_FALSE(is_blocked(bad)); // an answer may still acquit it
+    clock.advance(core::milliseconds{400});
+    apply_changes();
+    LONGS_EQUAL(0, strikes(bad));
+}
+
+TEST(RequestJudge, BlocksARequestAtOnceIfItIsNoCoincidence)
+{
+    for (const auto* upstream : {"u-1", "u-2", "u-3"}) {
+        lose(upstream, {bad}, core::milliseconds{700});
+    }
+    LONGS_EQUAL(1, strikes(bad));
+}
+
+TEST(RequestJudge, SuspectsNoRequestThatIsAnsweredMeanwhile)
+{
+    lose("u-1", {bad, "desk:=poll"});
+    lose("u-2", {bad, "desk:=poll"});
+    lose("u-3", {bad, "desk:=poll"});
+    answer("desk:=poll");
+    clock.advance(core::milliseconds{400});
+    apply_changes();
+    CHECK_TRUE(is_blocked(bad));
+    CHECK_FALSE(is_blocked("desk:=poll"));
+}
+
+TEST(RequestJudge, TriesOneSuspectedRequestOfAServiceAtATime)
+{
+    lose_three({bad, "desk:=poll"});
+    clock.advance(core::milliseconds{100});
+    refuse(bad, "gateway-1");
+    CHECK_TRUE(is_on_trial(bad));
+    refuse("desk:=poll", "gateway-2");
+    CHECK_FALSE(is_on_trial("desk:=poll"));
+    clock.advance(core::milliseconds{100});
+    lose("u-4", {bad}, core::milliseconds{400});
+    LONGS_EQUAL(1, strikes(bad));
+    apply_changes();
+    CHECK_TRUE(is_on_trial("desk:=poll"));
+    clock.advance(core::milliseconds{100});
+    answer("desk:=poll");
+    apply_changes();
+    CHECK_FALSE(is_blocked("desk:=poll"));
+    CHECK_TRUE(is_blocked(bad));
+}
+
+TEST(RequestJudge, ReleasesASuspectedRequestThatAnUpstreamAnswers)
+{
+    lose_three({bad});
+    clock.advance(core::milliseconds{10});
+    answer(bad); // it was on its way
+    apply_changes();
+    CHECK_FALSE(is_blocked(bad));
+}
+
+TEST(RequestJudge, TriesAgainAfterASuspectedRequestDidNotArriveOnTrial)
+{
+    lose_three({bad});
+    clock.advance(core::milliseconds{10});
+    refuse(bad, "gateway-1");
+    CHECK_TRUE(is_on_trial(bad));
+    clock.advance(core::milliseconds{3100});
+    apply_changes();
+    LONGS_EQUAL(0, strikes(bad));
+    CHECK_FALSE(is_on_trial(bad));
+    clock.advance(core::milliseconds{10});
+    refuse(bad, "gateway-2");
+    STRCMP_EQUAL("gateway-2", blocked().parts.at(bad).trial_vm.c_str());
+}
+
+TEST(RequestJudge, CountsNoUpstreamsThatGoOn)
+{
+    for (int i = 0; i < 6; ++i) {
+        lose("u-" + std::to_string(i), {bad}, core::milliseconds{700}, false);
+    }
+    CHECK_FALSE(is_blocked(bad));
+}
+
+TEST(RequestJudge, CountsOneUpstreamUnderManyCopiesOnce)
+{
+    for (int i = 0; i < 9; ++i) {
+        lose("u-1", {bad, bad}, core::milliseconds{300});
+    }
+    CHECK_FALSE(is_blocked(bad));
+}
+
+TEST(RequestJudge, OnlySuspectsARequestWhileItsServiceAnswersNothing)
+{
+    answered.assign(60, 0);
+    for (const auto* upstream : {"u-1", "u-2", "u-3"}) {
+        lose(upstream, {bad}, core::milliseconds{700});
+    }
+    LONGS_EQUAL(0, strikes(bad));
+}
+
+TEST(RequestJudge, ConvictsNoRequestOnTrialIfAnotherOneThatWasOnItsWayIsLostWithIt)
+{
+    lose_three({bad, "desk:=poll"});
+    clock.advance(core::milliseconds{100});
+    refuse("desk:=poll", "gateway-1");
+    CHECK_TRUE(is_on_trial("desk:=poll"));
+    clock.advance(core::milliseconds{100});
+    lose("u-4", {"desk:=poll", bad}, core::milliseconds{400});
+    LONGS_EQUAL(0, strikes("desk:=poll"));
+    LONGS_EQUAL(0, strikes(bad));
+    refuse("desk:=poll", "gateway-1");
+    clock.advance(core::milliseconds{100});
+    answer("desk:=poll");
+    apply_changes();
+    CHECK_FALSE(is_blocked("desk:=poll"));
+}
--- a/src/gateway/prompt_guard.cpp
+++ b/src/gateway/prompt_guard.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "siskindrift/fleet/request_part.h"
+
 namespace siskindrift::gateway {
 namespace {
 
@@ -13,17 +15,18 @@
     return static_cast<std::uint32_t>(std::max<std::int64_t>(core::to_ms(now - at), 0));
 }
 
-// Returns the end of the parts that several requests may share.
-std::vector<prompt_part>::const_iterator shared_end(const std::vector<prompt_part>& prompt)
-{
-    return prompt.empty() ? prompt.end() : prompt.end() - 1;
-}
-
 } // namespace
 
-std::string prompt_guard::key(const std::string& service, const prompt_part& part)
+request_parts prompt_guard::parts_of(const std::string& service,
+                                     const std::vector<prompt_part>& prompt,
+                                     const std::string& digest)
 {
-    return service + ":" + to_string(part);
+    request_parts parts;
+    for (std::size_t i = 0; i + 1 < prompt.size(); ++i) {
+        parts.push_back(fleet::prompt_part_name(service, to_string(prompt[i])));
+    }
+    parts.push_back(fleet::whole_request_name(service, digest));
+    return parts;
 }
 
 bool prompt_guard::apply_blocked(const wire::fleet_update_t& update)
@@ -34,7 +37,7 @@
     m_generation = update.blocked_generation;
     m_blocked.clear();
     for (const auto& item : update.blocked) {
-        m_blocked[item->part] = item->trial_vm == m_vm;
+        m_blocked[item->part] = {item->trial_vm == m_vm, item->strikes == 0};
     }
     return true;
 }
@@ -60,62 +63,73 @@
     m_news = true;
 }
 
-std::optional<std::string> prompt_guard::find_blocked(const std::string& service,
-                                                      const std::vector<prompt_part>& prompt)
+std::optional<blocked_request> prompt_guard::find_blocked(const request_parts& parts)
 {
-    for (auto part = prompt.begin(); !m_blocked.empty() && part != shared_end(prompt); ++part) {
-        const auto name = key(service, *part);
-        const auto found = m_blocked.find(name);
+    for (const auto& part : parts) {
+        const auto found = m_blocked.find(part);
         if (found == m_blocked.end()) {
             continue;
         }
-        if (std::exchange(found->second, false)) {
+        if (std::exchange(found->second.may_try, false)) {
             continue; // the trial
         }
-        m_refused.insert(name);
-        return name;
+        m_refused.insert(part);
+        return blocked_request{part, found->second.suspected};
     }
     return std::nullopt;
 }
 
-bool prompt_guard::has_blocked(const std::string& service,
-                               const std::vector<prompt_part>& prompt) const
+bool prompt_guard::has_blocked(const request_parts& parts) const
+{
+    return std::any_of(parts.begin(), parts.end(),
+                       [&](const std::string& part) { return m_blocked.contains(part); });
+}
+
+bool prompt_guard::has_guilty(const request_parts& parts) const
 {
-    return !m_blocked.empty() &&
-           std::any_of(prompt.begin(), shared_end(prompt), [&](const prompt_part& part) {
-               return m_blocked.contains(key(service, part));
-           });
+    return std::any_of(parts.begin(), parts.end(), [&](const std::string& part) {
+        const auto found = m_blocked.find(part);
+        return found != m_blocked.end() && !found->second.suspected;
+    });
 }
 
-void prompt_guard::record_answer(const std::string& service, const std::vector<prompt_part>& prompt,
+void prompt_guard::restore_trial(const request_parts& parts)
+{
+    for (const auto& part : parts) {
+        if (const auto found = m_blocked.find(part); found != m_blocked.end()) {
+            found->second.may_try = true;
+        }
+    }
+}
+
+void prompt_guard::record_answer(const std::string& service, const request_parts& parts,
                                  core::time_point now)
 {
     const auto second = core::to_ms(now.time_since_epoch()) / ms_per_second;
-    if (m_answer_counts.empty() || m_answer_counts.back().first != second) {
-        m_answer_counts.emplace_back(second, 0);
+    auto& counts = m_answer_counts[service];
+    if (counts.empty() || counts.back().first != second) {
+        counts.emplace_back(second, 0);
     }
-    ++m_answer_counts.back().second;
-    if (m_answer_counts.size() > m_options.seconds_counted) {
-        m_answer_counts.pop_front();
+    ++counts.back().second;
+    if (counts.size() > m_options.seconds_counted) {
+        counts.pop_front();
     }
-    for (auto part = prompt.begin(); part != shared_end(prompt); ++part) {
-        const auto name = key(service, *part);
-        if (m_answered.size() >= m_options.max_answered && !m_answered.contains(name)) {
+    for (const auto& part : parts) {
+        if (m_answered.size() >= m_options.max_answered && !m_answered.contains(part)) {
             m_answered_before = std::exchange(m_answered, {});
         }
-        m_answered[name] = now;
-        if (m_suspects.contains(name) || m_blocked.contains(name)) {
-            queue_survival(name, now);
+        m_answered[part] = now;
+        if (m_suspects.contains(part) || m_blocked.contains(part)) {
+            queue_survival(part, now);
         }
     }
 }
 
-void prompt_guard::record_crash(const std::string& service, const std::vector<prompt_part>& prompt,
-                                const std::string& upstream, const std::string& request,
-                                core::time_point now)
+void prompt_guard::record_crash(const crash_report& crash, core::time_point now)
 {
-    for (auto part = prompt.begin(); part != shared_end(prompt); ++part) {
-        m_crashes.push_back({key(service, *part), upstream, request, now});
+    for (const auto& part : crash.parts) {
+        m_crashes.push_back(
+            {part, crash.upstream, crash.request, crash.born_ms, crash.without_head, now});
         m_news = true;
     }
     while (m_crashes.size() > m_options.max_crashes) {
@@ -123,11 +137,12 @@
     }
 }
 
-std::vector<std::uint32_t> prompt_guard::count_answers(core::time_point now)
+std::vector<std::uint32_t> prompt_guard::count_answers(const second_counts& counted,
+                                                       core::time_point now) const
 {
     const auto newest = core::to_ms(now.time_since_epoch()) / ms_per_second;
     std::vector<std::uint32_t> counts(m_options.seconds_counted, 0);
-    for (const auto& [second, answers] : m_answer_counts) {
+    for (const auto& [second, answers] : counted) {
         const auto age = static_cast<std::size_t>(std::max<std::int64_t>(newest - second, 0));
         if (age < counts.size()) {
             counts[age] = answers;
@@ -150,13 +165,20 @@
     }
     wire::prompt_evidence_t evidence;
     evidence.vm = m_vm;
-    evidence.answered = count_answers(now);
+    for (const auto& [service, counted] : m_answer_counts) {
+        wire::service_answers_t answers;
+        answers.service = service;
+        answers.by_second = count_answers(counted, now);
+        wire::append(evidence.answered, std::move(answers));
+    }
     for (const auto& item : m_crashes) {
         wire::prompt_crash_t crash;
         crash.part = item.part;
         crash.upstream = item.upstream;
         crash.request = item.request;
         crash.age_ms = age_ms(item.at, now);
+        crash.born_ms = item.born_ms;
+        crash.without_head = item.without_head;
         wire::append(evidence.crashes, std::move(crash));
     }
     for (const auto& [part, at] : std::exchange(m_survivals, {})) {
--- a/src/gateway/prompt_guard_test.cpp
+++ b/src/gateway/prompt_guard_test.cpp
@@ -10,6 +10,7 @@
     core::manual_clock clock;
     prompt_guard guard{"gateway-1"};
     const std::vector<prompt_part> prompt{{0xaa, 40}, {0xbad, 20}, {0x77, 10}};
+    const request_parts parts = prompt_guard::parts_of("models", prompt, "digest");
 
     void block(std::uint64_t generation, const std::string& part, const std::string& trial_vm = "")
     {
@@ -19,12 +20,13 @@
         wire::blocked_part_t item;
         item.part = part;
         item.trial_vm = trial_vm;
+        item.strikes = 1;
         wire::append(update.blocked, std::move(item));
         guard.apply_blocked(update);
     }
-    [[nodiscard]] bool refuses(const std::vector<prompt_part>& parts)
+    [[nodiscard]] bool refuses(const std::vector<prompt_part>& given)
     {
-        return guard.find_blocked("models", parts).has_value();
+        return guard.find_blocked(prompt_guard::parts_of("models", given, "digest")).has_value();
     }
 };
 
@@ -35,7 +37,7 @@
     CHECK_TRUE(refuses({{0xbad, 20}, {0x77, 10}}));
     CHECK_FALSE(refuses({{0xaa, 40}, {0xbad, 20}}));
     CHECK_FALSE(refuses({}));
-    CHECK_FALSE(guard.find_blocked("other", prompt).has_value());
+    CHECK_FALSE(guard.find_blocked(prompt_guard::parts_of("other", prompt, "digest")).has_value());
 }
 
 TEST(PromptGuard, IgnoresAnOlderListOfBlockedParts)
@@ -57,13 +59,13 @@
 
 TEST(PromptGuard, ReportsCrashesAgainForAWhile)
 {
-    guard.record_crash("models", prompt, "engine-1", "r1", clock.now());
+    guard.record_crash({parts, "engine-1", 7, "r1", false}, clock.now());
     CHECK_TRUE(guard.has_news());
-    LONGS_EQUAL(2, guard.take_evidence(clock.now())->crashes.size());
+    LONGS_EQUAL(3, guard.take_evidence(clock.now())->crashes.size());
     CHECK_FALSE(guard.has_news());
     clock.advance(core::milliseconds{5000});
     const auto again = guard.take_evidence(clock.now());
-    LONGS_EQUAL(2, again->crashes.size());
+    LONGS_EQUAL(3, again->crashes.size());
     LONGS_EQUAL(5000, again->crashes.front()->age_ms);
     clock.advance(core::milliseconds{20'000});
     CHECK_FALSE(guard.take_evidence(clock.now()).has_value());
@@ -71,7 +73,7 @@
 
 TEST(PromptGuard, ReportsEarlierAndNewAnswersOnASuspectedPart)
 {
-    guard.record_answer("models", prompt, clock.now());
+    guard.record_answer("models", parts, clock.now());
     CHECK_FALSE(guard.has_news());
     clock.advance(core::milliseconds{3000});
     wire::prompt_suspects_t suspects;
@@ -81,7 +83,7 @@
     LONGS_EQUAL(1, earlier->survivals.size());
     STRCMP_EQUAL("models:aa", earlier->survivals.front()->part.c_str());
     LONGS_EQUAL(3000, earlier->survivals.front()->age_ms);
-    guard.record_answer("models", prompt, clock.now());
+    guard.record_answer("models", parts, clock.now());
     LONGS_EQUAL(0, guard.take_evidence(clock.now())->survivals.front()->age_ms);
 }
 
@@ -93,3 +95,36 @@
     STRCMP_EQUAL("gateway-1", evidence->vm.c_str());
     STRCMP_EQUAL("models:bad", evidence->refused.front().c_str());
 }
+
+TEST(PromptGuard, RefusesABlockedRequestWithOrWithoutAPrompt)
+{
+    block(1, "models:=digest");
+    CHECK_TRUE(refuses(prompt));
+    CHECK_TRUE(refuses({}));
+    CHECK_FALSE(guard.has_blocked(prompt_guard::parts_of("models", {}, "other")));
+    CHECK_FALSE(guard.has_blocked(prompt_guard::parts_of("desk", {}, "digest")));
+}
+
+TEST(PromptGuard, AllowsATrialAgainThatWasNotSent)
+{
+    block(1, "models:bad", "gateway-1");
+    CHECK_FALSE(refuses(prompt));
+    guard.restore_trial(parts);
+    CHECK_FALSE(refuses(prompt));
+    CHECK_TRUE(refuses(prompt));
+}
+
+TEST(PromptGuard, TellsASuspectedRequestFromAGuiltyOne)
+{
+    wire::fleet_update_t update;
+    update.blocked_included = true;
+    update.blocked_generation = 1;
+    wire::blocked_part_t item;
+    item.part = "models:=digest";
+    item.strikes = 0;
+    wire::append(update.blocked, std::move(item));
+    guard.apply_blocked(update);
+    CHECK_TRUE(guard.has_blocked(parts));
+    CHECK_FALSE(guard.has_guilty(parts));
+    CHECK_TRUE(guard.find_blocked(parts)->suspected);
+}
--- a/tests/fault_soak.py
+++ b/tests/fault_soak.py
@@ -23,6 +23,8 @@
 STREAM_EVENTS = 9
 CRASHING_PART = "bad1"   # ends the engine that begins an answer on it
 CRASHING_SHARE = 0.02    # of the requests before the recovery
+CRASHING_REQUEST = ("/safe/crash", b"X")  # ends the upstream that runs it
+CRASHING_REQUEST_SHARE = 0.01
 ADAPTERS = 10            # more than the engines' eight adapter slots, so that some are evicted
 RECOVERY_S = 8.0         # time from the last fault until requests must be served again
 DISK_RECOVERY_S = 4.0    # time until a coordinator has recovered from the loss of its disk
@@ -62,7 +64,10 @@
                 if connection:
                     connection.close()
                 connection = Connection(rng.choice(await self.addresses(rng)))
-            await self.send_request(rng, connection, crashing=rng.random() < CRASHING_SHARE)
+            if rng.random() < CRASHING_REQUEST_SHARE:
+                await self.send_crashing_request(connection)
+            else:
+                await self.send_request(rng, connection, crashing=rng.random() < CRASHING_SHARE)
             await asyncio.sleep(rng.expovariate(1 / 0.15))
 
     async def addresses(self, rng):
@@ -88,6 +93,14 @@
         self.answers.append((request_id, path, answer))
         return answer
 
+    async def send_crashing_request(self, connection):
+        self.next_id += 1
+        request_id = f"{self.next_id:016x}"
+        path, body = CRASHING_REQUEST
+        headers = request_headers(request_id, 2.0)
+        answer = await connection.call("POST", path, headers, body, limit=2.5)
+        self.answers.append((request_id, path, answer))
+
     # --- faults; each reverts itself ---
     def unaffected(self, names):
         return [name for name in names if name not in self.affected]
@@ -318,6 +331,7 @@
         await self.platform.start_all()
         for upstream in self.platform.upstreams:
             upstream.crashing_parts = {CRASHING_PART}
+            upstream.crashing_requests = {CRASHING_REQUEST}
         self.begun = time.monotonic()
         background = [asyncio.create_task(self.caller(i)) for i in range(CALLERS)]
         background.append(asyncio.create_task(self.read_documents()))
@@ -325,6 +339,7 @@
         await asyncio.gather(self.inject_faults(), self.break_responses(), self.name_limits())
         for upstream in self.platform.upstreams:
             upstream.crashing_parts = set()
+            upstream.crashing_requests = set()
         await asyncio.sleep(RECOVERY_S)
         await self.check_recovery()
         self.stop_callers = True
