Refuse requests beyond a limit at once while no leader is known

Found by reading. A gateway without a leader asked nobody for a permit, so no answer was late, and the upstream was never taken for refused: a request that only upstreams with limits can run asked again every 50 ms until its deadline.

--- a/include/siskindrift/gateway/upstream_limits.h
+++ b/include/siskindrift/gateway/upstream_limits.h
@@ -82,7 +82,7 @@
     [[nodiscard]] std::optional<wire::send_permit_query_t> take_query(core::time_point now);
     /// Applies the leader's answer to a query.
     void apply_grant(const wire::send_permit_grant_t& grant, core::time_point now);
-    /// Records that the leader didn't answer in time.
+    /// Records that the leader didn't answer in time, or that no leader is known.
     void record_silence(const std::string& upstream, core::time_point now);
     /// Tells a new leader what was observed here.
     void report_again() { m_report_again = true; }
--- a/src/apps/gateway_guards.cpp
+++ b/src/apps/gateway_guards.cpp
@@ -164,9 +164,14 @@
 // Lets a request wait for the leader's permit to send it to an upstream with a limit.
 void gateway_process::request_permit(exchange& item, const std::string& upstream)
 {
-    item.permit_upstream = upstream;
     item.waiting = false;
     m_waiting.erase(item.id);
+    if (leader_address().empty()) {
+        m_limits.record_silence(upstream, m_clock.now());
+        dispatch(item); // elsewhere, or it is refused
+        return;
+    }
+    item.permit_upstream = upstream;
     m_awaiting_permit.insert(item.id);
     m_limits.add_wish(upstream);
     arm_timer(item, std::min(m_limits.answer_timeout(), time_left(item)));
--- a/src/gateway/upstream_limits.cpp
+++ b/src/gateway/upstream_limits.cpp
@@ -209,7 +209,8 @@
 {
     auto& own = m_permits[upstream];
     own.wanted = 0;
-    if (own.asked_at && now - *own.asked_at >= m_options.answer_timeout) {
+    const bool may_be_answered = own.asked_at && now - *own.asked_at < m_options.answer_timeout;
+    if (!may_be_answered) {
         own.asked_at.reset();
         own.refused_until = now + m_options.silence_pause;
         own.retry_at = own.refused_until;
--- a/src/gateway/upstream_limits_test.cpp
+++ b/src/gateway/upstream_limits_test.cpp
@@ -112,6 +112,14 @@
     CHECK_TRUE(admission() == kind::needs_permit);
 }
 
+TEST(UpstreamLimits, RefusesWithoutALeader)
+{
+    tell(1);
+    limits.add_wish("a");
+    limits.record_silence("a", clock.now());
+    CHECK_TRUE(admission() == kind::refused);
+}
+
 TEST(UpstreamLimits, TellsTheLeaderWhatAnswersNameUntilAllGatewaysKnowIt)
 {
     answer(3);
--- a/tests/upstream_limit_test.py
+++ b/tests/upstream_limit_test.py
@@ -34,7 +34,9 @@
 class UpstreamLimitTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.folder = tempfile.mkdtemp(prefix="upstream-limit-test-")
-        self.platform = PlatformFixture(self.folder, seed=31, gateways=GATEWAYS, engines=0, plain=4)
+        # Gateways use upstreams that they haven't heard of for long, also without coordinators.
+        self.platform = PlatformFixture(self.folder, seed=31, gateways=GATEWAYS, engines=0, plain=4,
+                                        gateway_settings={"announcement_ms": 20_000})
         self.random = random.Random(31)
         self.answers = []  # (time, answer)
         self.next_id = 0
@@ -109,6 +111,13 @@
         begin = self.name_limits(self.platform.upstreams)
         await asyncio.sleep(LEARNING_S + 8.0)
         self.check_limits(self.platform.upstreams, begin, MIN_USED_SHARE)
+        for name in self.platform.coordinators:
+            self.platform.signal(name, signal.SIGSTOP)
+        await asyncio.sleep(4.0)
+        for name in self.platform.coordinators:
+            self.platform.signal(name, signal.SIGCONT)
+        await asyncio.sleep(2.0)
+        self.check_limits(self.platform.upstreams, begin)
         await self.stop_callers()
         refused = [answer for at, answer in self.answers if at >= begin and answer.status != 200]
         self.assertTrue(refused)
