--- a/src/apps/gateway_exchanges.cpp
+++ b/src/apps/gateway_exchanges.cpp
@@ -468,7 +468,7 @@
         return;
     }
     if (item->events.events() >= item->events_before + events_begun) {
-        record_answer(*item);
+        record_answer(*item, true);
     }
 }
 
@@ -565,8 +565,8 @@
         m_client.close_idle_connections(
             item.upstream_address); // other idle connections may be dead too
     }
-    if (end == gateway::attempt_outcome::answered && status < first_redirect_status) {
-        record_answer(item);
+    if (end == gateway::attempt_outcome::answered) {
+        record_answer(item, status < first_redirect_status);
     }
     if (end == gateway::attempt_outcome::indeterminate) {
         record_crash(item);
@@ -634,7 +634,7 @@
     const bool complete = ended_complete(item);
     m_pool.record_outcome(item.upstream_id, !complete, m_clock.now());
     if (complete) {
-        record_answer(item);
+        record_answer(item, true);
     }
     else {
         record_crash(item);
--- a/src/apps/gateway_guards.cpp
+++ b/src/apps/gateway_guards.cpp
@@ -80,10 +80,13 @@
     }
 }
 
-void gateway_process::record_answer(exchange& item)
+// Records that an upstream went on with an answer. A failure acquits the whole request only: a
+// prompt part may be what the upstream failed on.
+void gateway_process::record_answer(exchange& item, bool success)
 {
     if (!std::exchange(item.answer_recorded, true)) {
-        m_prompt_guard.record_answer(item.service, item.parts, m_clock.now());
+        const auto& parts = success ? item.parts : gateway::request_parts{item.parts.back()};
+        m_prompt_guard.record_answer(item.service, parts, m_clock.now());
         if (m_prompt_guard.has_news()) {
             send_prompt_evidence();
         }
--- a/src/apps/gateway_process.h
+++ b/src/apps/gateway_process.h
@@ -209,7 +209,7 @@
     void refund_retry(exchange& item);
     bool refuse_blocked(exchange& item);
     void refuse_newly_blocked();
-    void record_answer(exchange& item);
+    void record_answer(exchange& item, bool success);
     void record_crash(exchange& item);
     void restore_trial(exchange& item);
     void record_limit(const exchange& item);
