--- a/tests/platform_fixture.py
+++ b/tests/platform_fixture.py
@@ -294,7 +294,8 @@
         adapter = headers.get("x-siskindrift-model", "").partition("/")[2]
         if self.adapter_slots and adapter not in self.adapters:
             return await self.reply(writer, 421, request_id, not_run=True)
-        return await self.execute(writer, path, headers, request_id, body)
+        self.platform.bodies[request_id] = body
+        return await self.execute(writer, path, headers, request_id)
 
     def apply_order(self, order):
         """Applies a load or unload order immediately; returns the HTTP status."""
@@ -320,9 +321,9 @@
         self.orders += 1
         return 202 if order["Op"] == "model_load" else 200
 
-    async def execute(self, writer, path, headers, request_id, request_body):
+    async def execute(self, writer, path, headers, request_id):
         stream = path.startswith(STREAM_PREFIXES)
-        crashes = (path, request_body) in self.crashing_requests
+        crashes = (path, self.platform.bodies[request_id]) in self.crashing_requests
         if crashes:
             self.platform.crashing_arrivals.append(time.monotonic())
         execution = Execution(request_id, self.name, path, time.monotonic(),
@@ -483,6 +484,7 @@
         self.file_limits = {}  # RLIMIT_FSIZE in bytes, by process name; also applied at a restart
         self.tasks = []
         self.executions = {}
+        self.bodies = {}   # by request id
         self.prompts = {}  # ids of the parts of each prompt, by request id
         self.crash_times = []
         self.crashing_arrivals = []  # times at which requests arrived that crash their upstream
