--- a/include/siskindrift/gateway/request_metadata.h
+++ b/include/siskindrift/gateway/request_metadata.h
@@ -49,6 +49,8 @@
     std::uint32_t output_tokens = 0; ///< Maximum number of tokens to generate.
     std::vector<prompt_part> prompt;
     std::string last_event_id; ///< Id of the last event the caller received, or empty.
+    /// Id of the caller's attempt that brought the first event of the stream to resume, or empty.
+    std::string resumed_request;
 };
 
 /// Load that an upstream reported in a response.
--- a/src/apps/gateway_exchanges.cpp
+++ b/src/apps/gateway_exchanges.cpp
@@ -75,6 +75,8 @@
                                         {"route", item.route.name},
                                         {"status", status},
                                         {"upstream", item.upstream_id},
+                                        {"software", item.software_version},
+                                        {"resumes", item.metadata.resumed_request},
                                         {"adapter", item.adapter.second},
                                         {"tokens", item.metadata.prompt_tokens},
                                         {"framing", http::to_string(item.call_end.framing)},
@@ -148,6 +150,8 @@
     observe::info("caller_left", {{"request", item.metadata.request_id},
                                   {"adapter", item.adapter.second},
                                   {"upstream", item.upstream_id},
+                                  {"software", item.software_version},
+                                  {"resumes", item.metadata.resumed_request},
                                   {"began", item.stream_begun},
                                   {"age_ms", core::to_ms(m_clock.now() - item.arrived_at)}});
     cancel_attempt(item);
@@ -206,6 +210,7 @@
     m_waiting.erase(item.id);
     const auto* entry = m_roster.find(choice.upstream);
     item.upstream_born_ms = entry != nullptr ? entry->info.born_ms : 0;
+    item.software_version = entry != nullptr ? entry->info.software_version : std::string{};
     item.sent_at = now;
     const auto limit = m_limits.limit_of(choice.upstream, item.upstream_born_ms);
     item.uses_permit = limit.has_value();
@@ -649,6 +654,7 @@
                                                                : reason_for(outcome);
     observe::info("stream_broken", {{"request", item.metadata.request_id},
                                     {"upstream", item.upstream_id},
+                                    {"software", item.software_version},
                                     {"reason", core::to_string(reason)},
                                     {"framing", http::to_string(item.call_end.framing)},
                                     {"error", item.call_end.error},
@@ -727,6 +733,8 @@
                                   {"reason", core::to_string(reason)},
                                   {"adapter", item.adapter.second},
                                   {"upstream", item.upstream_id},
+                                  {"software", item.software_version},
+                                  {"resumes", item.metadata.resumed_request},
                                   {"last_event", item.last_event_id},
                                   {"age_ms", core::to_ms(m_clock.now() - item.arrived_at)}});
     item.responder->abort();
--- a/src/apps/gateway_process.h
+++ b/src/apps/gateway_process.h
@@ -119,6 +119,7 @@
         std::string upstream_id;
         std::string upstream_address;
         std::uint64_t upstream_born_ms = 0; ///< Start of the upstream's run.
+        std::string software_version;       ///< Of the upstream, empty if it is unknown.
         core::time_point sent_at{};
         bool uses_permit = false; ///< Is sent under the upstream's limit.
         std::uint32_t unprocessed_prompt_tokens =
