--- a/tests/platform_fixture.py
+++ b/tests/platform_fixture.py
@@ -110,6 +110,7 @@
         self.reader = None
         self.writer = None
         self.usable = False
+        self.answer = Answer()
 
     async def open(self):
         ip, port = self.address.split(":")
@@ -120,6 +121,7 @@
     async def call(self, method, path, headers, body=b"", limit=10.0, on_bytes=None):
         """Sends one request and returns its Answer; connection errors and timeouts do not raise."""
         answer = Answer()
+        self.answer = answer  # what has arrived, also after the call was cancelled
         begun = time.monotonic()
         try:
             await asyncio.wait_for(self._call(answer, method, path, headers, body, on_bytes), limit)
@@ -201,6 +203,7 @@
         self.lost_response_share = 0.0  # share of responses lost after execution
         self.broken_response_share = 0.0  # share of responses broken off midway
         self.limit = None  # requests a second, named in each answer
+        self.software = "v1"  # version of its software, part of each event
         self.work_s = 0.02
         self.event_pause_s = 0.02
         self.server = None
@@ -226,7 +229,7 @@
                 continue
             self.announcements += 1
             announcement = {"Service": self.service, "Address": self.address, "Zone": "a",
-                            "Version": "v1", "Slots": SLOTS,
+                            "Version": self.software, "Slots": SLOTS,
                             "State": "draining" if self.draining else "ready",
                             "ColdLeftMs": 0, "Models": self.models(), "Seq": self.announcements,
                             "born": self.started_ms}
@@ -292,7 +295,7 @@
         if self.refusing or self.running >= 4 * SLOTS:
             return await self.reply(writer, 503, request_id, not_run=True)
         adapter = headers.get("x-siskindrift-model", "").partition("/")[2]
-        if self.adapter_slots and adapter not in self.adapters:
+        if self.adapter_slots and adapter and adapter not in self.adapters:
             return await self.reply(writer, 421, request_id, not_run=True)
         self.platform.bodies[request_id] = body
         return await self.execute(writer, path, headers, request_id)
@@ -363,7 +366,7 @@
         return {} if self.limit is None else {"Server-Limit": str(self.limit)}
 
     async def stream(self, writer, request_id, seal, first, events):
-        parts = [f"id: {number}\ndata: {request_id}\n\n".encode()
+        parts = [f"id: {number}\ndata: {request_id} {self.software}\n\n".encode()
                  for number in range(first, events + 1)]
         return await self.send_parts(writer, request_id, seal, "text/event-stream", parts,
                                      self.event_pause_s)
