Go on with a stream only at the software version that began it

What callers saw: after their connection broke, a stream of software v1.2 went on with events of v1. Upstreams of several versions serve side by side, what they write doesn't fit together, and nothing looked at the version: neither a gateway that goes on with a broken stream itself, nor one to which a caller comes with a stream that began elsewhere.

Cause: what a stream needs of an upstream was the adapter only, and what a gateway knew of a stream ended with its connection. The class: state of a request that outlives the process and the connection it is kept in.

Change: one rule, in the choice of an upstream (software_pin). From the first whole event on it names the version of the upstream that made it. A caller that takes a stream up names the attempt that brought the first event; its version is recorded when that attempt is sent, and told to the coordinators and to three gateways while a service has several versions (stream_origins). A gateway that doesn't know it asks them. Where nobody knows, the stream goes on only if no other version has served for as long as streams last (software_history) and somebody answered; otherwise it is refused at once. Adapters are loaded at engines of the version that begun streams need, and these go before new ones.

--- a/include/siskindrift/adapters/placer.h
+++ b/include/siskindrift/adapters/placer.h
@@ -208,6 +208,7 @@
         std::string id;
         std::string address;
         std::string service;
+        std::string software_version;
         std::uint64_t born_ms = 0;
         bool usable = false;
         bool state_known = false; ///< Whether `orders_accepted` and `copies` are up to date.
@@ -236,9 +237,11 @@
         core::time_point first_reported{};
         core::time_point last_reported{};
     };
+    /// An adapter, and the software version of the engines that are to hold it; empty for any.
+    using wish_key = std::pair<adapter_name, std::string>;
     /// The latest report of one gateway.
     struct gateway_state {
-        std::map<adapter_name, wish> wishes;
+        std::map<wish_key, wish> wishes;
         std::vector<std::pair<std::string, adapter_name>> uses; ///< Engine ID and adapter.
         std::map<std::string, std::uint64_t> pending_tokens;    ///< By engine ID.
         std::vector<std::string> unreachable;                   ///< Engine IDs.
@@ -247,6 +250,7 @@
     struct demand {
         const adapter_name* name = nullptr; ///< Valid until the next report of a gateway.
         adapter_key key = 0;
+        std::string software_version; ///< Of the engines that can serve it; empty for any.
         std::uint32_t waiting = 0;
         core::duration time_left{};
         bool crowded = false;
@@ -265,7 +269,14 @@
         /// Returns whether another copy of an adapter that has copies may be loaded now.
         [[nodiscard]] bool may_add_copy() const;
     };
-    using copy_index = std::unordered_map<adapter_key, copy_summary>;
+    /// By adapter, over all engines, and by adapter and software version.
+    struct copy_index {
+        std::unordered_map<adapter_key, copy_summary> all;
+        std::map<std::pair<adapter_key, std::string>, copy_summary> by_software;
+
+        /// Returns the copies that can serve a demand, or null if there are none.
+        [[nodiscard]] const copy_summary* find(const demand& wanted) const;
+    };
     /// An engine that can take an order, and what a load there costs apart from the load itself.
     struct load_offer {
         engine_state* engine = nullptr;
@@ -297,6 +308,8 @@
     [[nodiscard]] std::uint64_t pending_prefill_tokens(const engine_state& engine,
                                                        core::time_point now) const;
     [[nodiscard]] bool in_use(const engine_state& engine, const adapter_name& name) const;
+    /// Returns whether the engine has the software version that the demand needs.
+    [[nodiscard]] static bool can_serve(const engine_state& engine, const demand& wanted);
     /// Returns the least recently used adapter that may be evicted, or none.
     [[nodiscard]] std::optional<adapter_name> choose_victim(const engine_state& engine,
                                                             core::time_point now) const;
--- a/include/siskindrift/core/verdict.h
+++ b/include/siskindrift/core/verdict.h
@@ -68,7 +68,9 @@
     X(caller_left)                                                                                 \
     X(caller_too_slow)                                                                             \
     X(malformed_frame)                                                                             \
-    X(unknown_version)
+    X(unknown_version)                                                                             \
+    X(stream_origin_unknown)                                                                       \
+    X(software_version_gone)
 
 /// Machine-readable reason of a refusal, a retry or a failure.
 enum class reason : std::uint16_t {
--- a/include/siskindrift/gateway/upstream_pool.h
+++ b/include/siskindrift/gateway/upstream_pool.h
@@ -61,6 +61,21 @@
     std::size_t two_choices_gateways = 20;
 };
 
+/// The software version at which a stream has begun, and must go on.
+struct software_pin {
+    std::string version; ///< Empty if the upstream that began it named none.
+    std::string upstream; ///< That upstream, if it is known.
+    std::uint64_t born_ms = 0; ///< Start of its run.
+
+    /// Returns whether @p upstream may go on with the stream.
+    [[nodiscard]] bool allows(const wire::fleet_upstream_t& candidate) const
+    {
+        // Upstreams that name no version may differ, except one run from itself.
+        return version.empty() ? candidate.id == upstream && candidate.born_ms == born_ms
+                               : candidate.software_version == version;
+    }
+};
+
 /// Result of choosing an upstream.
 struct pool_choice {
     enum class kind : std::uint8_t {
@@ -105,9 +120,11 @@
     /// engines.
     /// @param permitted upstream for which the request has waited for a permit, or empty. It is
     /// chosen if there is one, because another request may not come before the permit expires.
+    /// @param pin set for a stream that has begun: only upstreams that it allows are chosen.
     [[nodiscard]] pool_choice choose(const std::string& service, const adapter_name& wanted,
                                      const std::set<std::string>& tried, core::time_point now,
-                                     const std::string& permitted = {});
+                                     const std::string& permitted = {},
+                                     const std::optional<software_pin>& pin = {});
 
     /// Records that a request was sent to @p upstream.
     /// @param tokens prompt tokens that the upstream has to process before the first token.
--- a/include/siskindrift/net/mesh.h
+++ b/include/siskindrift/net/mesh.h
@@ -97,6 +97,9 @@
     /// Stops reopening the connection; an open one stays open.
     void release(const std::string& address);
 
+    /// Stops reopening the connection and closes it.
+    void disconnect(const std::string& address);
+
     /// Returns how many bytes wait to be written to @p to; 0 when it is closed.
     [[nodiscard]] std::size_t queued_bytes(connection_id to);
 
--- a/src/adapters/placer.cpp
+++ b/src/adapters/placer.cpp
@@ -92,6 +92,7 @@
     }
     engine.address = announcement.address;
     engine.service = announcement.service;
+    engine.software_version = announcement.software_version;
     for (const auto& held : announcement.copies) {
         const adapter_name name{held->model, held->adapter};
         if (!held->adapter.empty() && !engine.history.age(key_of(name))) {
@@ -174,7 +175,7 @@
     remove_usage(state);
     add_usage(state, report);
     for (const auto& item : report.wishes) {
-        auto& wish = state.wishes[{item->model, item->adapter}];
+        auto& wish = state.wishes[{{item->model, item->adapter}, item->software_version}];
         const auto since = wish.waiting > 0 ? wish.first_reported : now;
         wish.waiting = item->waiting;
         wish.time_left = core::milliseconds{item->left_ms};
--- a/src/adapters/placer_plan.cpp
+++ b/src/adapters/placer_plan.cpp
@@ -25,18 +25,20 @@
 
 std::vector<placer::demand> placer::collect_demands(core::time_point now) const
 {
-    std::unordered_map<adapter_key, demand> demands;
+    std::map<std::pair<adapter_key, std::string_view>, demand> demands;
     for (const auto& [vm, state] : m_gateways) {
-        for (const auto& [name, wish] : state.wishes) {
+        for (const auto& [wished, wish] : state.wishes) {
             if (now - wish.last_reported > m_options.wish_lifetime) {
                 continue;
             }
+            const auto& [name, software] = wished;
             const auto key = key_of(name);
-            auto& sum = demands[key];
+            auto& sum = demands[{key, software}];
             const auto left = wish.time_left - (now - wish.last_reported);
             sum.time_left = sum.waiting == 0 ? left : std::min(sum.time_left, left);
             sum.name = &name;
             sum.key = key;
+            sum.software_version = software;
             sum.since =
                 sum.waiting == 0 ? wish.first_reported : std::min(sum.since, wish.first_reported);
             sum.waiting += wish.waiting;
@@ -49,14 +51,29 @@
     for (const auto& [key, item] : demands) {
         list.push_back(item);
     }
-    // Most waiting requests first, then the earliest deadline.
+    // Streams that have begun first, then most waiting requests, then the earliest deadline.
     std::sort(list.begin(), list.end(), [](const demand& left, const demand& right) {
-        return std::tuple{right.waiting, left.time_left, left.key} <
-               std::tuple{left.waiting, right.time_left, right.key};
+        return std::tuple{left.software_version.empty(), right.waiting, left.time_left, left.key} <
+               std::tuple{right.software_version.empty(), left.waiting, right.time_left, right.key};
     });
     return list;
 }
 
+bool placer::can_serve(const engine_state& engine, const demand& wanted)
+{
+    return wanted.software_version.empty() || engine.software_version == wanted.software_version;
+}
+
+const placer::copy_summary* placer::copy_index::find(const demand& wanted) const
+{
+    if (wanted.software_version.empty()) {
+        const auto found = all.find(wanted.key);
+        return found == all.end() ? nullptr : &found->second;
+    }
+    const auto found = by_software.find({wanted.key, wanted.software_version});
+    return found == by_software.end() ? nullptr : &found->second;
+}
+
 placer::copy_index placer::index_copies(core::time_point now) const
 {
     const auto interval = many_slots_idle() ? m_options.additional_copy_interval_idle
@@ -73,16 +90,20 @@
             if (name.second.empty()) {
                 continue;
             }
-            auto& sum = index[key_of(name)];
-            const bool loaded = held.state == copy_state::loaded;
-            const bool settling = held.additional && (!loaded || now - held.loaded_at < interval);
-            ++(settling ? sum.fresh : sum.settled);
-            if (held.version < newest_version(name)) {
-                continue;
-            }
-            sum.loading = sum.loading || held.state == copy_state::loading;
-            if (loaded) {
-                sum.min_wait_ms = sum.min_wait_ms ? std::min(*sum.min_wait_ms, wait_ms) : wait_ms;
+            const auto key = key_of(name);
+            for (auto* sum : {&index.all[key],
+                              &index.by_software[{key, engine.software_version}]}) {
+                const bool loaded = held.state == copy_state::loaded;
+                const bool settling =
+                    held.additional && (!loaded || now - held.loaded_at < interval);
+                ++(settling ? sum->fresh : sum->settled);
+                if (held.version < newest_version(name)) {
+                    continue;
+                }
+                sum->loading = sum->loading || held.state == copy_state::loading;
+                if (loaded) {
+                    sum->min_wait_ms = std::min(sum->min_wait_ms.value_or(wait_ms), wait_ms);
+                }
             }
         }
     }
@@ -111,8 +132,8 @@
         return false;
     }
     return std::any_of(m_engines.begin(), m_engines.end(), [&](const auto& item) {
-        return is_usable(item.second) && held_recently(item.second, wanted.key) &&
-               !item.second.copies.contains(*wanted.name);
+        return is_usable(item.second) && can_serve(item.second, wanted) &&
+               held_recently(item.second, wanted.key) && !item.second.copies.contains(*wanted.name);
     });
 }
 
@@ -189,6 +210,9 @@
 std::optional<double> placer::placement_cost_ms(const load_offer& offer, const demand& wanted) const
 {
     const auto& engine = *offer.engine;
+    if (!can_serve(engine, wanted)) {
+        return std::nullopt;
+    }
     const auto held = engine.copies.find(*wanted.name);
     const bool replaces = held != engine.copies.end();
     if (replaces && (held->second.state != copy_state::loaded || in_use(engine, *wanted.name) ||
@@ -284,8 +308,8 @@
         if (offers.empty()) {
             return;
         }
-        const auto found = copies.find(wanted.key);
-        const auto held = found == copies.end() ? copy_summary{} : found->second;
+        const auto* found = copies.find(wanted);
+        const auto held = found == nullptr ? copy_summary{} : *found;
         const bool place = held.min_wait_ms
                                ? wanted.crowded && !no_additional && held.may_add_copy()
                                : !held.loading;
@@ -304,8 +328,8 @@
 
 bool placer::is_missing(const copy_index& copies, const demand& wanted)
 {
-    const auto found = copies.find(wanted.key);
-    return found == copies.end() || (!found->second.loading && !found->second.min_wait_ms);
+    const auto* found = copies.find(wanted);
+    return found == nullptr || (!found->loading && !found->min_wait_ms);
 }
 
 bool placer::many_slots_idle() const
--- a/src/adapters/placer_test.cpp
+++ b/src/adapters/placer_test.cpp
@@ -26,16 +26,33 @@
         adapter_placer.begin_leadership(clock.now());
     }
 
-    void announce(const std::string& id, std::uint64_t born = 100, bool usable = true)
+    void announce(const std::string& id, std::uint64_t born = 100, bool usable = true,
+                  const std::string& software = "")
     {
         wire::fleet_upstream_t announcement;
         announcement.id = id;
         announcement.service = "llm";
         announcement.address = id + ":1";
         announcement.born_ms = born;
+        announcement.software_version = software;
         adapter_placer.on_announcement(announcement, usable);
     }
 
+    void wish_at(const std::string& adapter, const std::string& software,
+                 std::uint32_t waiting = 1)
+    {
+        wire::gateway_report_t report;
+        report.vm = "h-" + software;
+        wire::adapter_wish_t item;
+        item.model = model;
+        item.adapter = adapter;
+        item.waiting = waiting;
+        item.left_ms = 3000;
+        item.software_version = software;
+        wire::append(report.wishes, item);
+        adapter_placer.on_gateway_report(report, clock.now());
+    }
+
     void report(const std::string& id, std::uint64_t accepted,
                 const std::vector<std::string>& adapters, const std::string& loading = "",
                 std::uint64_t version = 1)
@@ -586,3 +603,26 @@
     LONGS_EQUAL(1, orders.size());
     STRCMP_EQUAL("b", orders.front().upstream.c_str());
 }
+
+TEST(Placer, LoadsAnAdapterAtTheSoftwareVersionThatABegunStreamNeeds)
+{
+    announce("a", 100, true, "v1");
+    announce("b", 100, true, "v2");
+    report("a", 0, {"x"});
+    report("b", 0, {});
+    wish_at("x", "");
+    LONGS_EQUAL(0, static_cast<long>(plan().size()));
+    wish_at("x", "v2");
+    const auto orders = plan();
+    LONGS_EQUAL(1, static_cast<long>(orders.size()));
+    STRCMP_EQUAL("b", orders[0].upstream.c_str());
+}
+
+TEST(Placer, ServesBegunStreamsBeforeNewOnes)
+{
+    announce("a", 100, true, "v1");
+    report("a", 0, {});
+    wish_at("x", "", 5);
+    wish_at("y", "v1", 1);
+    STRCMP_EQUAL("y", plan().at(0).adapter.c_str());
+}
--- a/src/apps/coordinator_fleet.cpp
+++ b/src/apps/coordinator_fleet.cpp
@@ -59,6 +59,7 @@
         m_local_upstreams.insert(id);
     }
     update_placer(id);
+    record_software(id);
     if (change == fleet::roster_change::changed) {
         m_flush_requested = true;
         flush_updates();
@@ -91,12 +92,38 @@
         const auto age = core::milliseconds{announcement->age_ms};
         m_roster.update(*announcement, now, age);
         update_placer(announcement->id);
+        record_software(announcement->id);
     }
     for (const auto& id : update.heard) {
         m_roster.refresh(id, now);
+        record_software(id);
     }
 }
 
+void coordinator_process::record_software(const std::string& id)
+{
+    if (const auto* item = m_roster.find(id)) {
+        m_software.record(item->info.service, item->info.software_version, item->last_heard);
+    }
+}
+
+void coordinator_process::record_stream_origins(const wire::stream_origins_t& told)
+{
+    for (const auto& origin : told.origins) {
+        if (m_origins.record(*origin, false, m_clock.now())) {
+            m_metrics.count("siskindrift_stream_origins_dropped_total");
+            observe::routine("stream_origin_dropped", {{"kept", m_origins.size()}});
+        }
+    }
+}
+
+void coordinator_process::answer_origin_query(net::connection_id from,
+                                              const wire::stream_origin_query_t& query)
+{
+    m_mesh->reply(from, wire::make_envelope(
+                            fleet::make_origin_answer(query, m_origins, m_software, m_clock.now())));
+}
+
 void coordinator_process::apply_document()
 {
     const auto& document = m_core->state().current_document();
@@ -170,6 +197,9 @@
     update.address = m_settings.inner_address;
     update.leader_term = m_placement_term;
     update.document_version = m_document_version;
+    const auto now = m_clock.now();
+    const auto history = now - std::min(m_software.complete_since().value_or(now), now);
+    update.history_ms = static_cast<std::uint64_t>(core::to_ms(history));
     for (const auto& info : m_core->raft().members()) {
         update.control.push_back(info.address);
     }
--- a/src/apps/coordinator_process.cpp
+++ b/src/apps/coordinator_process.cpp
@@ -20,6 +20,8 @@
 // A predecessor's last order may still be in transit when its lease has ended.
 constexpr core::milliseconds order_transit_margin{600};
 constexpr core::milliseconds election_retry_interval{300}; // about the duration of an election
+constexpr core::milliseconds before_first_start{60'000}; // longer than streams last
+constexpr core::milliseconds announcement_wait{2500}; // until all upstreams were announced again
 constexpr std::uint64_t compaction_interval_entries = 256; // documents are large and change rarely
 
 control::control_options core_options()
@@ -154,6 +156,10 @@
         m_core->on_request(0, wire::make_control_request(form));
     }
     m_leader_seen_at = m_clock.now();
+    // Before the first start of a deployment there were no upstreams that it could have missed.
+    m_software.on_contact(m_settings.first_start ? m_clock.now() - before_first_start
+                                                 : m_clock.now() + announcement_wait,
+                          m_clock.now());
     observe::info("started", {{"address", m_settings.control_address}, {"forms", forms_cluster}});
     run_cycle();
 }
@@ -374,6 +380,14 @@
     else if (const auto* wishes = message.body.Assend_permit_query()) {
         handle_permit_query(from, *wishes);
     }
+    else if (const auto* told = message.body.Asstream_origins()) {
+        record_stream_origins(*told);
+        return;
+    }
+    else if (const auto* asked = message.body.Asstream_origin_query()) {
+        answer_origin_query(from, *asked);
+        return;
+    }
     else if (const auto* query = message.body.Asretry_share_query()) {
         handle_retry_share_query(from, *query);
     }
--- a/src/apps/coordinator_process.h
+++ b/src/apps/coordinator_process.h
@@ -22,6 +22,8 @@
 #include "siskindrift/control/retry_share_manager.h"
 #include "siskindrift/control/upstream_limit_manager.h"
 #include "siskindrift/fleet/roster.h"
+#include "siskindrift/fleet/software_history.h"
+#include "siskindrift/fleet/stream_origins.h"
 #include "siskindrift/fleet/update_pacer.h"
 #include "siskindrift/http/buffered_client.h"
 #include "siskindrift/http/server.h"
@@ -90,6 +92,9 @@
     void handle_withdrawal(const platform::incoming_call& call,
                            const std::shared_ptr<http::responder>& responder);
     void update_placer(const std::string& id);
+    void record_software(const std::string& id);
+    void record_stream_origins(const wire::stream_origins_t& told);
+    void answer_origin_query(net::connection_id from, const wire::stream_origin_query_t& query);
     void apply_peer_update(const wire::fleet_update_t& update);
     void apply_document();
     void handle_attach(net::connection_id from, const wire::gateway_attach_t& message);
@@ -152,6 +157,8 @@
     std::uint64_t m_last_placement_term = 0; ///< Latest nonzero `m_placement_term`.
 
     fleet::roster m_roster;
+    fleet::software_history m_software;
+    fleet::stream_origins m_origins;
     fleet::update_pacer m_pacer{max_queued_bytes};
     std::set<std::string> m_local_upstreams; ///< Announced or withdrawn here since the last flush.
     adapters::placer m_placer;
--- a/src/apps/gateway_exchanges.cpp
+++ b/src/apps/gateway_exchanges.cpp
@@ -136,6 +136,10 @@
     const auto max_wait = item.metadata.deadline.value_or(default_deadline) - response_margin;
     item.deadline = item.arrived_at + std::min<core::duration>(max_wait, item.route.timeout);
     m_retry_budgets[item.service].record_request(item.arrived_at);
+    if (takes_up_stream(item)) {
+        find_stream_origin(item);
+        return;
+    }
     dispatch(item);
 }
 
@@ -168,11 +172,11 @@
     if (refuse_blocked(item)) {
         return;
     }
-    const auto choice =
-        m_pool.choose(item.service, item.adapter, item.tried_upstreams, now, item.permit_upstream);
+    const auto choice = m_pool.choose(item.service, item.adapter, item.tried_upstreams, now,
+                                      item.permit_upstream, item.pin);
     stop_awaiting_permit(item);
     if (choice.crowded) {
-        m_overloaded_adapters[item.adapter] = now;
+        m_overloaded_adapters[wish_of(item)] = now;
         schedule_report();
     }
     switch (choice.result) {
@@ -191,6 +195,10 @@
     case gateway::pool_choice::kind::none:
         break;
     }
+    if (item.pin) {
+        fail_request(item, core::reason::software_version_gone);
+        return;
+    }
     if (item.attempts_sent == 0) {
         wait_for_upstream(item); // after a restart, upstreams are announced again shortly
         return;
@@ -227,6 +235,7 @@
                              static_cast<double>(core::to_ms(now - item.arrived_at)));
     }
     ++item.attempts_sent;
+    ++item.sends;
     ++item.may_have_run;
     item.tried_upstreams.insert(choice.upstream);
     item.upstream_id = choice.upstream;
@@ -270,6 +279,7 @@
     if (!item.adapter.first.empty()) {
         schedule_load_report();
     }
+    record_stream_origin(item);
     m_client.start(std::move(call));
     arm_timer(item, time_left(item));
 }
@@ -277,7 +287,7 @@
 void gateway_process::wait_for_upstream(exchange& item)
 {
     if (!item.tried_upstreams.empty() && !item.adapter.first.empty()) {
-        m_overloaded_adapters[item.adapter] = m_clock.now();
+        m_overloaded_adapters[wish_of(item)] = m_clock.now();
         item.tried_upstreams.clear();
     }
     const auto total =
@@ -299,13 +309,18 @@
     }
 }
 
-// Tries again to dispatch each request that waits for an adapter or an upstream.
+// Tries again to dispatch each request that waits for an adapter or an upstream, those first that
+// go on with a stream.
 void gateway_process::dispatch_waiting()
 {
-    for (const auto id : std::set<std::uint64_t>{m_waiting}) {
-        const auto found = m_exchanges.find(id);
-        if (found != m_exchanges.end()) {
-            dispatch(*found->second);
+    const std::set<std::uint64_t> waiting{m_waiting};
+    for (const bool pinned : {true, false}) {
+        for (const auto id : waiting) {
+            const auto found = m_exchanges.find(id);
+            if (found != m_exchanges.end() && found->second->waiting &&
+                found->second->pin.has_value() == pinned) {
+                dispatch(*found->second);
+            }
         }
     }
 }
@@ -357,6 +372,10 @@
         abort_stream(item, core::reason::deadline_passed);
         return;
     }
+    if (item.origin_query != 0 && item.deadline > m_clock.now()) {
+        finish_origin_lookup(item);
+        return;
+    }
     if (!item.permit_upstream.empty() && item.deadline > m_clock.now()) {
         m_limits.record_silence(item.permit_upstream, m_clock.now());
         dispatch(item);
@@ -488,6 +507,7 @@
     }
     // Only complete events are forwarded: after a failure, another upstream repeats a partial one.
     item.responder->write_chunk(item.events.feed(bytes));
+    pin_begun_stream(item);
     if (!item.events.last_event_id().empty()) {
         item.last_event_id = item.events.last_event_id();
     }
@@ -771,6 +791,7 @@
     m_waiting.erase(item.id);
     m_awaiting_permit.erase(item.id);
     m_awaiting_document.erase(item.id);
+    m_origin_lookups.erase(item.origin_query);
     m_kept_bytes -= item.response_body.size();
     m_exchanges.erase(item.id);
 }
--- a/src/apps/gateway_process.cpp
+++ b/src/apps/gateway_process.cpp
@@ -151,6 +151,7 @@
     if (m_callers.listen(m_settings.caller_address, error) &&
         m_readiness.listen(m_settings.readiness_address, error) &&
         m_directory.listen(m_settings.directory_address, error) &&
+        m_mesh->listen(m_settings.inner_address, error) &&
         m_metrics_endpoint.listen(m_settings.metrics_address, error)) {
         return true;
     }
@@ -222,11 +223,15 @@
     message.info->caller_address = m_settings.caller_address;
     message.info->failure_domain = m_settings.failure_domain;
     message.info->accepting = !m_draining;
+    message.info->inner_address = m_settings.inner_address;
     m_mesh->send(address, wire::make_envelope(std::move(message)));
 }
 
 void gateway_process::on_connection_state(const std::string& address, bool connected)
 {
+    if (connected && m_registrars.contains(address)) {
+        tell_all_stream_origins(address);
+    }
     const auto found = m_coordinators.find(address);
     if (found == m_coordinators.end()) {
         return;
@@ -238,6 +243,7 @@
     found->second.connected = connected;
     if (connected) {
         send_attach(address);
+        tell_all_stream_origins(address);
         m_reported_wishes.clear();
         schedule_report();
     }
@@ -245,6 +251,9 @@
         m_document_follower.on_disconnect(address);
         found->second.leader_term = 0;
         found->second.gateways.clear();
+        if (!coordinator_connected()) {
+            m_software.on_contact_lost(m_clock.now());
+        }
     }
 }
 
@@ -253,7 +262,7 @@
     observe::warn("bad_frame", {{"reason", core::to_string(reason)}});
 }
 
-void gateway_process::on_message(net::connection_id, wire::envelope_t message)
+void gateway_process::on_message(net::connection_id from, wire::envelope_t message)
 {
     if (const auto* update = message.body.Asfleet_update()) {
         const auto found = m_coordinators.find(update->address);
@@ -276,6 +285,18 @@
     else if (const auto* grant = message.body.Assend_permit_grant()) {
         apply_permits(*grant);
     }
+    else if (const auto* told = message.body.Asstream_origins()) {
+        for (const auto& origin : told->origins) {
+            keep_stream_origin(*origin, false);
+        }
+    }
+    else if (const auto* query = message.body.Asstream_origin_query()) {
+        m_mesh->reply(from, wire::make_envelope(fleet::make_origin_answer(
+                                *query, m_origins, m_software, m_clock.now())));
+    }
+    else if (const auto* answer = message.body.Asstream_origin_answer()) {
+        apply_origin_answer(*answer);
+    }
     else if (const auto* share = message.body.Asretry_share()) {
         if (m_retry_share.apply(*share, m_clock.now())) {
             observe::info("retry_share", {{"generation", share->generation},
@@ -326,10 +347,16 @@
     }
     for (const auto& upstream : update.upstreams) {
         m_roster.update(*upstream, now, core::milliseconds{upstream->age_ms});
+        record_software(upstream->id);
     }
     for (const auto& id : update.heard) {
         m_roster.refresh(id, now);
+        record_software(id);
+    }
+    if (update.full) {
+        m_software.on_contact(now - core::milliseconds{update.history_ms}, now);
     }
+    update_registrars();
     for (const auto& item : update.named) {
         m_pool.set_current_version({item->model, item->adapter}, item->version, now);
     }
@@ -546,13 +573,13 @@
     wire::gateway_report_t report;
     report.vm = m_settings.vm;
     report.incarnation = m_incarnation;
-    std::map<gateway::adapter_name, wire::adapter_wish_t> wishes;
+    std::map<wish_key, wire::adapter_wish_t> wishes;
     for (const auto id : m_waiting) {
         const auto& item = *m_exchanges.at(id);
         if (item.adapter.first.empty()) {
             continue; // waits for an upstream, not for an adapter
         }
-        auto& wish = wishes[item.adapter];
+        auto& wish = wishes[wish_of(item)];
         const auto left =
             static_cast<std::uint32_t>(std::max<std::int64_t>(core::to_ms(time_left(item)), 0));
         wish.left_ms = wish.waiting == 0 ? left : std::min(wish.left_ms, left);
@@ -572,8 +599,9 @@
     }
     m_reported_wishes.clear();
     for (auto& [name, wish] : wishes) {
-        wish.model = name.first;
-        wish.adapter = name.second;
+        wish.model = name.first.first;
+        wish.adapter = name.first.second;
+        wish.software_version = name.second;
         if (wish.waiting > 0) {
             m_reported_wishes.insert(name);
         }
--- a/src/apps/gateway_process.h
+++ b/src/apps/gateway_process.h
@@ -17,10 +17,13 @@
 #include "siskindrift/config/settings.h"
 #include "siskindrift/core/verdict.h"
 #include "siskindrift/fleet/roster.h"
+#include "siskindrift/fleet/software_history.h"
+#include "siskindrift/fleet/stream_origins.h"
 #include "siskindrift/gateway/deployment.h"
 #include "siskindrift/gateway/document_follower.h"
 #include "siskindrift/gateway/event_splitter.h"
 #include "siskindrift/gateway/forward_policy.h"
+#include "siskindrift/gateway/origin_lookup.h"
 #include "siskindrift/gateway/prompt_guard.h"
 #include "siskindrift/gateway/retry_budget.h"
 #include "siskindrift/gateway/retry_share.h"
@@ -109,6 +112,10 @@
         unsigned may_have_run = 0;   ///< Attempts whose upstream may have run the request.
         bool waiting = false;        ///< For an upstream or an adapter.
         std::string permit_upstream; ///< Upstream for which it waits for a permit; empty for none.
+        std::uint64_t origin_query = 0; ///< Lookup of the stream's origin it waits for, or 0.
+        /// Set once the caller has an event of the stream, also by an earlier request.
+        std::optional<gateway::software_pin> pin;
+        unsigned sends = 0; ///< Counts up with every send, also one that failed to connect.
         core::reason failure_reason = core::reason::none;
         // Current attempt at an upstream.
         std::uint64_t call_id = 0;       ///< 0 if no attempt is open.
@@ -203,6 +210,24 @@
     [[nodiscard]] core::duration time_left(const exchange& item) const;
     void count_reason(core::reason reason);
 
+    // Software versions of streams (gateway_streams.cpp).
+    [[nodiscard]] static bool takes_up_stream(const exchange& item);
+    void find_stream_origin(exchange& item);
+    void apply_origin_answer(const wire::stream_origin_answer_t& answer);
+    void finish_origin_lookup(exchange& item);
+    void apply_origin(exchange& item, const gateway::origin_decision& decision);
+    void pin_begun_stream(exchange& item);
+    void record_stream_origin(const exchange& item);
+    void keep_stream_origin(const wire::stream_origin_t& origin, bool own);
+    void tell_stream_origins(const std::vector<wire::stream_origin_t>& origins);
+    void tell_all_stream_origins(const std::string& address);
+    void record_software(const std::string& upstream);
+    void update_registrars();
+    [[nodiscard]] bool coordinator_connected() const;
+    [[nodiscard]] core::duration stream_span(const std::string& service) const;
+    [[nodiscard]] std::vector<std::string> origin_holders(const std::string& service) const;
+    [[nodiscard]] std::vector<std::string> choose_registrars() const;
+
     // Retry budget and prompt guard (gateway_guards.cpp).
     [[nodiscard]] bool consume_retry(exchange& item, const gateway::pool_choice& choice);
     void settle_retry(exchange& item);
@@ -249,6 +274,12 @@
     /// Latest list from any coordinator, kept for when none is connected.
     std::vector<wire::gateway_info_t> m_last_known_gateways;
     fleet::roster m_roster;
+    fleet::software_history m_software;
+    fleet::stream_origins m_origins;
+    std::map<std::uint64_t, gateway::origin_lookup> m_origin_lookups; ///< By query id.
+    std::uint64_t m_next_origin_query = 1;
+    /// Gateways that keep stream origins beside the coordinators; connected while they are needed.
+    std::set<std::string> m_registrars;
     std::optional<gateway::deployment> m_deployment;
     gateway::document_follower m_document_follower;
     gateway::route_table m_routes;
@@ -265,10 +296,16 @@
     std::set<std::uint64_t> m_awaiting_permit;
     /// Exchanges that were received before the first deployment document.
     std::set<std::uint64_t> m_awaiting_document;
+    /// An adapter and the software version of the engines that are to hold it; empty for any.
+    using wish_key = std::pair<gateway::adapter_name, std::string>;
+    [[nodiscard]] static wish_key wish_of(const exchange& item)
+    {
+        return {item.adapter, item.pin ? item.pin->version : std::string{}};
+    }
     /// Adapters that need a further copy, and when the pool last said so.
-    std::map<gateway::adapter_name, core::time_point> m_overloaded_adapters;
+    std::map<wish_key, core::time_point> m_overloaded_adapters;
     /// Adapters that the last report to the leader asked for.
-    std::set<gateway::adapter_name> m_reported_wishes;
+    std::set<wish_key> m_reported_wishes;
     std::size_t m_kept_bytes = 0; ///< Of responses that are kept until they are complete.
     std::uint64_t m_next_call = 1;
     std::optional<core::time_point> m_report_due;
--- /dev/null
+++ b/src/gateway/origin_lookup.cpp
@@ -0,0 +1,61 @@
+#include "siskindrift/gateway/origin_lookup.h"
+
+#include <set>
+
+namespace siskindrift::gateway {
+
+std::string_view to_string(origin_source source)
+{
+    switch (source) {
+    case origin_source::own:
+        return "own";
+    case origin_source::told:
+        return "told";
+    case origin_source::only_version:
+        return "only_version";
+    case origin_source::unknown:
+        break;
+    }
+    return "unknown";
+}
+
+bool origin_lookup::add_answer(const wire::stream_origin_answer_t& answer)
+{
+    m_answers.push_back(answer);
+    return m_answers.size() >= m_asked;
+}
+
+origin_decision origin_lookup::decide(const fleet::software_versions& own) const
+{
+    const wire::stream_origin_t* latest = nullptr;
+    for (const auto& answer : m_answers) {
+        if (answer.origin && (latest == nullptr || answer.origin->attempt > latest->attempt)) {
+            latest = answer.origin.get();
+        }
+    }
+    if (latest != nullptr) {
+        return {origin_source::told, latest->software_version};
+    }
+    // An answer shows that this gateway isn't cut off, so that it would know of other versions.
+    if (m_answers.empty() || own.count == wire::version_count::several) {
+        return {};
+    }
+    std::set<std::string> only;
+    if (own.count == wire::version_count::one) {
+        only.insert(own.only);
+    }
+    for (const auto& answer : m_answers) {
+        if (answer.count == wire::version_count::several) {
+            return {};
+        }
+        if (answer.count == wire::version_count::one) {
+            only.insert(answer.only_version);
+        }
+    }
+    if (only.size() != 1) {
+        return {};
+    }
+    return {origin_source::only_version, *only.begin()};
+}
+
+} // namespace siskindrift::gateway
--- /dev/null
+++ b/src/gateway/origin_lookup_test.cpp
@@ -0,0 +1,86 @@
+#include "siskindrift/gateway/origin_lookup.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace siskindrift;
+using namespace siskindrift::gateway;
+
+namespace {
+
+wire::stream_origin_answer_t answer(wire::version_count count, const std::string& only = "")
+{
+    wire::stream_origin_answer_t made;
+    made.count = count;
+    made.only_version = only;
+    return made;
+}
+
+wire::stream_origin_answer_t known(const std::string& version, std::uint32_t attempt)
+{
+    auto made = answer(wire::version_count::several);
+    made.origin = std::make_unique<wire::stream_origin_t>();
+    made.origin->software_version = version;
+    made.origin->attempt = attempt;
+    return made;
+}
+
+const fleet::software_versions one{wire::version_count::one, "v1"};
+const fleet::software_versions several{wire::version_count::several, ""};
+const fleet::software_versions unsure{};
+
+} // namespace
+
+TEST_GROUP(OriginLookup)
+{
+    origin_lookup lookup{7, 3};
+
+    void check(origin_source source, const std::string& version,
+               const fleet::software_versions& own)
+    {
+        const auto decision = lookup.decide(own);
+        CHECK_TRUE(source == decision.source);
+        STRCMP_EQUAL(version.c_str(), decision.software_version.c_str());
+    }
+};
+
+TEST(OriginLookup, IsCompleteOnceAllHaveAnswered)
+{
+    CHECK_FALSE(lookup.add_answer(answer(wire::version_count::one, "v1")));
+    CHECK_FALSE(lookup.add_answer(answer(wire::version_count::one, "v1")));
+    CHECK_TRUE(lookup.add_answer(answer(wire::version_count::one, "v1")));
+}
+
+TEST(OriginLookup, TakesTheVersionOfTheLatestAttemptThatAnybodyKnows)
+{
+    lookup.add_answer(known("v2", 2));
+    lookup.add_answer(known("v1", 1));
+    lookup.add_answer(answer(wire::version_count::one, "v1"));
+    check(origin_source::told, "v2", one);
+}
+
+TEST(OriginLookup, TakesTheOnlyVersionThatHasServed)
+{
+    lookup.add_answer(answer(wire::version_count::one, "v1"));
+    check(origin_source::only_version, "v1", unsure);
+    check(origin_source::only_version, "v1", one);
+}
+
+TEST(OriginLookup, DoesNotGuessWhereAnybodyHasSeenAnotherVersion)
+{
+    check(origin_source::unknown, "", several);
+    lookup.add_answer(answer(wire::version_count::one, "v2"));
+    check(origin_source::unknown, "", one);
+    lookup.add_answer(answer(wire::version_count::several));
+    check(origin_source::unknown, "", unsure);
+}
+
+TEST(OriginLookup, DoesNotTrustItsOwnViewWhereNobodyAnswers)
+{
+    check(origin_source::unknown, "", one);
+}
+
+TEST(OriginLookup, DoesNotGuessWhereNobodyIsSure)
+{
+    lookup.add_answer(answer(wire::version_count::unsure));
+    check(origin_source::unknown, "", unsure);
+}
--- a/src/gateway/upstream_pool.cpp
+++ b/src/gateway/upstream_pool.cpp
@@ -135,7 +135,8 @@
 
 pool_choice upstream_pool::choose(const std::string& service, const adapter_name& wanted,
                                   const std::set<std::string>& tried, core::time_point now,
-                                  const std::string& permitted)
+                                  const std::string& permitted,
+                                  const std::optional<software_pin>& pin)
 {
     struct candidate {
         const fleet::roster_entry* entry;
@@ -155,9 +156,16 @@
         if (entry.info.service != service || !m_roster.usable(entry, now)) {
             continue;
         }
+        if (pin && !pin->allows(entry.info)) {
+            continue;
+        }
         any_usable = true;
         any_unlimited = any_unlimited || !m_limits.limit_of(id, entry.info.born_ms);
         auto& stats = m_stats[id];
+        // A run that refused a connection may have been followed by one of another version.
+        if (pin && stats.last_connect_failure > entry.last_heard) {
+            continue;
+        }
         const bool unreachable =
             refuses_connections(entry, stats, now) || is_silent(entry, stats, now);
         const bool trial_due =
--- a/src/gateway/upstream_pool_test.cpp
+++ b/src/gateway/upstream_pool_test.cpp
@@ -14,7 +14,8 @@
     const adapter_name wanted{"base", "a1"};
     const adapter_name none{};
 
-    void announce(const std::string& id, const std::string& service = "llm")
+    void announce(const std::string& id, const std::string& service = "llm",
+                  const std::string& software = "v1")
     {
         wire::fleet_upstream_t announcement;
         announcement.id = id;
@@ -23,6 +24,7 @@
         announcement.born_ms = 100;
         announcement.sequence = 1;
         announcement.slots = 10;
+        announcement.software_version = software;
         roster.update(std::move(announcement), clock.now());
     }
 
@@ -335,3 +337,41 @@
     CHECK_TRUE(choice.result == pool_choice::kind::adapter_not_loaded);
     CHECK_TRUE(choice.crowded);
 }
+
+TEST(UpstreamPool, ChoosesOnlyTheSoftwareVersionThatBeganAStream)
+{
+    announce("a");
+    announce("b", "llm", "v2");
+    announce("c", "llm", "V2");
+    for (int i = 0; i < 20; ++i) {
+        pool.record_sent("b", none, clock.now());
+        const auto choice =
+            pool.choose("llm", none, {}, clock.now(), {}, software_pin{"v2", {}, 0});
+        STRCMP_EQUAL("b", choice.upstream.c_str());
+    }
+    const auto gone = pool.choose("llm", none, {}, clock.now(), {}, software_pin{"v3", {}, 0});
+    CHECK_TRUE(pool_choice::kind::none == gone.result);
+}
+
+TEST(UpstreamPool, GoesOnWithAStreamOfAnUnnamedVersionOnlyAtTheSameRun)
+{
+    announce("a", "llm", "");
+    announce("b", "llm", "");
+    const auto same = pool.choose("llm", none, {}, clock.now(), {}, software_pin{"", "b", 100});
+    STRCMP_EQUAL("b", same.upstream.c_str());
+    const auto other = pool.choose("llm", none, {}, clock.now(), {}, software_pin{"", "b", 99});
+    CHECK_TRUE(pool_choice::kind::none == other.result);
+}
+
+TEST(UpstreamPool, DoesNotGoOnWithAStreamAtARunThatMayHaveEndedSinceItsAnnouncement)
+{
+    const software_pin pin{"v1", {}, 0};
+    announce("a");
+    clock.advance(core::milliseconds{10});
+    pool.record_connect_failure("a", clock.now());
+    CHECK_TRUE(pool_choice::kind::none ==
+               pool.choose("llm", none, {}, clock.now(), {}, pin).result);
+    clock.advance(core::milliseconds{10});
+    roster.refresh("a", clock.now());
+    STRCMP_EQUAL("a", pool.choose("llm", none, {}, clock.now(), {}, pin).upstream.c_str());
+}
--- a/src/net/mesh.cpp
+++ b/src/net/mesh.cpp
@@ -386,6 +386,18 @@
     m_kept_connected.erase(address);
 }
 
+void mesh::disconnect(const std::string& address)
+{
+    connection_id open = 0;
+    {
+        const std::lock_guard lock{m_mutex};
+        m_kept_connected.erase(address);
+        const auto known = m_by_address.find(address);
+        open = known == m_by_address.end() ? 0 : known->second;
+    }
+    close(open);
+}
+
 void mesh::on_connection_closed(connection_id id, const std::string& address)
 {
     bool keep_open = false;
