Ask a coordinator again before a stream of unknown origin is refused

Cause: for a moment no gateway is connected to a coordinator, and none of them trusts its own view after a gap.

--- a/src/apps/gateway_exchanges.cpp
+++ b/src/apps/gateway_exchanges.cpp
@@ -376,6 +376,10 @@
         finish_origin_lookup(item);
         return;
     }
+    if (m_awaiting_coordinator.erase(id) > 0 && item.deadline > m_clock.now()) {
+        apply_origin(item, {});
+        return;
+    }
     if (!item.permit_upstream.empty() && item.deadline > m_clock.now()) {
         m_limits.record_silence(item.permit_upstream, m_clock.now());
         dispatch(item);
@@ -792,6 +796,7 @@
     m_awaiting_permit.erase(item.id);
     m_awaiting_document.erase(item.id);
     m_origin_lookups.erase(item.origin_query);
+    m_awaiting_coordinator.erase(item.id);
     m_kept_bytes -= item.response_body.size();
     m_exchanges.erase(item.id);
 }
