Let a gateway open connections to upstreams from a set address

On a VM with several addresses the system chooses the source of a connection, so a firewall or a test can't tell gateways on one VM apart. source_address in the settings names it; without it nothing changes.

--- a/include/siskindrift/config/settings.h
+++ b/include/siskindrift/config/settings.h
@@ -50,6 +50,8 @@
     std::string readiness_address;  ///< IP:port for the platform's readiness check.
     std::string directory_address;  ///< IP:port where callers query the list of gateways.
     std::string inner_address;      ///< IP:port for the system's own processes.
+    /// IP from which connections to upstreams are opened, or empty: the system chooses it.
+    std::string source_address;
     std::vector<std::string> seeds; ///< Internal addresses of some coordinators; may be outdated.
     double retry_ratio = 0.2;       ///< Retries allowed per request within `retry_window`.
     double retry_extra = 50;        ///< Retries allowed in addition, shared by all gateways.
--- a/include/siskindrift/http/client.h
+++ b/include/siskindrift/http/client.h
@@ -98,8 +98,10 @@
 /// Sends HTTP requests over pooled connections. Thread-safe.
 class client {
 public:
-    /// Both arguments must outlive this object.
-    client(boost::asio::io_context& context, client_handler& handler);
+    /// @param context and @p handler must outlive this object.
+    /// @param source_ip IP from which connections are opened, or empty: the system chooses it.
+    client(boost::asio::io_context& context, client_handler& handler,
+           const std::string& source_ip = {});
     ~client();
     client(const client&) = delete;
     client& operator=(const client&) = delete;
--- a/src/apps/gateway_process.cpp
+++ b/src/apps/gateway_process.cpp
@@ -72,7 +72,7 @@
       m_callers(m_context, http::server_limits{}, m_caller_listener),
       m_readiness(m_context, http::server_limits{}, m_readiness_listener),
       m_directory(m_context, http::server_limits{}, m_directory_listener),
-      m_client(m_context, *this),
+      m_client(m_context, *this, m_settings.source_address),
       m_metrics_endpoint(m_context, m_metrics,
                          [this](observe::metrics& metrics) { update_gauges(metrics); }),
       m_incarnation(core::random_nonzero()), m_roster(roster_options(m_settings.announcement)),
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -102,6 +102,7 @@
     read(*object, "readiness_address", settings.readiness_address);
     read(*object, "directory_address", settings.directory_address);
     settings.inner_address = inner_address_at(settings.caller_address, *object);
+    read(*object, "source_address", settings.source_address);
     settings.seeds = read_seeds(*object);
     read(*object, "retry_ratio", settings.retry_ratio);
     read(*object, "retry_extra", settings.retry_extra);
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -7,6 +7,7 @@
 #include <charconv>
 #include <map>
 #include <mutex>
+#include <netinet/in.h>
 #include <optional>
 #include <sys/socket.h>
 #include <vector>
@@ -85,9 +86,25 @@
 
 class client::implementation : public std::enable_shared_from_this<client::implementation> {
 public:
-    implementation(asio::io_context& context, client_handler& handler)
+    implementation(asio::io_context& context, client_handler& handler, const std::string& source_ip)
         : m_context(context), m_handler(handler)
     {
+        if (!source_ip.empty()) {
+            m_source = tcp::endpoint{asio::ip::make_address(source_ip), 0};
+        }
+    }
+
+    // Prepares a socket to connect from the configured address.
+    void bind_source(tcp::socket& socket, error_code& error) const
+    {
+        if (!m_source) {
+            return;
+        }
+        socket.open(m_source->protocol(), error);
+        const int on = 1;
+        // The port is chosen when the connection is opened; without it there are fewer ports.
+        ::setsockopt(socket.native_handle(), IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &on, sizeof(on));
+        socket.bind(*m_source, error);
     }
 
     void start(client_call call);
@@ -160,6 +177,7 @@
 
     asio::io_context& m_context;
     client_handler& m_handler;
+    std::optional<tcp::endpoint> m_source;
     mutable std::mutex m_mutex;
     std::map<std::uint64_t, std::weak_ptr<client_exchange>> m_open;
     std::map<std::string, std::vector<idle_stream>> m_idle;
@@ -214,6 +232,12 @@
             end(call_result::not_sent, "not an IP:port address: " + m_call.address);
             return;
         }
+        error_code bind_error;
+        m_owner->bind_source(m_stream->socket(), bind_error);
+        if (bind_error) {
+            end(call_result::not_sent, "source address: " + bind_error.message());
+            return;
+        }
         m_stream->expires_after(m_call.connect_timeout);
         m_stream->async_connect(*endpoint, [self = shared_from_this()](error_code error) {
             if (error) {
@@ -495,8 +519,8 @@
     }
 }
 
-client::client(asio::io_context& context, client_handler& handler)
-    : m_implementation(std::make_shared<implementation>(context, handler))
+client::client(asio::io_context& context, client_handler& handler, const std::string& source_ip)
+    : m_implementation(std::make_shared<implementation>(context, handler, source_ip))
 {
 }
 
