--- a/tests/platform_fixture.py
+++ b/tests/platform_fixture.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import ctypes
 import dataclasses
 import hashlib
 import json
@@ -198,7 +199,8 @@
         self.crashing_requests = set()  # (path, body); ends after it has begun to run one
         self.down = False
         self.crashes = 0
-        self.connections = set()
+        self.connections = {}  # writer: reader
+        self.left_requests = set()  # ids of requests whose peer closed the connection midway
         self.refusing = False  # answers each request with 503, not executed
         self.lost_response_share = 0.0  # share of responses lost after execution
         self.broken_response_share = 0.0  # share of responses broken off midway
@@ -260,7 +262,7 @@
         self.down = False
 
     async def serve(self, reader, writer):
-        self.connections.add(writer)
+        self.connections[writer] = reader
         try:
             while True:
                 line, headers = await read_head(reader)
@@ -273,7 +275,7 @@
         except asyncio.CancelledError:
             pass  # the test run has ended
         finally:
-            self.connections.discard(writer)
+            self.connections.pop(writer, None)
             writer.close()
 
     async def answer(self, writer, method, path, headers, body):
@@ -395,7 +397,9 @@
         for part in parts:
             writer.write(b"%x\r\n%s\r\n" % (len(part), part) if framing == "chunked" else part)
             await writer.drain()
-            await asyncio.sleep(pause_s)
+            if not await self.pause(writer, pause_s):
+                self.left_requests.add(request_id)
+                return False
         if end == "reset":
             reset_connection(writer)
         elif end == "whole" and framing == "chunked":
@@ -403,6 +407,16 @@
             await writer.drain()
         return end == "whole" and framing != "until_close"
 
+    async def pause(self, writer, seconds):
+        """Waits; returns False as soon as the peer has closed the connection."""
+        end = time.monotonic() + seconds
+        while (left := end - time.monotonic()) > 0:
+            reader = self.connections.get(writer)
+            if reader is None or reader.at_eof():
+                return False
+            await asyncio.sleep(min(left, 0.05))
+        return True
+
     async def reply(self, writer, status, request_id, body=b"", seal="", not_run=False):
         headers = {"Content-Length": str(len(body)), **self.limit_header()}
         if request_id:
@@ -416,6 +430,26 @@
         return True
 
 
+SO_ATTACH_FILTER = 26
+
+
+def drop_packets_from(sock, addresses):
+    """Makes the kernel drop what arrives at a socket from some IPs, as on a broken path.
+
+    On a listening socket this concerns new connections only.
+    """
+    load, jump_if_equal, give = 0x20, 0x15, 0x06
+    source_ip = (-0x100000 + 12) & 0xffffffff  # SKF_NET_OFF and the offset in the IP header
+    program = [(load, 0, 0, source_ip)]
+    for i, address in enumerate(addresses):
+        value = struct.unpack("!I", socket.inet_aton(address))[0]
+        program.append((jump_if_equal, len(addresses) - i, 0, value))
+    program += [(give, 0, 0, 0xffffffff), (give, 0, 0, 0)]
+    code = ctypes.create_string_buffer(b"".join(struct.pack("HBBI", *step) for step in program))
+    sock.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER,
+                    struct.pack("HxxxxxxP", len(program), ctypes.addressof(code)))
+
+
 class Link:
     """A TCP relay in front of one upstream that delays, drops or resets traffic."""
 
@@ -426,10 +460,35 @@
         self.drop_to_target = False
         self.drop_from_target = False
         self.writers = set()
+        self.server = None
+        self.blocked = ()  # source IPs of callers whose new connections get no answer
+        self.held = False  # keeps all bytes back until it is cleared
+        self.peers = {}    # writer of each accepted connection: source IP
 
     async def start(self):
         ip, port = self.listen.split(":")
-        await asyncio.start_server(self.accept, ip, int(port))
+        self.server = await asyncio.start_server(self.accept, ip, int(port))
+
+    def block(self, addresses, old="silent"):
+        """Cuts callers off: new connections hang, old ones are "silent", "reset" or "live"."""
+        self.blocked = tuple(addresses)
+        for sock in self.server.sockets:
+            drop_packets_from(sock, self.blocked)
+        for writer, peer in list(self.peers.items()):
+            if peer not in self.blocked or old == "live":
+                continue
+            if old == "reset":
+                reset_connection(writer)
+            else:
+                drop_packets_from(writer.get_extra_info("socket"), self.blocked)
+
+    def unblock(self):
+        self.blocked = ()
+        for sock in self.server.sockets:
+            drop_packets_from(sock, ())
+        for writer in list(self.peers):
+            if not writer.transport.is_closing():
+                drop_packets_from(writer.get_extra_info("socket"), ())
 
     async def accept(self, reader, writer):
         ip, port = self.target.split(":")
@@ -439,12 +498,14 @@
             reset_connection(writer)
             return
         self.writers |= {writer, inner_writer}
+        self.peers[writer] = writer.get_extra_info("peername")[0]
         try:
             await asyncio.gather(self.forward(reader, inner_writer, lambda: self.drop_to_target),
                                  self.forward(inner_reader, writer, lambda: self.drop_from_target))
         except asyncio.CancelledError:
             pass  # the test run has ended
         self.writers -= {writer, inner_writer}
+        self.peers.pop(writer, None)
 
     async def forward(self, reader, writer, dropping):
         lost = False  # once bytes are dropped, the rest of the stream is dropped as well
@@ -453,6 +514,8 @@
                 lost = lost or dropping()
                 if lost:
                     continue
+                while self.held:
+                    await asyncio.sleep(0.02)
                 if self.delay_s:
                     await asyncio.sleep(self.delay_s)
                 writer.write(data)
@@ -514,6 +577,9 @@
     def directory_address(self, i):
         return f"127.7.2.{i + 1}:{self.port + 2}"
 
+    def source_address(self, i):
+        return f"127.7.2.{i + 1}"
+
     def metrics_address(self, i):
         return f"127.7.2.{i + 1}:{self.port + 5}"
 
@@ -537,6 +603,7 @@
                 "inner_port": inner,
                 "retry_extra": RETRY_EXTRA, "stop_grace_s": GRACE_S,
                 "metrics_address": self.metrics_address(i),
+                "source_address": self.source_address(i),
                 "announcement_ms": int(ANNOUNCE_S * 1000), **self.gateway_settings}
 
     def start(self, name):
