Serve through other gateways what this one can't reach

What callers saw: a gateway that is partitioned from the upstreams, while callers and all others still reach it, served 29 of 138 first attempts, the others 104 of 140. Cause: a gateway had no way to an upstream but its own connections, though reachability belongs to a pair. And the leader took engines for lost that three tenths of the gateways don't reach, so that the other gateways' callers suffered too.

Change: a request that no upstream reachable from here can run now travels once through a gateway that reaches them (gateway_relays). It carries the same id, method, path, query and body, the time and the attempts left, the upstreams that had it, and the software version it needs. Retries, limits, loads and evidence are counted by the gateway that sends to the upstream, the request by the one that got it. Not executed is said only if the other gateway said so or never got it. Gateways listen for each other on a port of their own; what callers or upstreams send under these names is removed. A path is probed by connections, which are kept for calls, when connections fail or several upstreams are silent together; it is direct again with the first that opens. A gateway that has lost all upstreams reports none as unreachable.

--- a/include/siskindrift/gateway/upstream_pool.h
+++ b/include/siskindrift/gateway/upstream_pool.h
@@ -40,6 +40,16 @@
     std::uint32_t min_silent_requests = 2;
     /// Interval at which a single request tries an unreachable upstream again.
     core::duration unreachable_trial_interval = core::milliseconds{500};
+    /// Interval between two connections that are opened to see whether an upstream is reachable.
+    core::duration probe_interval = core::milliseconds{500};
+    /// Time without any byte from several upstreams that have requests, after which the path from
+    /// this gateway is suspected.
+    core::duration path_silence_limit = core::milliseconds{600};
+    /// Time without a byte from an unreachable upstream after which its requests are given up. A
+    /// sound upstream may be silent for a second or so.
+    core::duration give_up_silence = core::milliseconds{2000};
+    /// Maximum number of upstreams that are probed at once.
+    std::size_t max_probes = 16;
     /// Time for which an old version of an adapter is used after a new one became current. Covers
     /// the load of the new version from the store and the report of it, with a margin.
     core::duration old_version_grace = core::milliseconds{1500};
@@ -90,6 +100,9 @@
     std::string address;
     std::optional<std::uint64_t> adapter_version; ///< Of the chosen copy, if known.
     bool crowded = false;         ///< Another copy of the adapter would reduce the delay.
+    /// An upstream that can run the request is not reachable from here, and none that is can run it
+    /// now. Another gateway may reach it.
+    bool unreachable = false;
     core::duration retry_after{}; ///< When a caller should return, if `limited`.
 };
 
@@ -136,9 +149,30 @@
     /// Records that a request sent to @p upstream has ended.
     void record_ended(const std::string& upstream, const adapter_name& name);
     /// Records that bytes of a response of @p upstream arrived.
-    void record_activity(const std::string& upstream, core::time_point now);
+    void record_activity(const std::string& upstream, core::time_point now)
+    {
+        record_activity(upstream, now, now);
+    }
+    /// Records that bytes of a response of @p upstream arrived.
+    /// @param opened the connection was opened at this time or later. One that was opened before a
+    /// failure doesn't show that new ones can be opened.
+    void record_activity(const std::string& upstream, core::time_point now,
+                         core::time_point opened);
     /// Records that no connection to @p upstream could be established.
     void record_connect_failure(const std::string& upstream, core::time_point now);
+    /// Records the result of a connection that was opened to see whether @p upstream is reachable.
+    void record_probe(const std::string& upstream, bool connected, core::time_point now);
+    /// Returns the upstreams to probe now, with their addresses, and marks them as probed: those
+    /// that failed to accept a connection, or all while the path from this gateway is suspected.
+    [[nodiscard]] std::vector<std::pair<std::string, std::string>>
+    take_upstreams_to_probe(core::time_point now);
+    /// Returns whether `take_upstreams_to_probe` has to be called again soon.
+    [[nodiscard]] bool needs_probes(core::time_point now) const;
+    /// Returns whether no upstream is reachable from here, although some are announced.
+    [[nodiscard]] bool has_lost_all(core::time_point now) const;
+    /// Returns whether requests to @p upstream wait in vain: it is not reachable, and has been
+    /// silent for longer than a sound upstream.
+    [[nodiscard]] bool is_lost(const std::string& upstream, core::time_point now) const;
     /// Returns the upstreams that refuse the connections of this gateway.
     [[nodiscard]] std::vector<std::string> unreachable_upstreams(core::time_point now) const;
     /// Records whether an attempt failed because of the upstream.
@@ -171,6 +205,7 @@
         unsigned failed_connects = 0; ///< Since the last byte from the upstream.
         core::time_point last_connect_failure{};
         core::time_point last_trial{};  ///< Last request sent although the upstream was failing.
+        core::time_point last_probe{};
         core::time_point quiet_since{}; ///< Last byte, or the first request sent after a pause.
         std::uint64_t born_ms = 0;      ///< Run of the upstream that these fields are about.
     };
@@ -182,6 +217,9 @@
 
     [[nodiscard]] bool refuses_connections(const fleet::roster_entry& entry,
                                            const upstream_stats& stats, core::time_point now) const;
+    void reset_if_restarted(const std::string& upstream, upstream_stats& stats,
+                            core::time_point now);
+    [[nodiscard]] bool path_suspected(core::time_point now) const;
     [[nodiscard]] bool is_silent(const fleet::roster_entry& entry, const upstream_stats& stats,
                                  core::time_point now) const;
     [[nodiscard]] bool is_ejected(const upstream_stats& stats, core::time_point now) const;
@@ -199,6 +237,7 @@
     pool_options m_options;
     std::size_t m_gateway_count = 1;
     std::map<std::string, upstream_stats> m_stats;
+    core::time_point m_last_activity{}; ///< Last byte from any upstream.
     std::map<std::string, engine_state> m_engines;
     /// Current version of each adapter, and when it became current.
     std::map<adapter_name, std::pair<std::uint64_t, core::time_point>> m_current_versions;
--- a/include/siskindrift/http/client.h
+++ b/include/siskindrift/http/client.h
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -43,6 +44,7 @@
 struct client_head {
     std::uint16_t status = 0;
     header_list headers;
+    bool reused_connection = false; ///< The connection had served another call before.
 
     /// Returns the value of a header, ignoring the case of its name, or an empty string.
     [[nodiscard]] std::string header(const std::string& name) const;
@@ -108,6 +110,9 @@
 
     /// Starts a call; its result arrives at the handler.
     void start(client_call call);
+    /// Opens a connection to @p address to see whether that is possible. It is kept for a call.
+    /// @param done called with the result.
+    void probe(const std::string& address, core::duration timeout, std::function<void(bool)> done);
     /// Closes the idle connections to @p address.
     void close_idle_connections(const std::string& address);
     /// Closes the connection of a call. No `on_end` follows, unless the call was already ending.
--- a/src/apps/gateway_exchanges.cpp
+++ b/src/apps/gateway_exchanges.cpp
@@ -75,6 +75,8 @@
                                         {"route", item.route.name},
                                         {"status", status},
                                         {"upstream", item.upstream_id},
+                                        {"helper", item.helper},
+                                        {"relayed", item.relayed},
                                         {"software", item.software_version},
                                         {"resumes", item.metadata.resumed_request},
                                         {"adapter", item.adapter.second},
@@ -92,17 +94,24 @@
 void gateway_process::handle_request(std::uint64_t id, http::server_request request,
                                      std::shared_ptr<http::responder> responder)
 {
-    auto new_exchange = std::make_unique<exchange>();
+    m_metrics.count("siskindrift_requests_total");
+    begin_exchange(id, std::make_unique<exchange>(), std::move(request), std::move(responder));
+}
+
+void gateway_process::begin_exchange(std::uint64_t id, std::unique_ptr<exchange> new_exchange,
+                                     http::server_request request,
+                                     std::shared_ptr<http::responder> responder)
+{
     auto& item = *new_exchange;
     item.id = id;
     item.request = std::move(request);
+    gateway::remove_relay_headers(item.request.headers);
     item.responder = std::move(responder);
     item.metadata = platform::decode_request(item.request);
     item.digest = gateway::request_digest(item.request);
     item.arrived_at = m_clock.now();
-    m_metrics.count("siskindrift_requests_total");
     m_exchanges[id] = std::move(new_exchange);
-    if (!accepts_requests()) {
+    if (item.relayed ? !accepts_relays() : !accepts_requests()) {
         respond_with_error(item, 503, core::reason::vm_draining, short_retry_after);
         return;
     }
@@ -135,6 +144,10 @@
     item.last_event_id = item.metadata.last_event_id;
     const auto max_wait = item.metadata.deadline.value_or(default_deadline) - response_margin;
     item.deadline = item.arrived_at + std::min<core::duration>(max_wait, item.route.timeout);
+    if (item.relayed) {
+        dispatch(item);
+        return;
+    }
     m_retry_budgets[item.service].record_request(item.arrived_at);
     if (takes_up_stream(item)) {
         find_stream_origin(item);
@@ -179,6 +192,15 @@
         m_overloaded_adapters[wish_of(item)] = now;
         schedule_report();
     }
+    if (choice.unreachable) {
+        if (may_relay(item) && send_relay(item)) {
+            return;
+        }
+        if (item.relayed) {
+            fail_request(item, core::reason::upstream_unreachable);
+            return;
+        }
+    }
     switch (choice.result) {
     case gateway::pool_choice::kind::send:
         send_attempt(item, choice);
@@ -199,6 +221,10 @@
         fail_request(item, core::reason::software_version_gone);
         return;
     }
+    if (item.relayed) {
+        fail_request(item, core::reason::upstream_unreachable);
+        return;
+    }
     if (item.attempts_sent == 0) {
         wait_for_upstream(item); // after a restart, upstreams are announced again shortly
         return;
@@ -214,12 +240,10 @@
         fail_request(item, core::reason::retry_budget);
         return;
     }
-    item.waiting = false;
-    m_waiting.erase(item.id);
+    begin_attempt(item);
     const auto* entry = m_roster.find(choice.upstream);
     item.upstream_born_ms = entry != nullptr ? entry->info.born_ms : 0;
     item.software_version = entry != nullptr ? entry->info.software_version : std::string{};
-    item.sent_at = now;
     const auto limit = m_limits.limit_of(choice.upstream, item.upstream_born_ms);
     item.uses_permit = limit.has_value();
     if (limit) {
@@ -229,6 +253,34 @@
                                            {"per_s", limit->per_s},
                                            {"generation", m_limits.generation()}});
     }
+    item.tried_upstreams.insert(choice.upstream);
+    item.upstream_id = choice.upstream;
+    item.upstream_address = choice.address;
+    platform::forwarding_fields added;
+    added.upstream = choice.upstream;
+    added.time_left = time_left(item);
+    added.adapter_version = choice.adapter_version;
+    if (item.last_event_id != item.metadata.last_event_id) {
+        added.last_event_id = item.last_event_id;
+    }
+    item.unprocessed_prompt_tokens = item.adapter.first.empty() ? 0 : item.metadata.prompt_tokens;
+    m_pool.record_sent(choice.upstream, item.adapter, now, item.unprocessed_prompt_tokens);
+    if (!item.adapter.first.empty()) {
+        schedule_load_report();
+    }
+    record_stream_origin(item);
+    m_client.start(make_call(item, added));
+    arm_timer(item, time_left(item));
+    schedule_path_check();
+}
+
+// Resets the state of an exchange for its next attempt.
+void gateway_process::begin_attempt(exchange& item)
+{
+    const auto now = m_clock.now();
+    item.waiting = false;
+    m_waiting.erase(item.id);
+    item.sent_at = now;
     if (!item.first_sent_at) {
         item.first_sent_at = now;
         m_metrics.observe_ms("siskindrift_wait_ms",
@@ -237,9 +289,8 @@
     ++item.attempts_sent;
     ++item.sends;
     ++item.may_have_run;
-    item.tried_upstreams.insert(choice.upstream);
-    item.upstream_id = choice.upstream;
-    item.upstream_address = choice.address;
+    item.helper.clear();
+    item.relay_verdict.reset();
     item.response_head.reset();
     m_kept_bytes -= item.response_body.size();
     item.response_body.clear();
@@ -250,16 +301,14 @@
     item.answer_recorded = false;
     item.call_id = m_next_call++;
     m_exchange_by_call[item.call_id] = item.id;
-    platform::forwarding_fields added;
-    added.upstream = choice.upstream;
-    added.time_left = time_left(item);
-    added.adapter_version = choice.adapter_version;
-    if (item.last_event_id != item.metadata.last_event_id) {
-        added.last_event_id = item.last_event_id;
-    }
+}
+
+http::client_call gateway_process::make_call(const exchange& item,
+                                             const platform::forwarding_fields& added) const
+{
     http::client_call call;
     call.id = item.call_id;
-    call.address = choice.address;
+    call.address = item.upstream_address;
     call.method = item.request.method;
     call.path = item.request.target;
     call.body = item.request.body;
@@ -274,14 +323,7 @@
     call.max_body_bytes = item.route.kind == gateway::route_kind::streaming
                               ? max_streamed_response_bytes
                               : max_kept_response_bytes;
-    item.unprocessed_prompt_tokens = item.adapter.first.empty() ? 0 : item.metadata.prompt_tokens;
-    m_pool.record_sent(choice.upstream, item.adapter, now, item.unprocessed_prompt_tokens);
-    if (!item.adapter.first.empty()) {
-        schedule_load_report();
-    }
-    record_stream_origin(item);
-    m_client.start(std::move(call));
-    arm_timer(item, time_left(item));
+    return call;
 }
 
 void gateway_process::wait_for_upstream(exchange& item)
@@ -407,7 +449,7 @@
         return;
     }
     const bool failed = !item.event_stream || item.events.inside_event();
-    if (failed) {
+    if (failed && item.helper.empty()) {
         m_pool.record_outcome(item.upstream_id, true, m_clock.now());
     }
     observe::info("answer_not_ended", {{"request", item.metadata.request_id},
@@ -437,20 +479,26 @@
     }
     item->response_head = head;
     settle_retry(*item);
-    m_pool.record_activity(item->upstream_id, m_clock.now());
-    record_prompt_processed(*item);
-    item->response_metadata = platform::decode_response(head);
-    if (item->response_metadata.load) {
-        m_pool.record_load(item->upstream_id, *item->response_metadata.load);
+    apply_relay_head(*item, *item->response_head);
+    item->response_metadata = platform::decode_response(*item->response_head);
+    if (item->relay_verdict) {
+        item->response_metadata.not_executed = *item->relay_verdict == core::verdict::not_run;
+    }
+    if (item->helper.empty()) {
+        item->opened_at = head.reused_connection ? core::time_point{} : item->sent_at;
+        m_pool.record_activity(item->upstream_id, m_clock.now(), item->opened_at);
+        record_prompt_processed(*item);
+        if (item->response_metadata.load) {
+            m_pool.record_load(item->upstream_id, *item->response_metadata.load);
+        }
+        record_limit(*item);
     }
-    record_limit(*item);
     const auto media_type = head.header("Content-Type");
     const bool streaming = item->route.kind == gateway::route_kind::streaming;
     const bool success = head.status < first_redirect_status;
     item->event_stream =
         http::is_event_stream(media_type) || (streaming && success && media_type.empty());
-    const bool answered = gateway::classify_response(item->response_metadata, head.status) ==
-                          gateway::attempt_outcome::answered;
+    const bool answered = classify(*item) == gateway::attempt_outcome::answered;
     // Only events continue a stream: any other response would start again at its beginning.
     item->forwarding =
         streaming && success && answered && (!item->stream_begun || item->event_stream);
@@ -459,14 +507,27 @@
     }
 }
 
+// Classifies the response of the current attempt by its head.
+gateway::attempt_outcome gateway_process::classify(const exchange& item)
+{
+    // Another gateway's own answer is no upstream's.
+    if (item.relay_verdict && !item.response_metadata.not_executed) {
+        return gateway::attempt_outcome::indeterminate;
+    }
+    return gateway::classify_response(item.response_metadata, item.response_head->status);
+}
+
 void gateway_process::begin_stream(exchange& item)
 {
     if (std::exchange(item.stream_begun, true)) {
         return; // continues the response that another upstream began
     }
     item.first_byte_at = m_clock.now();
-    item.responder->begin(item.response_head->status,
-                          platform::caller_response_headers(*item.response_head));
+    auto headers = platform::caller_response_headers(*item.response_head);
+    for (auto& header : relay_headers(item, std::nullopt)) {
+        headers.push_back(std::move(header));
+    }
+    item.responder->begin(item.response_head->status, std::move(headers));
 }
 
 void gateway_process::on_data(std::uint64_t call, const std::string& bytes)
@@ -475,7 +536,9 @@
     if (item == nullptr) {
         return;
     }
-    m_pool.record_activity(item->upstream_id, m_clock.now());
+    if (item->helper.empty()) {
+        m_pool.record_activity(item->upstream_id, m_clock.now(), item->opened_at);
+    }
     if (item->forwarding) {
         forward_stream_data(*item, bytes);
     }
@@ -487,12 +550,13 @@
         m_kept_bytes += bytes.size();
         if (item->response_body.size() > max_kept_response_bytes ||
             m_kept_bytes > max_all_kept_bytes) {
-            end_call(*item, "the response is too large to keep");
+            end_call(*item, http::call_result::connection_lost,
+                     "the response is too large to keep");
             return;
         }
     }
     if (item->events.buffered_bytes() > max_event_bytes) {
-        end_call(*item, "an event is too large to hold back");
+        end_call(*item, http::call_result::connection_lost, "an event is too large to hold back");
         return;
     }
     if (item->events.events() >= item->events_before + events_begun) {
@@ -534,7 +598,15 @@
     }
     settle_retry_late(*item);
     record_prompt_processed(*item);
-    m_pool.record_ended(item->upstream_id, item->adapter);
+    if (item->helper.empty()) {
+        m_pool.record_ended(item->upstream_id, item->adapter);
+        if (call_end.result != http::call_result::not_sent) {
+            item->reached_upstreams.insert(item->upstream_id);
+        }
+    }
+    else {
+        end_relay(*item, call_end.result != http::call_result::complete && !item->stream_begun);
+    }
     if (item->forwarding) {
         handle_stream_end(*item);
         return;
@@ -545,11 +617,14 @@
         end = gateway::attempt_outcome::not_sent;
     }
     else if (item->response_head) {
-        end = gateway::classify_response(item->response_metadata, item->response_head->status);
+        end = classify(*item);
         if (end == gateway::attempt_outcome::answered && !ended_complete(*item)) {
             end = gateway::attempt_outcome::indeterminate;
         }
-        if (end == gateway::attempt_outcome::not_executed) {
+        if (item->relay_verdict) {
+            reason = item->relay_reason;
+        }
+        else if (end == gateway::attempt_outcome::not_executed) {
             reason = core::reason::upstream_refused;
         }
         else if (end == gateway::attempt_outcome::indeterminate &&
@@ -560,12 +635,12 @@
     handle_attempt_end(*item, end, reason);
 }
 
-// Ends the current attempt as one whose connection was lost.
-void gateway_process::end_call(exchange& item, std::string error)
+// Ends the current attempt.
+void gateway_process::end_call(exchange& item, http::call_result result, std::string error)
 {
     const auto call = item.call_id;
     m_client.cancel(call);
-    on_end(call, {http::call_result::connection_lost, http::body_framing::none, std::move(error)});
+    on_end(call, {result, http::body_framing::none, std::move(error)});
 }
 
 void gateway_process::handle_attempt_end(exchange& item, gateway::attempt_outcome end,
@@ -580,16 +655,10 @@
     }
     if (end == gateway::attempt_outcome::not_sent) {
         --item.attempts_sent; // the upstream received nothing
-        m_pool.record_connect_failure(item.upstream_id, now);
-        schedule_report();
     }
-    if (end == gateway::attempt_outcome::not_executed && status == 421) {
-        m_pool.record_missing_adapter(item.upstream_id, item.adapter);
+    if (item.helper.empty()) {
+        record_attempt_outcome(item, end);
     }
-    const bool failed = end == gateway::attempt_outcome::indeterminate ||
-                        end == gateway::attempt_outcome::not_sent ||
-                        (end == gateway::attempt_outcome::answered && status >= 500);
-    m_pool.record_outcome(item.upstream_id, failed, now);
     if (reason == core::reason::upstream_unreachable || reason == core::reason::upstream_lost) {
         m_client.close_idle_connections(
             item.upstream_address); // other idle connections may be dead too
@@ -605,6 +674,7 @@
         item.failure_reason = reason;
         observe::info("attempt_failed", {{"request", item.metadata.request_id},
                                          {"upstream", item.upstream_id},
+                                         {"helper", item.helper},
                                          {"reason", core::to_string(reason)},
                                          {"status", status},
                                          {"framing", http::to_string(item.call_end.framing)},
@@ -638,6 +708,25 @@
     }
 }
 
+// Records the outcome of an attempt at an upstream, for later choices.
+void gateway_process::record_attempt_outcome(const exchange& item, gateway::attempt_outcome end)
+{
+    const auto now = m_clock.now();
+    const auto status = item.response_head ? item.response_head->status : std::uint16_t{0};
+    if (end == gateway::attempt_outcome::not_sent) {
+        m_pool.record_connect_failure(item.upstream_id, now);
+        schedule_report();
+        schedule_path_check();
+    }
+    if (end == gateway::attempt_outcome::not_executed && status == 421) {
+        m_pool.record_missing_adapter(item.upstream_id, item.adapter);
+    }
+    const bool failed = end == gateway::attempt_outcome::indeterminate ||
+                        end == gateway::attempt_outcome::not_sent ||
+                        (end == gateway::attempt_outcome::answered && status >= 500);
+    m_pool.record_outcome(item.upstream_id, failed, now);
+}
+
 // Returns whether the response that has ended is the upstream's whole response: by its framing, and
 // by its events where it consists of events.
 bool gateway_process::ended_complete(const exchange& item)
@@ -661,7 +750,9 @@
         m_metrics.count("siskindrift_streams_ended_inside_event_total");
     }
     const bool complete = ended_complete(item);
-    m_pool.record_outcome(item.upstream_id, !complete, m_clock.now());
+    if (item.helper.empty()) {
+        m_pool.record_outcome(item.upstream_id, !complete, m_clock.now());
+    }
     if (complete) {
         record_answer(item, true);
     }
@@ -711,8 +802,11 @@
     }
     record_served(item, item.response_head->status);
     m_kept_bytes -= item.response_body.size();
-    item.responder->respond(item.response_head->status,
-                            platform::caller_response_headers(*item.response_head),
+    auto headers = platform::caller_response_headers(*item.response_head);
+    for (auto& header : relay_headers(item, std::nullopt)) {
+        headers.push_back(std::move(header));
+    }
+    item.responder->respond(item.response_head->status, std::move(headers),
                             std::exchange(item.response_body, {}));
     remove_exchange(item);
 }
@@ -728,7 +822,11 @@
                                     {"reason", core::to_string(reason)},
                                     {"adapter", item.adapter.second},
                                     {"age_ms", core::to_ms(m_clock.now() - item.arrived_at)}});
-    item.responder->respond(status, platform::local_response_headers(item.metadata, retry_after),
+    auto headers = platform::local_response_headers(item.metadata, retry_after);
+    for (auto& header : relay_headers(item, reason)) {
+        headers.push_back(std::move(header));
+    }
+    item.responder->respond(status, std::move(headers),
                             platform::encode_error(core::to_string(reason)));
     remove_exchange(item);
 }
@@ -786,7 +884,12 @@
     record_prompt_processed(item);
     m_exchange_by_call.erase(item.call_id);
     item.call_id = 0;
-    m_pool.record_ended(item.upstream_id, item.adapter);
+    if (item.helper.empty()) {
+        m_pool.record_ended(item.upstream_id, item.adapter);
+    }
+    else {
+        end_relay(item, false);
+    }
 }
 
 void gateway_process::remove_exchange(exchange& item)
--- a/src/apps/gateway_guards.cpp
+++ b/src/apps/gateway_guards.cpp
@@ -84,7 +84,8 @@
 // prompt part may be what the upstream failed on.
 void gateway_process::record_answer(exchange& item, bool success)
 {
-    if (!std::exchange(item.answer_recorded, true)) {
+    // The helper records what it hears of the upstream itself.
+    if (item.helper.empty() && !std::exchange(item.answer_recorded, true)) {
         const auto& parts = success ? item.parts : gateway::request_parts{item.parts.back()};
         m_prompt_guard.record_answer(item.service, parts, m_clock.now());
         if (m_prompt_guard.has_news()) {
@@ -100,7 +101,7 @@
     const bool without_head = !item.response_head.has_value();
     const bool success = item.response_head && item.response_head->status < first_redirect_status;
     const bool begun = item.events.events() >= item.events_before + events_begun;
-    if ((!success && !without_head) || begun ||
+    if (!item.helper.empty() || (!success && !without_head) || begun ||
         item.call_end.result == http::call_result::timed_out) {
         return;
     }
--- a/src/apps/gateway_process.cpp
+++ b/src/apps/gateway_process.cpp
@@ -49,7 +49,7 @@
 gateway_process::gateway_process(config::gateway_settings settings, std::string settings_path)
     : m_settings(std::move(settings)), m_settings_path(std::move(settings_path)), m_context(1),
       m_signals(m_context, SIGTERM, SIGINT, SIGHUP), m_stop_timer(m_context),
-      m_report_timer(m_context), m_share_timer(m_context),
+      m_report_timer(m_context), m_share_timer(m_context), m_path_timer(m_context),
       m_mesh(std::make_shared<net::mesh>(m_context, net::mesh_options{}, *this)),
       m_caller_listener(
           [this](std::uint64_t id, http::server_request request,
@@ -72,11 +72,19 @@
       m_callers(m_context, http::server_limits{}, m_caller_listener),
       m_readiness(m_context, http::server_limits{}, m_readiness_listener),
       m_directory(m_context, http::server_limits{}, m_directory_listener),
+      m_relay_listener(
+          [this](std::uint64_t id, http::server_request request,
+                 std::shared_ptr<http::responder> responder) {
+              handle_relayed_request(id, std::move(request), std::move(responder));
+          },
+          [this](std::uint64_t id) { handle_relay_disconnect(id); }),
+      m_relays(m_context, http::server_limits{}, m_relay_listener),
       m_client(m_context, *this, m_settings.source_address),
       m_metrics_endpoint(m_context, m_metrics,
                          [this](observe::metrics& metrics) { update_gauges(metrics); }),
       m_incarnation(core::random_nonzero()), m_roster(roster_options(m_settings.announcement)),
       m_limits(m_settings.vm), m_pool(m_roster, m_limits, core::random_nonzero()),
+      m_helpers(m_settings.vm, m_settings.failure_domain, core::random_nonzero()),
       m_retry_share(m_clock.now(), m_settings.retry_window), m_prompt_guard(m_settings.vm)
 {
 }
@@ -152,6 +160,7 @@
         m_readiness.listen(m_settings.readiness_address, error) &&
         m_directory.listen(m_settings.directory_address, error) &&
         m_mesh->listen(m_settings.inner_address, error) &&
+        m_relays.listen(m_settings.relay_address, error) &&
         m_metrics_endpoint.listen(m_settings.metrics_address, error)) {
         return true;
     }
@@ -179,6 +188,7 @@
     m_draining = true;
     m_drain_begun_at = m_clock.now();
     m_callers.close_after_responses();
+    m_relays.close_after_responses();
     for (const auto& [address, state] : m_coordinators) {
         if (state.connected) {
             send_attach(address);
@@ -201,7 +211,8 @@
     }
     // The last bytes of a finished exchange may still have to be written, so `pending_responses` is
     // used.
-    const bool idle = m_callers.pending_responses() == 0 && elapsed >= min_drain_time;
+    const bool idle = m_callers.pending_responses() == 0 && m_relays.pending_responses() == 0 &&
+                      elapsed >= min_drain_time;
     if (idle || elapsed >= m_settings.stop_grace - kill_margin) {
         m_context.stop();
         return;
@@ -224,6 +235,8 @@
     message.info->failure_domain = m_settings.failure_domain;
     message.info->accepting = !m_draining;
     message.info->inner_address = m_settings.inner_address;
+    message.info->relay_address = m_settings.relay_address;
+    message.info->upstreams_lost = m_upstreams_lost;
     m_mesh->send(address, wire::make_envelope(std::move(message)));
 }
 
@@ -330,6 +343,7 @@
         }
         m_last_known_gateways = sender.gateways;
         m_pool.set_gateway_count(gateway_count());
+        m_helpers.set_gateways(m_last_known_gateways);
     }
     for (const auto& coordinator : update.control) {
         if (!m_coordinators.contains(coordinator)) {
@@ -397,6 +411,7 @@
     limits.header_timeout = m_deployment->limits.header_timeout;
     limits.idle_timeout = m_deployment->limits.idle_timeout;
     m_callers.set_limits(limits);
+    m_relays.set_limits(limits);
     for (const auto& [name, service] : m_deployment->services) {
         m_retry_budgets[name].set_options(
             {m_settings.retry_ratio, m_settings.retry_extra, m_settings.retry_window});
@@ -614,7 +629,9 @@
     for (auto& share : m_pool.take_token_shares()) {
         wire::append(report.shares, std::move(share));
     }
-    report.unreachable = m_pool.unreachable_upstreams(now);
+    if (!m_upstreams_lost) { // otherwise the path is gone, not the upstreams
+        report.unreachable = m_pool.unreachable_upstreams(now);
+    }
     const auto leader = leader_address();
     if (!leader.empty()) {
         m_mesh->send(leader, wire::make_envelope(std::move(report)));
--- a/src/apps/gateway_process.h
+++ b/src/apps/gateway_process.h
@@ -23,8 +23,10 @@
 #include "siskindrift/gateway/document_follower.h"
 #include "siskindrift/gateway/event_splitter.h"
 #include "siskindrift/gateway/forward_policy.h"
+#include "siskindrift/gateway/helper_pool.h"
 #include "siskindrift/gateway/origin_lookup.h"
 #include "siskindrift/gateway/prompt_guard.h"
+#include "siskindrift/gateway/relay_codec.h"
 #include "siskindrift/gateway/retry_budget.h"
 #include "siskindrift/gateway/retry_share.h"
 #include "siskindrift/gateway/route_table.h"
@@ -116,6 +118,10 @@
         /// Set once the caller has an event of the stream, also by an earlier request.
         std::optional<gateway::software_pin> pin;
         unsigned sends = 0; ///< Counts up with every send, also one that failed to connect.
+        bool relayed = false; ///< Another gateway passed the request on to this one.
+        unsigned may_have_run_before = 0; ///< `may_have_run` when it was passed on.
+        std::set<std::string> tried_helpers;     ///< Gateways that it was passed on to.
+        std::set<std::string> reached_upstreams; ///< Those of `tried_upstreams` it was sent to.
         core::reason failure_reason = core::reason::none;
         // Current attempt at an upstream.
         std::uint64_t call_id = 0;       ///< 0 if no attempt is open.
@@ -123,11 +129,15 @@
         bool answer_recorded =
             false; ///< The prompt guard knows that the attempt is being answered.
         bool counts_as_retry = false; ///< The retry budget counts it, and it may still arrive.
-        std::string upstream_id;
+        std::string helper; ///< Gateway that the attempt goes through, or empty.
+        std::optional<core::verdict> relay_verdict; ///< Of an answer of the helper's own.
+        core::reason relay_reason = core::reason::none;
+        std::string upstream_id; ///< Empty if a helper chooses it.
         std::string upstream_address;
         std::uint64_t upstream_born_ms = 0; ///< Start of the upstream's run.
         std::string software_version;       ///< Of the upstream, empty if it is unknown.
         core::time_point sent_at{};
+        core::time_point opened_at{}; ///< The attempt's connection was opened then or later.
         bool uses_permit = false; ///< Is sent under the upstream's limit.
         std::uint32_t unprocessed_prompt_tokens =
             0; ///< Prompt tokens the upstream has yet to process.
@@ -179,7 +189,12 @@
     void handle_request(std::uint64_t id, http::server_request request,
                         std::shared_ptr<http::responder> responder);
     void handle_disconnect(std::uint64_t id);
+    void begin_exchange(std::uint64_t id, std::unique_ptr<exchange> new_exchange,
+                        http::server_request request, std::shared_ptr<http::responder> responder);
     void route_request(exchange& item);
+    void begin_attempt(exchange& item);
+    [[nodiscard]] http::client_call make_call(const exchange& item,
+                                              const platform::forwarding_fields& added) const;
     void route_deferred_requests();
     void dispatch(exchange& item);
     void send_attempt(exchange& item, const gateway::pool_choice& choice);
@@ -192,10 +207,12 @@
     void on_head(std::uint64_t call, const http::client_head& head) override;
     void on_data(std::uint64_t call, const std::string& bytes) override;
     void on_end(std::uint64_t call, const http::call_end& call_end) override;
-    void end_call(exchange& item, std::string error);
+    void end_call(exchange& item, http::call_result result, std::string error);
+    [[nodiscard]] static gateway::attempt_outcome classify(const exchange& item);
     void begin_stream(exchange& item);
     void forward_stream_data(exchange& item, const std::string& bytes);
     void handle_attempt_end(exchange& item, gateway::attempt_outcome end, core::reason reason);
+    void record_attempt_outcome(const exchange& item, gateway::attempt_outcome end);
     [[nodiscard]] static bool ended_complete(const exchange& item);
     void handle_stream_end(exchange& item);
     void forward_response(exchange& item);
@@ -210,6 +227,22 @@
     [[nodiscard]] core::duration time_left(const exchange& item) const;
     void count_reason(core::reason reason);
 
+    // Requests that go through other gateways, and paths to upstreams (gateway_relays.cpp).
+    void handle_relay_disconnect(std::uint64_t server_id);
+    void handle_relayed_request(std::uint64_t server_id, http::server_request request,
+                                std::shared_ptr<http::responder> responder);
+    [[nodiscard]] bool may_relay(const exchange& item) const;
+    bool send_relay(exchange& item);
+    void apply_relay_head(exchange& item, http::client_head& head);
+    void end_relay(exchange& item, bool failed);
+    [[nodiscard]] http::header_list relay_headers(const exchange& item,
+                                                  std::optional<core::reason> own_reason) const;
+    [[nodiscard]] bool accepts_relays() const;
+    void schedule_path_check();
+    void check_paths();
+    void give_up_lost_attempts();
+    void update_reachability();
+
     // Software versions of streams (gateway_streams.cpp).
     [[nodiscard]] static bool takes_up_stream(const exchange& item);
     void find_stream_origin(exchange& item);
@@ -256,6 +289,7 @@
     boost::asio::steady_timer m_stop_timer;
     boost::asio::steady_timer m_report_timer;
     boost::asio::steady_timer m_share_timer;
+    boost::asio::steady_timer m_path_timer;
     std::shared_ptr<net::mesh> m_mesh;
     listener m_caller_listener;
     listener m_readiness_listener;
@@ -263,6 +297,8 @@
     http::server m_callers;
     http::server m_readiness;
     http::server m_directory;
+    listener m_relay_listener;
+    http::server m_relays; ///< For requests of other gateways.
     http::client m_client;
     observe::metrics m_metrics;
     metrics_endpoint m_metrics_endpoint;
@@ -288,6 +324,9 @@
     gateway::route_table m_routes;
     gateway::upstream_limits m_limits;
     gateway::upstream_pool m_pool;
+    gateway::helper_pool m_helpers;
+    bool m_upstreams_lost = false; ///< No upstream is reachable from here.
+    bool m_path_check_scheduled = false;
     std::map<std::string, gateway::retry_budget> m_retry_budgets;
     gateway::retry_share m_retry_share;
     gateway::prompt_guard m_prompt_guard;
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -76,6 +76,13 @@
     return address.substr(0, address.find(':')) + ":" + std::to_string(port);
 }
 
+// Gateways take requests of each other on the port above that for messages.
+std::string relay_address_at(const std::string& address, const json::object& from)
+{
+    const auto port = from.at("inner_port").to_number<std::uint32_t>() + 1;
+    return address.substr(0, address.find(':')) + ":" + std::to_string(port);
+}
+
 std::vector<std::string> read_seeds(const json::object& from)
 {
     std::vector<std::string> seeds;
@@ -102,6 +109,7 @@
     read(*object, "readiness_address", settings.readiness_address);
     read(*object, "directory_address", settings.directory_address);
     settings.inner_address = inner_address_at(settings.caller_address, *object);
+    settings.relay_address = relay_address_at(settings.caller_address, *object);
     read(*object, "source_address", settings.source_address);
     settings.seeds = read_seeds(*object);
     read(*object, "retry_ratio", settings.retry_ratio);
--- a/src/gateway/upstream_pool.cpp
+++ b/src/gateway/upstream_pool.cpp
@@ -68,20 +68,118 @@
     return list;
 }
 
-void upstream_pool::record_activity(const std::string& upstream, core::time_point now)
+void upstream_pool::record_activity(const std::string& upstream, core::time_point now,
+                                    core::time_point opened)
 {
     auto& stats = m_stats[upstream];
     stats.quiet_since = now;
-    stats.failed_connects = 0;
+    m_last_activity = now;
+    if (opened >= stats.last_connect_failure) {
+        stats.failed_connects = 0;
+    }
 }
 
 void upstream_pool::record_connect_failure(const std::string& upstream, core::time_point now)
 {
     auto& stats = m_stats[upstream];
+    reset_if_restarted(upstream, stats, now);
     ++stats.failed_connects;
     stats.last_connect_failure = now;
 }
 
+void upstream_pool::record_probe(const std::string& upstream, bool connected, core::time_point now)
+{
+    if (connected) {
+        m_stats[upstream].failed_connects = 0;
+        m_last_activity = now;
+        return;
+    }
+    record_connect_failure(upstream, now);
+}
+
+void upstream_pool::reset_if_restarted(const std::string& upstream, upstream_stats& stats,
+                                       core::time_point now)
+{
+    const auto* entry = m_roster.find(upstream);
+    if (entry != nullptr && stats.born_ms != entry->info.born_ms) {
+        stats.born_ms = entry->info.born_ms;
+        stats.failed_connects = 0;
+        stats.quiet_since = now;
+    }
+}
+
+// All requests of this gateway wait for upstreams, of which there are several: rather the path than
+// all of these is silent.
+bool upstream_pool::path_suspected(core::time_point now) const
+{
+    if (now - m_last_activity <= m_options.path_silence_limit) {
+        return false;
+    }
+    return std::count_if(m_stats.begin(), m_stats.end(), [&](const auto& item) {
+               const auto& stats = item.second;
+               const bool waits = stats.in_flight > 0 &&
+                                  now - stats.quiet_since > m_options.path_silence_limit;
+               return waits || stats.failed_connects > 0;
+           }) > 1;
+}
+
+bool upstream_pool::needs_probes(core::time_point now) const
+{
+    return std::any_of(m_stats.begin(), m_stats.end(), [&](const auto& item) {
+        const auto* entry = m_roster.find(item.first);
+        return entry != nullptr && m_roster.usable(*entry, now) &&
+               (item.second.in_flight > 0 || item.second.failed_connects > 0);
+    });
+}
+
+std::vector<std::pair<std::string, std::string>>
+upstream_pool::take_upstreams_to_probe(core::time_point now)
+{
+    const bool all = path_suspected(now);
+    std::vector<std::pair<std::string, std::string>> due;
+    for (const auto& [id, entry] : m_roster.entries()) {
+        if (!m_roster.usable(entry, now)) {
+            continue;
+        }
+        auto& stats = m_stats[id];
+        const bool waits = now - stats.last_probe < m_options.probe_interval;
+        if (!waits && (all || stats.failed_connects > 0)) {
+            due.emplace_back(id, entry.info.address);
+        }
+    }
+    std::shuffle(due.begin(), due.end(), m_random);
+    due.resize(std::min(due.size(), m_options.max_probes));
+    for (const auto& [id, address] : due) {
+        m_stats[id].last_probe = now;
+    }
+    return due;
+}
+
+bool upstream_pool::has_lost_all(core::time_point now) const
+{
+    bool any = false;
+    for (const auto& [id, entry] : m_roster.entries()) {
+        if (!m_roster.usable(entry, now)) {
+            continue;
+        }
+        const auto stats = m_stats.find(id);
+        if (stats == m_stats.end() || !refuses_connections(entry, stats->second, now)) {
+            return false;
+        }
+        any = true;
+    }
+    return any;
+}
+
+bool upstream_pool::is_lost(const std::string& upstream, core::time_point now) const
+{
+    const auto* entry = m_roster.find(upstream);
+    const auto stats = m_stats.find(upstream);
+    return entry != nullptr && stats != m_stats.end() &&
+           refuses_connections(*entry, stats->second, now) &&
+           now - stats->second.quiet_since > m_options.give_up_silence;
+}
+
 bool upstream_pool::is_ejected(const upstream_stats& stats, core::time_point now) const
 {
     return stats.consecutive_failures >= m_options.failures_before_ejection &&
@@ -144,11 +242,14 @@
         double load;
         bool ejected;
         bool needs_permit;
+        bool refuses;
     };
     std::optional<core::duration> retry_after; // of upstreams that have used up their limits
     bool any_unlimited = false;
     std::vector<candidate> candidates;
     bool any_usable = false;
+    bool any_reachable = false;
+    bool held_elsewhere = false; // by an upstream that refuses the connections of this gateway
     const auto current = m_current_versions.find(wanted);
     const auto current_version = current == m_current_versions.end() ? 0 : current->second.first;
     bool current_exists = false;
@@ -166,14 +267,16 @@
         if (pin && stats.last_connect_failure > entry.last_heard) {
             continue;
         }
-        const bool unreachable =
-            refuses_connections(entry, stats, now) || is_silent(entry, stats, now);
+        const bool refuses = refuses_connections(entry, stats, now);
+        const bool unreachable = refuses || is_silent(entry, stats, now);
+        any_reachable = any_reachable || !refuses;
+        const auto version = wanted.first.empty() ? std::nullopt : held_version(entry, wanted);
+        held_elsewhere = held_elsewhere || (refuses && (wanted.first.empty() || version));
         const bool trial_due =
             now - stats.last_trial >= m_options.unreachable_trial_interval && !tried.contains(id);
         if (unreachable && !wanted.first.empty() && !trial_due) {
             continue;
         }
-        const auto version = wanted.first.empty() ? std::nullopt : held_version(entry, wanted);
         if (!wanted.first.empty() && !version) {
             continue;
         }
@@ -188,7 +291,7 @@
         current_exists = current_exists || (version && *version >= current_version);
         candidates.push_back({&entry, version, load(entry, stats, !wanted.first.empty()),
                               unreachable || is_ejected(stats, now),
-                              admission.result == send_admission::kind::needs_permit});
+                              admission.result == send_admission::kind::needs_permit, refuses});
     }
     std::erase_if(candidates, [&](const candidate& one) {
         return tried.contains(one.entry->info.id) ||
@@ -197,6 +300,7 @@
     });
     pool_choice choice;
     if (candidates.empty()) {
+        choice.unreachable = held_elsewhere || (any_usable && !any_reachable);
         if (retry_after && (wanted.first.empty() || !any_unlimited)) {
             choice.result = pool_choice::kind::limited;
             choice.retry_after = *retry_after;
@@ -233,6 +337,7 @@
         candidates.resize(std::min(candidates.size(), compared));
     }
     const auto best = std::min_element(candidates.begin(), candidates.end(), better);
+    choice.unreachable = best->refuses;
     if (best->ejected) {
         m_stats[best->entry->info.id].last_trial = now;
     }
@@ -253,12 +358,7 @@
                                 core::time_point now, std::uint32_t tokens)
 {
     auto& stats = m_stats[upstream];
-    const auto* entry = m_roster.find(upstream);
-    if (entry != nullptr && stats.born_ms != entry->info.born_ms) {
-        stats.born_ms = entry->info.born_ms;
-        stats.failed_connects = 0;
-        stats.quiet_since = now;
-    }
+    reset_if_restarted(upstream, stats, now);
     if (stats.in_flight == 0) {
         stats.quiet_since = now;
     }
--- a/src/gateway/upstream_pool_test.cpp
+++ b/src/gateway/upstream_pool_test.cpp
@@ -67,6 +67,12 @@
         grant(id, 0, 400);
     }
 
+    void fail_connects(const std::string& id)
+    {
+        pool.record_connect_failure(id, clock.now());
+        pool.record_connect_failure(id, clock.now());
+    }
+
     pool_choice choose(const adapter_name& name, const std::set<std::string>& tried = {})
     {
         return pool.choose("llm", name, tried, clock.now());
@@ -375,3 +381,77 @@
     roster.refresh("a", clock.now());
     STRCMP_EQUAL("a", pool.choose("llm", none, {}, clock.now(), {}, pin).upstream.c_str());
 }
+
+TEST(UpstreamPool, SaysThatOthersMayReachAnUpstreamThatThisGatewayCannot)
+{
+    announce("a");
+    announce("b");
+    CHECK_FALSE(choose(none).unreachable);
+    fail_connects("a");
+    STRCMP_EQUAL("b", choose(none).upstream.c_str());
+    CHECK_FALSE(pool.has_lost_all(clock.now()));
+    fail_connects("b");
+    CHECK_TRUE(choose(none).unreachable);
+    CHECK_TRUE(pool.has_lost_all(clock.now()));
+}
+
+TEST(UpstreamPool, SaysThatOthersMayReachTheOnlyEngineThatHoldsAnAdapter)
+{
+    announce("a");
+    announce("b");
+    set_held_version("a", 1);
+    CHECK_FALSE(choose(wanted).unreachable);
+    fail_connects("a");
+    CHECK_TRUE(choose(wanted).unreachable);
+    set_held_version("b", 1);
+    CHECK_FALSE(choose(wanted).unreachable);
+}
+
+TEST(UpstreamPool, IsNotMisledByConnectionsThatLiveOnWhileNewOnesFail)
+{
+    announce("a");
+    const auto opened = clock.now();
+    pool.record_sent("a", none, opened);
+    clock.advance(core::milliseconds{10});
+    fail_connects("a");
+    pool.record_activity("a", clock.now(), opened);
+    CHECK_TRUE(choose(none).unreachable);
+    pool.record_probe("a", true, clock.now());
+    CHECK_FALSE(choose(none).unreachable);
+}
+
+TEST(UpstreamPool, ProbesAllUpstreamsOnceSeveralAreSilent)
+{
+    announce("a");
+    announce("b");
+    announce("c");
+    pool.record_sent("a", none, clock.now());
+    pool.record_sent("b", none, clock.now());
+    clock.advance(core::milliseconds{600});
+    LONGS_EQUAL(0, static_cast<long>(pool.take_upstreams_to_probe(clock.now()).size()));
+    clock.advance(core::milliseconds{1});
+    LONGS_EQUAL(3, static_cast<long>(pool.take_upstreams_to_probe(clock.now()).size()));
+    LONGS_EQUAL(0, static_cast<long>(pool.take_upstreams_to_probe(clock.now()).size()));
+}
+
+TEST(UpstreamPool, DoesNotSuspectThePathForOneSilentUpstream)
+{
+    announce("a");
+    announce("b");
+    pool.record_sent("a", none, clock.now());
+    clock.advance(core::milliseconds{900});
+    LONGS_EQUAL(0, static_cast<long>(pool.take_upstreams_to_probe(clock.now()).size()));
+}
+
+TEST(UpstreamPool, GivesRequestsUpOnlyAfterMoreThanASecondOfSilence)
+{
+    announce("a");
+    pool.record_sent("a", none, clock.now());
+    clock.advance(core::milliseconds{1500});
+    fail_connects("a");
+    CHECK_FALSE(pool.is_lost("a", clock.now()));
+    clock.advance(core::milliseconds{501});
+    CHECK_TRUE(pool.is_lost("a", clock.now()));
+    pool.record_activity("a", clock.now());
+    CHECK_FALSE(pool.is_lost("a", clock.now()));
+}
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -109,6 +109,7 @@
 
     void start(client_call call);
     void cancel(std::uint64_t call);
+    void probe(const std::string& address, core::duration timeout, std::function<void(bool)> done);
 
     [[nodiscard]] std::size_t open_calls() const
     {
@@ -343,6 +344,7 @@
         }
         client_head head;
         head.status = static_cast<std::uint16_t>(m_parser->get().result_int());
+        head.reused_connection = m_reused;
         for (const auto& field : m_parser->get()) {
             head.headers.emplace_back(field.name_string(), field.value());
         }
@@ -519,6 +521,32 @@
     }
 }
 
+void client::implementation::probe(const std::string& address, core::duration timeout,
+                                   std::function<void(bool)> done)
+{
+    const auto endpoint = net::parse_address(address);
+    auto stream = std::make_shared<beast::tcp_stream>(asio::make_strand(m_context));
+    error_code error;
+    bind_source(stream->socket(), error);
+    if (!endpoint || error) {
+        asio::post(m_context, [done] { done(false); });
+        return;
+    }
+    stream->expires_after(timeout);
+    stream->async_connect(*endpoint, [self = shared_from_this(), address, stream,
+                                      done](error_code failed) {
+        if (!failed) {
+            error_code ignored;
+            stream->socket().set_option(tcp::no_delay{true}, ignored);
+            net::detect_dead_peer(stream->socket(), unacknowledged_timeout);
+            stream->expires_never();
+            self->return_idle(address, std::make_unique<beast::tcp_stream>(std::move(*stream)),
+                              max_idle_lifetime);
+        }
+        done(!failed);
+    });
+}
+
 client::client(asio::io_context& context, client_handler& handler, const std::string& source_ip)
     : m_implementation(std::make_shared<implementation>(context, handler, source_ip))
 {
@@ -536,6 +564,12 @@
     m_implementation->cancel(call);
 }
 
+void client::probe(const std::string& address, core::duration timeout,
+                   std::function<void(bool)> done)
+{
+    m_implementation->probe(address, timeout, std::move(done));
+}
+
 void client::close_idle_connections(const std::string& address)
 {
     m_implementation->close_idle(address);
--- a/tests/platform_fixture.py
+++ b/tests/platform_fixture.py
@@ -540,7 +540,7 @@
                  gateway_settings=None):
         self.folder = pathlib.Path(folder).resolve()
         self.random = random.Random(seed)
-        self.port = free_port_block(["127.7.1.1", "127.7.2.1", "127.7.3.1", "127.7.4.1"], 6)
+        self.port = free_port_block(["127.7.1.1", "127.7.2.1", "127.7.3.1", "127.7.4.1"], 8)
         self.coordinators = [f"coordinator-{i + 1}" for i in range(coordinators)]
         self.gateways = [f"gateway-{i + 1}" for i in range(gateways)]
         self.control_addresses = [f"127.7.1.{i + 1}:{self.port + 3}" for i in range(coordinators)]
@@ -581,7 +581,7 @@
         return f"127.7.2.{i + 1}"
 
     def metrics_address(self, i):
-        return f"127.7.2.{i + 1}:{self.port + 5}"
+        return f"127.7.2.{i + 1}:{self.port + 6}"
 
     def settings_for(self, name):
         kind, _, number = name.rpartition("-")
--- a/tools/loopback.py
+++ b/tools/loopback.py
@@ -6,7 +6,7 @@
 
 def free_port_block(addresses, ports):
     """Returns the first of `ports` consecutive ports that are free on all addresses."""
-    for base in range(20000 + os.getpid() * 7 % 30000, 60000, 7):
+    for base in range(20000 + os.getpid() * 8 % 30000, 60000, 8):
         try:
             for address in addresses:
                 for offset in range(ports):
