Don't end the answers of an upstream that is silent for a second

What callers saw: 502 for a request whose sound upstream fell silent for 1.2 s. Cause: connections to upstreams set TCP_USER_TIMEOUT to 0.8 s, after which the kernel closes them, whatever the number of keep-alive probes. Evidence: the log of the failing run of partition_test says "Connection timed out" 1.24 s after the request came, then retry_refused.

Paths that are gone are found by probes meanwhile, and requests that may be repeated leave them after 2 s. A test reads the options back from a socket, also that the library sets none.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -32,7 +32,9 @@
 constexpr std::size_t max_unparsed_bytes = 64UL * 1024;
 // From the first byte of a head to its last.
 constexpr core::milliseconds max_head_duration{1000};
-constexpr core::milliseconds unacknowledged_timeout{800}; // two TCP retransmissions
+// A sound server may be silent for a second or so. The kernel sends unacknowledged bytes again
+// after 0.2, 0.6, 1.4 and 3 s.
+constexpr core::milliseconds unacknowledged_timeout{4000};
 // One or two late responses of earlier requests are tolerated; with more, the server is considered
 // faulty.
 constexpr int max_mismatched_responses = 2;
--- a/src/net/mesh_test.cpp
+++ b/src/net/mesh_test.cpp
@@ -6,6 +6,8 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <condition_variable>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 #include <thread>
 
 #include "siskindrift/wire/frame.h"
@@ -203,3 +205,21 @@
     CHECK_FALSE(parse_address("127.0.0.1:99999").has_value());
     CHECK_FALSE(parse_address("127.0.0.1:80x").has_value());
 }
+
+TEST(Mesh, DetectsADeadPeerByTheTimeoutThatItSetsNotByTheNumberOfProbes)
+{
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::socket socket{context, boost::asio::ip::tcp::v4()};
+    const auto option = [&](int level, int name) {
+        int value = -1;
+        socklen_t size = sizeof value;
+        CHECK_EQUAL(0, ::getsockopt(socket.native_handle(), level, name, &value, &size));
+        return value;
+    };
+    LONGS_EQUAL(0, option(IPPROTO_TCP, TCP_USER_TIMEOUT)); // the library sets none
+    net::detect_dead_peer(socket, core::milliseconds{4000});
+    LONGS_EQUAL(4000, option(IPPROTO_TCP, TCP_USER_TIMEOUT));
+    LONGS_EQUAL(1, option(SOL_SOCKET, SO_KEEPALIVE));
+    LONGS_EQUAL(2, option(IPPROTO_TCP, TCP_KEEPIDLE));
+    LONGS_EQUAL(1, option(IPPROTO_TCP, TCP_KEEPINTVL));
+}
