Know the software versions of a service after everything has restarted

Cause: which versions have served was known to processes only, each since its own start. Change: the leader keeps them in the replicated log, adds a version with its first announcement and removes it two minutes after its last (control/software_version_manager); where its own history is too short it answers from there. While nobody is sure, but nobody has seen several versions, a gateway asks again for up to two seconds.

Evidence: unit tests of what is added, removed and answered.

--- a/include/siskindrift/fleet/software_history.h
+++ b/include/siskindrift/fleet/software_history.h
@@ -3,7 +3,9 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
+#include <utility>
 
 #include "siskindrift/core/clock.h"
 #include "siskindrift/wire/messages.h"
@@ -52,6 +54,10 @@
     [[nodiscard]] bool has_several(const std::string& service, core::duration span,
                                    core::time_point now) const;
 
+    /// Returns the services and versions that were announced within @p span.
+    [[nodiscard]] std::set<std::pair<std::string, std::string>>
+    heard_within(core::duration span, core::time_point now) const;
+
     /// Returns the time since which this process knows all versions, or none if it knows nothing.
     [[nodiscard]] std::optional<core::time_point> complete_since() const { return m_complete_since; }
 
--- a/include/siskindrift/gateway/origin_lookup.h
+++ b/include/siskindrift/gateway/origin_lookup.h
@@ -27,6 +27,7 @@
 struct origin_decision {
     origin_source source = origin_source::unknown;
     std::string software_version; ///< Unless the source is `unknown`.
+    bool may_become_known = false; ///< Nobody has seen several versions, but nobody is sure.
 };
 
 /// Collects what other processes know of the origin of one stream. Performs no I/O.
--- a/include/siskindrift/state/control_state.h
+++ b/include/siskindrift/state/control_state.h
@@ -92,6 +92,9 @@
 /// Base model, then adapter. The adapter is empty for the base model itself.
 using adapter_name = std::pair<std::string, std::string>;
 
+/// Services and the software versions of which their upstreams have served lately.
+using service_versions = std::set<std::pair<std::string, std::string>>;
+
 using claim_key = std::pair<std::string, std::string>; ///< Team, then idempotency key.
 
 /// The replicated state machine. It is deterministic: equal logs produce equal states on every
@@ -140,6 +143,7 @@
     {
         return m_upstream_limits;
     }
+    [[nodiscard]] const service_versions& software_versions() const { return m_software_versions; }
     [[nodiscard]] std::size_t claim_count() const { return m_claims.size(); }
     /// Returns the claim on a key, or null.
     [[nodiscard]] const claim* find_claim(const claim_key& key) const;
@@ -171,6 +175,7 @@
     wire::control_reply_t apply(const wire::change_retry_shares_t& request);
     wire::control_reply_t apply(const wire::change_blocked_parts_t& request);
     wire::control_reply_t apply(const wire::change_upstream_limits_t& request);
+    wire::control_reply_t apply(const wire::change_software_versions_t& request);
 
     void accept_change(const wire::apply_change_t& change);
     void store_change_result(const std::string& change_id, change_result result);
@@ -195,6 +200,7 @@
     retry_shares m_retry_shares;
     blocked_parts m_blocked_parts;
     upstream_limits m_upstream_limits;
+    service_versions m_software_versions;
     std::map<claim_key, claim> m_claims;
     std::set<std::pair<std::uint64_t, claim_key>> m_claims_by_time; ///< By time in the key.
 };
--- a/src/apps/coordinator_fleet.cpp
+++ b/src/apps/coordinator_fleet.cpp
@@ -120,8 +120,27 @@
 void coordinator_process::answer_origin_query(net::connection_id from,
                                               const wire::stream_origin_query_t& query)
 {
-    m_mesh->reply(from, wire::make_envelope(
-                            fleet::make_origin_answer(query, m_origins, m_software, m_clock.now())));
+    auto answer = fleet::make_origin_answer(query, m_origins, m_software, m_clock.now());
+    if (holds_lease()) {
+        control::complete_origin_answer(answer, query.service, m_core->state().software_versions());
+    }
+    m_mesh->reply(from, wire::make_envelope(std::move(answer)));
+}
+
+// Proposes the software versions that were announced for the replicated state.
+void coordinator_process::update_software_versions()
+{
+    if (!holds_lease()) {
+        return;
+    }
+    const auto change = m_software_versions.next_change(m_core->state().software_versions(),
+                                                        m_software, m_clock.now());
+    if (change) {
+        observe::info("software_versions_change",
+                      {{"add", change->add.size()}, {"remove", change->remove.size()}});
+        m_core->on_request(0, wire::make_control_request(*change));
+        schedule_cycle();
+    }
 }
 
 void coordinator_process::apply_document()
--- a/src/apps/coordinator_process.cpp
+++ b/src/apps/coordinator_process.cpp
@@ -232,6 +232,7 @@
     update_retry_shares();
     update_blocked_parts();
     update_upstream_limits();
+    update_software_versions();
     apply_document();
     place_adapters();
     flush_updates();
--- a/src/apps/coordinator_process.h
+++ b/src/apps/coordinator_process.h
@@ -21,6 +21,7 @@
 #include "siskindrift/control/prompt_judge.h"
 #include "siskindrift/control/retry_share_manager.h"
 #include "siskindrift/control/upstream_limit_manager.h"
+#include "siskindrift/control/software_version_manager.h"
 #include "siskindrift/fleet/roster.h"
 #include "siskindrift/fleet/software_history.h"
 #include "siskindrift/fleet/stream_origins.h"
@@ -94,6 +95,7 @@
     void update_placer(const std::string& id);
     void record_software(const std::string& id);
     void record_stream_origins(const wire::stream_origins_t& told);
+    void update_software_versions();
     void answer_origin_query(net::connection_id from, const wire::stream_origin_query_t& query);
     void apply_peer_update(const wire::fleet_update_t& update);
     void apply_document();
--- a/src/apps/gateway_process.cpp
+++ b/src/apps/gateway_process.cpp
@@ -257,7 +257,6 @@
     if (connected) {
         send_attach(address);
         tell_all_stream_origins(address);
-        resume_origin_lookups();
         m_reported_wishes.clear();
         schedule_report();
     }
--- a/src/apps/gateway_process.h
+++ b/src/apps/gateway_process.h
@@ -246,7 +246,6 @@
     // Software versions of streams (gateway_streams.cpp).
     [[nodiscard]] static bool takes_up_stream(const exchange& item);
     void find_stream_origin(exchange& item);
-    void resume_origin_lookups();
     void apply_origin_answer(const wire::stream_origin_answer_t& answer);
     void finish_origin_lookup(exchange& item);
     void apply_origin(exchange& item, const gateway::origin_decision& decision);
@@ -315,8 +314,8 @@
     fleet::stream_origins m_origins;
     std::map<std::uint64_t, gateway::origin_lookup> m_origin_lookups; ///< By query id.
     std::uint64_t m_next_origin_query = 1;
-    /// Exchanges whose stream no gateway knows, and that wait to ask a coordinator.
-    std::set<std::uint64_t> m_awaiting_coordinator;
+    /// Exchanges whose stream nobody knows yet, and that ask again shortly.
+    std::set<std::uint64_t> m_unsure_origins;
     /// Gateways that keep stream origins beside the coordinators; connected while they are needed.
     std::set<std::string> m_registrars;
     std::optional<gateway::deployment> m_deployment;
--- a/src/apps/gateway_streams.cpp
+++ b/src/apps/gateway_streams.cpp
@@ -10,8 +10,10 @@
 
 // Several round trips; a process that doesn't answer in that time may be cut off.
 constexpr core::milliseconds origin_answer_timeout{100};
-// Connections that were reset are open again by then.
-constexpr core::milliseconds coordinator_wait{500};
+// After a restart of everything, coordinators have elected a leader by then.
+constexpr core::milliseconds origin_wait{2000};
+constexpr core::milliseconds origin_retry_interval{150}; // the time until a connection is reopened
+constexpr double origin_wait_share = 0.4; // of the caller's time; the rest is for the stream
 constexpr core::milliseconds unknown_origin_retry_after{100}; // another gateway may know it
 // A caller may take up a stream as late as its attempt could end, and then once more as long.
 constexpr int stream_span_timeouts = 2;
@@ -93,23 +95,18 @@
         m_software.versions(item.service, stream_span(item.service), m_clock.now());
     const auto decision = lookup->second.decide(versions);
     m_origin_lookups.erase(lookup);
-    const auto wait = coordinator_wait - (m_clock.now() - item.arrived_at);
-    if (decision.source == gateway::origin_source::unknown && !coordinator_connected() &&
-        wait > core::duration::zero()) {
-        m_awaiting_coordinator.insert(item.id);
-        arm_timer(item, std::min<core::duration>(wait, time_left(item)));
+    const auto share = std::chrono::duration_cast<core::duration>(
+        (item.deadline - item.arrived_at) * origin_wait_share);
+    const bool in_time =
+        m_clock.now() - item.arrived_at < std::min<core::duration>(origin_wait, share);
+    if (decision.may_become_known && in_time) {
+        m_unsure_origins.insert(item.id);
+        arm_timer(item, std::min<core::duration>(origin_retry_interval, time_left(item)));
         return;
     }
     apply_origin(item, decision);
 }
 
-void gateway_process::resume_origin_lookups()
-{
-    for (const auto id : std::exchange(m_awaiting_coordinator, {})) {
-        find_stream_origin(*m_exchanges.at(id));
-    }
-}
-
 void gateway_process::apply_origin(exchange& item, const gateway::origin_decision& decision)
 {
     const bool known = decision.source != gateway::origin_source::unknown;
--- a/src/fleet/software_history.cpp
+++ b/src/fleet/software_history.cpp
@@ -34,6 +34,20 @@
     }
 }
 
+std::set<std::pair<std::string, std::string>>
+software_history::heard_within(core::duration span, core::time_point now) const
+{
+    std::set<std::pair<std::string, std::string>> heard;
+    for (const auto& [service, versions] : m_last_heard) {
+        for (const auto& [version, last] : versions) {
+            if (now - last <= span) {
+                heard.emplace(service, version);
+            }
+        }
+    }
+    return heard;
+}
+
 bool software_history::has_several(const std::string& service, core::duration span,
                                    core::time_point now) const
 {
--- a/src/gateway/origin_lookup.cpp
+++ b/src/gateway/origin_lookup.cpp
@@ -36,25 +36,26 @@
     if (latest != nullptr) {
         return {origin_source::told, latest->software_version};
     }
-    // An answer shows that this gateway isn't cut off, so that it would know of other versions.
-    if (m_answers.empty() || own.count == wire::version_count::several) {
-        return {};
-    }
     std::set<std::string> only;
+    bool several = own.count == wire::version_count::several;
     if (own.count == wire::version_count::one) {
         only.insert(own.only);
     }
     for (const auto& answer : m_answers) {
-        if (answer.count == wire::version_count::several) {
-            return {};
-        }
+        several = several || answer.count == wire::version_count::several;
         if (answer.count == wire::version_count::one) {
             only.insert(answer.only_version);
         }
     }
-    if (only.size() != 1) {
+    if (several || only.size() > 1) {
         return {};
     }
+    // An answer shows that this gateway isn't cut off, so that it would know of other versions.
+    if (m_answers.empty() || only.empty()) {
+        origin_decision unsure;
+        unsure.may_become_known = true;
+        return unsure;
+    }
     return {origin_source::only_version, *only.begin()};
 }
 
--- a/src/gateway/origin_lookup_test.cpp
+++ b/src/gateway/origin_lookup_test.cpp
@@ -34,12 +34,14 @@
 {
     origin_lookup lookup{7, 3};
 
-    void check(origin_source source, const std::string& version,
+    // Returns whether asking again may help.
+    bool check(origin_source source, const std::string& version,
                const fleet::software_versions& own)
     {
         const auto decision = lookup.decide(own);
         CHECK_TRUE(source == decision.source);
         STRCMP_EQUAL(version.c_str(), decision.software_version.c_str());
+        return decision.may_become_known;
     }
 };
 
@@ -67,20 +69,20 @@
 
 TEST(OriginLookup, DoesNotGuessWhereAnybodyHasSeenAnotherVersion)
 {
-    check(origin_source::unknown, "", several);
+    CHECK_FALSE(check(origin_source::unknown, "", several));
     lookup.add_answer(answer(wire::version_count::one, "v2"));
-    check(origin_source::unknown, "", one);
+    CHECK_FALSE(check(origin_source::unknown, "", one));
     lookup.add_answer(answer(wire::version_count::several));
-    check(origin_source::unknown, "", unsure);
+    CHECK_FALSE(check(origin_source::unknown, "", unsure));
 }
 
 TEST(OriginLookup, DoesNotTrustItsOwnViewWhereNobodyAnswers)
 {
-    check(origin_source::unknown, "", one);
+    CHECK_TRUE(check(origin_source::unknown, "", one));
 }
 
 TEST(OriginLookup, DoesNotGuessWhereNobodyIsSure)
 {
     lookup.add_answer(answer(wire::version_count::unsure));
-    check(origin_source::unknown, "", unsure);
+    CHECK_TRUE(check(origin_source::unknown, "", unsure));
 }
--- a/src/state/control_state.cpp
+++ b/src/state/control_state.cpp
@@ -81,6 +81,9 @@
     if (const auto* request = body.Aschange_upstream_limits()) {
         return apply(*request);
     }
+    if (const auto* request = body.Aschange_software_versions()) {
+        return apply(*request);
+    }
     return make_refusal("not a logged command");
 }
 
@@ -142,6 +145,17 @@
     return {};
 }
 
+wire::control_reply_t control_state::apply(const wire::change_software_versions_t& request)
+{
+    for (const auto& item : request.remove) {
+        m_software_versions.erase({item->service, item->version});
+    }
+    for (const auto& item : request.add) {
+        m_software_versions.emplace(item->service, item->version);
+    }
+    return {};
+}
+
 wire::control_reply_t control_state::make_change_reply(const change_result& stored)
 {
     wire::control_reply_t reply;
--- a/src/state/control_state_snapshot.cpp
+++ b/src/state/control_state_snapshot.cpp
@@ -105,6 +105,12 @@
         item.per_s = limit.rate.per_s;
         wire::append(image.limits, item);
     }
+    for (const auto& [service, version] : m_software_versions) {
+        wire::service_version_t item;
+        item.service = service;
+        item.version = version;
+        wire::append(image.software_versions, std::move(item));
+    }
     return wire::encode_table(image);
 }
 
@@ -153,6 +159,9 @@
     for (const auto& item : image->limits) {
         fresh.m_upstream_limits.entries[item->upstream] = {item->born_ms, {item->per_s}};
     }
+    for (const auto& item : image->software_versions) {
+        fresh.m_software_versions.emplace(item->service, item->version);
+    }
     for (const auto& item : image->claims) {
         const claim_key key{item->team, item->key};
         fresh.m_claims.emplace(key, from_stored_claim(*item));
--- a/src/state/control_state_test.cpp
+++ b/src/state/control_state_test.cpp
@@ -347,3 +347,22 @@
     LONGS_EQUAL(7, limits.find("a")->born_ms);
     DOUBLES_EQUAL(1.5, limits.find("a")->rate.per_s, 0);
 }
+
+TEST(ControlStateDocument, KeepsTheSoftwareVersionsOfServicesInASnapshot)
+{
+    wire::change_software_versions_t change;
+    for (const auto* version : {"v1", "v2"}) {
+        wire::service_version_t item;
+        item.service = "llm";
+        item.version = version;
+        wire::append(change.add, std::move(item));
+    }
+    apply(change);
+    std::swap(change.add, change.remove);
+    change.remove.pop_back();
+    apply(change);
+    control_state restored;
+    CHECK_TRUE(restored.restore(state.save()));
+    const service_versions left{{"llm", "v2"}};
+    CHECK_TRUE(left == restored.software_versions());
+}
