Divide the places of upstreams that fail when they reject too much

While an upstream says so, a request needs a place there. Questions and grants travel in the messages of the limits that upstreams name. A request waits for a place for three tenths of its time, then it is refused with when to return. Without a leader each gateway keeps to slots divided by gateways. It ends with the first success that doesn't say so.

--- a/include/siskindrift/gateway/request_metadata.h
+++ b/include/siskindrift/gateway/request_metadata.h
@@ -69,6 +69,11 @@
     /// Requests that the upstream takes from all gateways together, the lowest if it named several.
     std::optional<core::request_rate> limit;
     bool limit_malformed = false; ///< It named a limit that is no rate.
+    /// The upstream fails when it has to reject more than so many requests in a second.
+    std::optional<double> rejection_limit;
+    bool leaving = false; ///< The upstream is about to end.
+    /// The upstream rejected the request, and wants none from this gateway for so long.
+    std::optional<core::duration> pause;
 };
 
 } // namespace siskindrift::gateway
--- a/include/siskindrift/gateway/upstream_limits.h
+++ b/include/siskindrift/gateway/upstream_limits.h
@@ -10,6 +10,7 @@
 #include "siskindrift/core/clock.h"
 #include "siskindrift/core/request_rate.h"
 #include "siskindrift/fleet/send_permits.h"
+#include "siskindrift/gateway/upstream_places.h"
 #include "siskindrift/wire/messages.h"
 
 namespace siskindrift::gateway {
@@ -25,6 +26,8 @@
     /// Permits that are used up within this time are asked for in larger batches.
     core::duration batch_time = core::milliseconds{200};
     std::uint32_t max_batch = 64;
+    /// When a caller should return who is refused because all places are in use.
+    core::duration full_retry_after = core::milliseconds{300};
     std::size_t max_limits = 1024;
 };
 
@@ -37,6 +40,7 @@
     };
     kind result = kind::allowed;
     core::duration retry_after{}; ///< When a caller that is refused should return.
+    bool waits_for_place = false; ///< All places are in use; one may be free at any moment.
 };
 
 /// An answer of an upstream, as evidence of its limit.
@@ -78,6 +82,10 @@
 
     /// Records that one more request waits for a permit.
     void add_wish(const std::string& upstream) { ++m_permits[upstream].wanted; }
+    /// Requests of this gateway at the upstreams, and the places that it may use there.
+    [[nodiscard]] upstream_places& places() { return m_places; }
+    [[nodiscard]] const upstream_places& places() const { return m_places; }
+
     /// Returns the query to send to the leader, if any is due.
     [[nodiscard]] std::optional<wire::send_permit_query_t> take_query(core::time_point now);
     /// Applies the leader's answer to a query.
@@ -92,6 +100,8 @@
     [[nodiscard]] std::uint64_t generation() const { return m_generation; }
 
 private:
+    [[nodiscard]] send_admission rate_admission(const std::string& upstream, std::uint64_t born_ms,
+                                                core::time_point now) const;
     struct known_limit {
         std::uint64_t born_ms = 0;
         std::optional<core::request_rate> rate;
@@ -116,6 +126,7 @@
     [[nodiscard]] const known_limit* find(const std::string& upstream) const;
     void append_observations(wire::send_permit_query_t& query, core::time_point now);
 
+    upstream_places m_places;
     std::string m_vm;
     upstream_limits_options m_options;
     std::uint64_t m_generation = 0;
--- a/include/siskindrift/gateway/upstream_pool.h
+++ b/include/siskindrift/gateway/upstream_pool.h
@@ -104,6 +104,7 @@
     /// now. Another gateway may reach it.
     bool unreachable = false;
     core::duration retry_after{}; ///< When a caller should return, if `limited`.
+    bool waits_for_place = false; ///< A place may be free at any moment, if `limited`.
 };
 
 /// Tracks the load, the adapters and the failures of the upstreams, including the requests that
--- a/src/apps/coordinator_fleet.cpp
+++ b/src/apps/coordinator_fleet.cpp
@@ -505,11 +505,22 @@
                                                       {"per_s", observed->per_s}});
         }
     }
-    if (query.wishes.empty()) {
+    if (query.wishes.empty() && query.places.empty()) {
         return;
     }
     wire::send_permit_grant_t grant;
     grant.asked_ms = query.sent_ms;
+    for (const auto& wish : query.places) {
+        if (const auto* entry = m_roster.find(wish->upstream)) {
+            auto places = m_places.grant(query.vm, *wish, entry->info.slots, now);
+            observe::routine("upstream_places", {{"upstream", places.upstream},
+                                                 {"gateway", query.vm},
+                                                 {"in_use", wish->in_use},
+                                                 {"waiting", wish->waiting},
+                                                 {"places", places.places}});
+            wire::append(grant.places, std::move(places));
+        }
+    }
     for (const auto& wish : query.wishes) {
         auto permit = m_upstream_limits.grant(*wish, limits, now);
         observe::routine("send_permits", {{"upstream", permit.upstream},
--- a/src/apps/coordinator_process.cpp
+++ b/src/apps/coordinator_process.cpp
@@ -347,6 +347,7 @@
     m_retry_shares.begin_term(now);
     m_prompt_judge.begin_term(now);
     m_upstream_limits.begin_term(now);
+    m_places.begin_term(now);
     m_announced_shares = 0;
     m_placer.begin_leadership(must_wait ? now + m_settings.order_lease + order_transit_margin
                                         : now);
--- a/src/apps/coordinator_process.h
+++ b/src/apps/coordinator_process.h
@@ -18,10 +18,11 @@
 #include "siskindrift/config/settings.h"
 #include "siskindrift/control/control_core.h"
 #include "siskindrift/control/membership_manager.h"
+#include "siskindrift/control/place_manager.h"
 #include "siskindrift/control/prompt_judge.h"
 #include "siskindrift/control/retry_share_manager.h"
-#include "siskindrift/control/upstream_limit_manager.h"
 #include "siskindrift/control/software_version_manager.h"
+#include "siskindrift/control/upstream_limit_manager.h"
 #include "siskindrift/fleet/roster.h"
 #include "siskindrift/fleet/software_history.h"
 #include "siskindrift/fleet/stream_origins.h"
@@ -94,8 +95,8 @@
                            const std::shared_ptr<http::responder>& responder);
     void update_placer(const std::string& id);
     void record_software(const std::string& id);
-    void record_stream_origins(const wire::stream_origins_t& told);
     void update_software_versions();
+    void record_stream_origins(const wire::stream_origins_t& told);
     void answer_origin_query(net::connection_id from, const wire::stream_origin_query_t& query);
     void apply_peer_update(const wire::fleet_update_t& update);
     void apply_document();
@@ -143,6 +144,8 @@
     control::retry_share_manager m_retry_shares;
     control::prompt_judge m_prompt_judge;
     control::upstream_limit_manager m_upstream_limits;
+    control::software_version_manager m_software_versions;
+    control::place_manager m_places;
     std::uint64_t m_published_blocks = 0; ///< Generation that the gateways were sent.
     std::uint64_t m_published_limits = 0; ///< Generation that the gateways were sent.
     std::uint64_t m_announced_shares = 0; ///< Generation that this leader announced last.
--- a/src/apps/gateway_exchanges.cpp
+++ b/src/apps/gateway_exchanges.cpp
@@ -189,6 +189,7 @@
                                       item.permit_upstream, item.pin);
     stop_awaiting_permit(item);
     if (choice.crowded) {
+    m_awaiting_place.erase(item.id);
         m_overloaded_adapters[wish_of(item)] = now;
         schedule_report();
     }
@@ -210,6 +211,9 @@
         return;
     case gateway::pool_choice::kind::limited:
         refuse_limited(item, choice.retry_after);
+        if (choice.waits_for_place && wait_for_place(item)) {
+            return;
+        }
         return;
     case gateway::pool_choice::kind::adapter_not_loaded:
         wait_for_upstream(item);
@@ -265,6 +269,7 @@
     }
     item.unprocessed_prompt_tokens = item.adapter.first.empty() ? 0 : item.metadata.prompt_tokens;
     m_pool.record_sent(choice.upstream, item.adapter, now, item.unprocessed_prompt_tokens);
+    m_limits.places().begin(choice.upstream);
     if (!item.adapter.first.empty()) {
         schedule_load_report();
     }
@@ -418,8 +423,12 @@
         finish_origin_lookup(item);
         return;
     }
-    if (m_awaiting_coordinator.erase(id) > 0 && item.deadline > m_clock.now()) {
-        apply_origin(item, {});
+    if (m_unsure_origins.erase(id) > 0 && item.deadline > m_clock.now()) {
+        find_stream_origin(item);
+        return;
+    }
+    if (m_awaiting_place.erase(id) > 0 && item.deadline > m_clock.now()) {
+        dispatch(item);
         return;
     }
     if (!item.permit_upstream.empty() && item.deadline > m_clock.now()) {
@@ -489,6 +498,7 @@
         m_pool.record_activity(item->upstream_id, m_clock.now(), item->opened_at);
         record_prompt_processed(*item);
         if (item->response_metadata.load) {
+        record_rejection_limit(*item);
             m_pool.record_load(item->upstream_id, *item->response_metadata.load);
         }
         record_limit(*item);
@@ -603,6 +613,7 @@
         if (call_end.result != http::call_result::not_sent) {
             item->reached_upstreams.insert(item->upstream_id);
         }
+        free_place(*item);
     }
     else {
         end_relay(*item, call_end.result != http::call_result::complete && !item->stream_begun);
@@ -889,6 +900,7 @@
     }
     else {
         end_relay(item, false);
+        free_place(item);
     }
 }
 
@@ -899,7 +911,8 @@
     m_awaiting_permit.erase(item.id);
     m_awaiting_document.erase(item.id);
     m_origin_lookups.erase(item.origin_query);
-    m_awaiting_coordinator.erase(item.id);
+    m_unsure_origins.erase(item.id);
+    m_awaiting_place.erase(item.id);
     m_kept_bytes -= item.response_body.size();
     m_exchanges.erase(item.id);
 }
--- a/src/apps/gateway_guards.cpp
+++ b/src/apps/gateway_guards.cpp
@@ -1,4 +1,7 @@
 // The retry budget and the prompt guard in the life of a request.
+#include <algorithm>
+#include <boost/asio/post.hpp>
+
 #include "gateway_process.h"
 #include "siskindrift/fleet/request_part.h"
 #include "siskindrift/observe/log.h"
@@ -9,6 +12,9 @@
 constexpr core::milliseconds blocked_retry_after{30'000}; // a blocked part is tried again
 constexpr core::milliseconds suspected_retry_after{1000}; // a suspected request is tried alone
 constexpr std::uint16_t first_redirect_status = 300;
+constexpr core::milliseconds place_check_interval{30}; // the leader has none for so long
+constexpr core::milliseconds place_report_interval{20}; // collects what is freed in that time
+constexpr double place_wait_share = 0.3; // of a caller's time; the rest is for the answer
 constexpr std::uint16_t other_run_status = 421; // may come from another run at the address
 
 core::reason reason_for(const gateway::blocked_request& blocked)
@@ -165,6 +171,109 @@
     }
 }
 
+// Records whether an upstream says that it fails when it rejects too much. Errors that don't say so
+// end nothing: they may come from a part of the upstream that doesn't know it.
+void gateway_process::record_rejection_limit(const exchange& item)
+{
+    const auto& answer = item.response_metadata;
+    const auto status = item.response_head->status;
+    if (status == other_run_status ||
+        (!answer.rejection_limit && status >= first_redirect_status)) {
+        return;
+    }
+    const auto* entry = m_roster.find(item.upstream_id);
+    gateway::place_answer place;
+    place.upstream = item.upstream_id;
+    place.born_ms = item.upstream_born_ms;
+    place.slots = entry != nullptr ? entry->info.slots : 1;
+    place.limited = answer.rejection_limit.has_value();
+    place.sent = item.sent_at;
+    m_limits.places().set_leader(!leader_address().empty(), gateway_count());
+    if (m_limits.places().record_answer(place, m_clock.now())) {
+        observe::info("rejection_limit_named", {{"request", item.metadata.request_id},
+                                                {"upstream", item.upstream_id},
+                                                {"slots", place.slots},
+                                                {"limit", answer.rejection_limit.value_or(0)},
+                                                {"ended", !place.limited}});
+        send_permit_query();
+        schedule_place_report();
+    }
+}
+
+// Records that an upstream says that it leaves, or that it wants no requests for some time.
+void gateway_process::record_departure(const exchange& item)
+{
+    const auto& answer = item.response_metadata;
+    const auto now = m_clock.now();
+    const auto& upstream = item.helper.empty() ? item.upstream_id : item.relay_upstream;
+    if (answer.leaving && m_roster.mark_draining(upstream, item.upstream_born_ms)) {
+        observe::info("upstream_leaving",
+                      {{"request", item.metadata.request_id}, {"upstream", upstream}});
+    }
+    if (answer.pause && item.helper.empty()) {
+        m_pool.record_pause(item.upstream_id, now + *answer.pause, now);
+        observe::info("upstream_paused", {{"request", item.metadata.request_id},
+                                          {"upstream", item.upstream_id},
+                                          {"ms", core::to_ms(*answer.pause)}});
+    }
+}
+
+// Lets a request wait until an upstream has a place. Returns false if it has waited long enough.
+bool gateway_process::wait_for_place(exchange& item)
+{
+    const auto waited = m_clock.now() - item.arrived_at;
+    const auto longest = std::chrono::duration_cast<core::duration>(
+        std::min<core::duration>(item.deadline - item.arrived_at, item.route.stream_idle_timeout) *
+        place_wait_share);
+    if (waited >= longest) {
+        return false;
+    }
+    item.waiting = false;
+    m_waiting.erase(item.id);
+    m_awaiting_place.insert(item.id);
+    arm_timer(item, std::min<core::duration>(place_check_interval, longest - waited));
+    return true;
+}
+
+// Gives the place of a request that has ended to one that waits here, or else back to the leader.
+void gateway_process::free_place(const exchange& item)
+{
+    m_limits.places().end(item.upstream_id);
+    if (!m_limits.places().is_limited(item.upstream_id, item.upstream_born_ms)) {
+        return;
+    }
+    schedule_place_report();
+    if (!m_awaiting_place.empty()) {
+        const auto id = *m_awaiting_place.begin();
+        boost::asio::post(m_context, [this, id] {
+            const auto found = m_exchanges.find(id);
+            if (found != m_exchanges.end() && m_awaiting_place.erase(id) > 0) {
+                dispatch(*found->second);
+            }
+        });
+    }
+}
+
+// Tells the leader about places in use while upstreams have places to divide.
+void gateway_process::schedule_place_report()
+{
+    if (std::exchange(m_place_report_scheduled, true)) {
+        return;
+    }
+    m_place_timer.expires_after(place_report_interval);
+    m_place_timer.async_wait([this](boost::system::error_code error) {
+        if (error) {
+            return;
+        }
+        m_place_report_scheduled = false;
+        m_limits.places().set_leader(!leader_address().empty(), gateway_count());
+        send_permit_query();
+        if (m_limits.places().has_news()) {
+            schedule_place_report();
+        }
+    });
+}
+
 // Lets a request wait for the leader's permit to send it to an upstream with a limit.
 void gateway_process::request_permit(exchange& item, const std::string& upstream)
 {
@@ -172,12 +281,21 @@
     m_waiting.erase(item.id);
     if (leader_address().empty()) {
         m_limits.record_silence(upstream, m_clock.now());
+        m_limits.places().set_leader(false, gateway_count());
         dispatch(item); // elsewhere, or it is refused
         return;
     }
     item.permit_upstream = upstream;
     m_awaiting_permit.insert(item.id);
-    m_limits.add_wish(upstream);
+    m_limits.places().set_leader(true, gateway_count());
+    const auto* entry = m_roster.find(upstream);
+    if (entry == nullptr ||
+        m_limits.places().has_place(upstream, entry->info.born_ms, m_clock.now())) {
+        m_limits.add_wish(upstream);
+    }
+    else {
+        m_limits.places().add_wish(upstream);
+    }
     arm_timer(item, std::min(m_limits.answer_timeout(), time_left(item)));
     send_permit_query();
 }
@@ -204,6 +322,9 @@
 {
     m_limits.apply_grant(grant, m_clock.now());
     std::set<std::string_view> upstreams;
+    for (const auto& place : grant.places) {
+        upstreams.insert(place->upstream);
+    }
     for (const auto& permit : grant.permits) {
         upstreams.insert(permit->upstream);
         observe::routine("send_permits", {{"upstream", permit->upstream},
--- a/src/apps/gateway_process.cpp
+++ b/src/apps/gateway_process.cpp
@@ -49,7 +49,7 @@
 gateway_process::gateway_process(config::gateway_settings settings, std::string settings_path)
     : m_settings(std::move(settings)), m_settings_path(std::move(settings_path)), m_context(1),
       m_signals(m_context, SIGTERM, SIGINT, SIGHUP), m_stop_timer(m_context),
-      m_report_timer(m_context), m_share_timer(m_context), m_path_timer(m_context),
+      m_report_timer(m_context), m_share_timer(m_context), m_path_timer(m_context), m_place_timer(m_context),
       m_mesh(std::make_shared<net::mesh>(m_context, net::mesh_options{}, *this)),
       m_caller_listener(
           [this](std::uint64_t id, http::server_request request,
@@ -332,6 +332,7 @@
         send_share_query();
         send_prompt_evidence();
         m_limits.report_again();
+        m_limits.places().report_again();
         send_permit_query();
     }
     m_document_follower.set_offered_version(update.address, update.document_version);
--- a/src/apps/gateway_process.h
+++ b/src/apps/gateway_process.h
@@ -273,6 +273,11 @@
     void restore_trial(exchange& item);
     void record_limit(const exchange& item);
     void request_permit(exchange& item, const std::string& upstream);
+    void record_rejection_limit(const exchange& item);
+    void record_departure(const exchange& item);
+    [[nodiscard]] bool wait_for_place(exchange& item);
+    void free_place(const exchange& item);
+    void schedule_place_report();
     void send_permit_query();
     void apply_permits(const wire::send_permit_grant_t& grant);
     void stop_awaiting_permit(exchange& item);
@@ -290,6 +295,7 @@
     boost::asio::steady_timer m_share_timer;
     boost::asio::steady_timer m_path_timer;
     std::shared_ptr<net::mesh> m_mesh;
+    boost::asio::steady_timer m_place_timer;
     listener m_caller_listener;
     listener m_readiness_listener;
     listener m_directory_listener;
@@ -336,6 +342,8 @@
     std::set<std::uint64_t> m_waiting; ///< Exchanges that wait for an upstream or an adapter.
     std::set<std::uint64_t> m_awaiting_permit;
     /// Exchanges that were received before the first deployment document.
+    std::set<std::uint64_t> m_awaiting_place;
+    bool m_place_report_scheduled = false;
     std::set<std::uint64_t> m_awaiting_document;
     /// An adapter and the software version of the engines that are to hold it; empty for any.
     using wish_key = std::pair<gateway::adapter_name, std::string>;
--- a/src/gateway/upstream_limits.cpp
+++ b/src/gateway/upstream_limits.cpp
@@ -98,6 +98,21 @@
 
 send_admission upstream_limits::admission(const std::string& upstream, std::uint64_t born_ms,
                                           core::time_point now) const
+{
+    auto result = rate_admission(upstream, born_ms, now);
+    if (result.result == send_admission::kind::refused ||
+        m_places.has_place(upstream, born_ms, now)) {
+        return result;
+    }
+    result.result = m_places.is_full(upstream, now) ? send_admission::kind::refused
+                                                    : send_admission::kind::needs_permit;
+    result.retry_after = m_options.full_retry_after;
+    result.waits_for_place = true;
+    return result;
+}
+
+send_admission upstream_limits::rate_admission(const std::string& upstream, std::uint64_t born_ms,
+                                               core::time_point now) const
 {
     if (!limit_of(upstream, born_ms)) {
         return {};
@@ -172,7 +187,10 @@
         wish.spare = own.batch;
         wire::append(query.wishes, std::move(wish));
     }
-    if (query.observed.empty() && query.wishes.empty()) {
+    for (auto& wish : m_places.take_wishes(now)) {
+        wire::append(query.places, std::move(wish));
+    }
+    if (query.observed.empty() && query.wishes.empty() && query.places.empty()) {
         return std::nullopt;
     }
     return query;
@@ -181,6 +199,9 @@
 void upstream_limits::apply_grant(const wire::send_permit_grant_t& grant, core::time_point now)
 {
     const core::time_point asked{core::milliseconds{grant.asked_ms}};
+    for (const auto& item : grant.places) {
+        m_places.apply(*item, asked, now);
+    }
     for (const auto& item : grant.permits) {
         auto& own = m_permits[item->upstream];
         if (own.asked_at && *own.asked_at <= asked + core::milliseconds{1}) {
--- a/src/gateway/upstream_pool.cpp
+++ b/src/gateway/upstream_pool.cpp
@@ -247,6 +247,7 @@
     std::optional<core::duration> retry_after; // of upstreams that have used up their limits
     bool any_unlimited = false;
     std::vector<candidate> candidates;
+    bool waits_for_place = false;
     bool any_usable = false;
     bool any_reachable = false;
     bool held_elsewhere = false; // by an upstream that refuses the connections of this gateway
@@ -261,9 +262,11 @@
             continue;
         }
         any_usable = true;
-        any_unlimited = any_unlimited || !m_limits.limit_of(id, entry.info.born_ms);
         auto& stats = m_stats[id];
         // A run that refused a connection may have been followed by one of another version.
+        const bool paused = now < stats.paused_until && stats.born_ms == entry.info.born_ms;
+        any_unlimited = any_unlimited || (!m_limits.limit_of(id, entry.info.born_ms) && !paused &&
+                                          !m_limits.places().is_limited(id, entry.info.born_ms));
         if (pin && stats.last_connect_failure > entry.last_heard) {
             continue;
         }
@@ -289,6 +292,7 @@
             continue;
         }
         current_exists = current_exists || (version && *version >= current_version);
+                waits_for_place = waits_for_place || admission.waits_for_place;
         candidates.push_back({&entry, version, load(entry, stats, !wanted.first.empty()),
                               unreachable || is_ejected(stats, now),
                               admission.result == send_admission::kind::needs_permit, refuses});
@@ -308,6 +312,7 @@
         }
         choice.crowded = retry_after.has_value(); // an engine without a limit can load it
         choice.result = any_usable && !wanted.first.empty() ? pool_choice::kind::adapter_not_loaded
+            choice.waits_for_place = waits_for_place;
                                                             : pool_choice::kind::none;
         return choice;
     }
