Don't stop using an engine that some gateways can't reach

Now it asks the engine itself at once, and goes on using one that answers: gateways reach it through others. One that doesn't answer is taken for lost as before.

Evidence: the new test fails on the code before by reading of the rule that it names (a reachable engine is loaded elsewhere); it was run on this code only.

--- a/include/siskindrift/adapters/placer.h
+++ b/include/siskindrift/adapters/placer.h
@@ -225,6 +225,9 @@
         std::uint64_t pending_tokens = 0; ///< Prompt tokens that await prefill, of all gateways.
         std::map<adapter_name, std::uint32_t> using_gateways; ///< Gateways that use each one.
         std::size_t unreachable_from = 0; ///< Number of gateways that can't reach it.
+        /// It has answered a poll since gateways began to say that they can't reach it.
+        bool answers_polls = false;
+        core::time_point doubted_since{}; ///< When gateways began to say so.
         bool load_changed = false;
         std::uint64_t published_digest = 0; ///< Of the copies in the latest published view.
     };
@@ -304,6 +307,8 @@
     [[nodiscard]] core::duration min_idle_before_eviction() const;
     /// Returns whether requests can be sent to the engine.
     [[nodiscard]] bool is_usable(const engine_state& engine) const;
+    /// Returns whether so many gateways can't reach the engine that it may have ended.
+    [[nodiscard]] bool is_doubted(const engine_state& engine) const;
     [[nodiscard]] bool can_take_order(const engine_state& engine) const;
     [[nodiscard]] std::uint64_t pending_prefill_tokens(const engine_state& engine,
                                                        core::time_point now) const;
--- a/src/adapters/placer.cpp
+++ b/src/adapters/placer.cpp
@@ -113,9 +113,11 @@
     engine.report_pending = false;
     engine.report_due =
         asked + (engine.state_known ? m_options.report_interval : m_options.max_report_age);
+    engine.answers_polls = engine.answers_polls && report.has_value();
     if (!report || (report->born_ms != 0 && report->born_ms != engine.born_ms)) {
         return;
     }
+    engine.answers_polls = is_doubted(engine) && asked >= engine.doubted_since;
     engine.running = report->running;
     engine.waiting = report->waiting;
     engine.load_changed = true;
@@ -172,8 +174,23 @@
 void placer::on_gateway_report(const wire::gateway_report_t& report, core::time_point now)
 {
     auto& state = m_gateways[report.vm];
+    std::set<std::string> doubted;
+    for (const auto& id : state.unreachable) {
+        const auto engine = m_engines.find(id);
+        if (engine != m_engines.end() && is_doubted(engine->second)) {
+            doubted.insert(id);
+        }
+    }
     remove_usage(state);
     add_usage(state, report);
+    for (const auto& id : state.unreachable) {
+        const auto engine = m_engines.find(id);
+        if (engine != m_engines.end() && is_doubted(engine->second) && !doubted.contains(id)) {
+            engine->second.answers_polls = false;
+            engine->second.doubted_since = now;
+            engine->second.report_due = std::min(engine->second.report_due, now);
+        }
+    }
     for (const auto& item : report.wishes) {
         auto& wish = state.wishes[{{item->model, item->adapter}, item->software_version}];
         const auto since = wish.waiting > 0 ? wish.first_reported : now;
@@ -309,13 +326,17 @@
     return loads;
 }
 
-bool placer::is_usable(const engine_state& engine) const
+bool placer::is_doubted(const engine_state& engine) const
 {
     const auto gateways = static_cast<double>(m_gateways.size());
-    const bool unreachable =
-        engine.unreachable_from > 0 &&
-        static_cast<double>(engine.unreachable_from) >= m_options.unreachable_ratio * gateways;
-    return engine.usable && !unreachable;
+    return engine.unreachable_from > 0 &&
+           static_cast<double>(engine.unreachable_from) >= m_options.unreachable_ratio * gateways;
+}
+
+// Gateways reach an engine through others while any of them does, so one that answers is used.
+bool placer::is_usable(const engine_state& engine) const
+{
+    return engine.usable && (engine.answers_polls || !is_doubted(engine));
 }
 
 bool placer::can_take_order(const engine_state& engine) const
--- a/src/adapters/placer_test.cpp
+++ b/src/adapters/placer_test.cpp
@@ -626,3 +626,21 @@
     wish_at("y", "v1", 1);
     STRCMP_EQUAL("y", plan().at(0).adapter.c_str());
 }
+
+TEST(Placer, GoesOnUsingAnEngineThatAnswersThoughSomeGatewaysCannotReachIt)
+{
+    engine("a", {"x"});
+    engine("b");
+    wire::gateway_report_t unreachable;
+    unreachable.vm = "h";
+    unreachable.unreachable.emplace_back("a");
+    adapter_placer.on_gateway_report(unreachable, clock.now());
+    CHECK_TRUE(adapter_placer.next_due() <= clock.now());
+    report("a", 0, {"x"});
+    wish("x");
+    LONGS_EQUAL(0, static_cast<long>(plan().size()));
+    adapter_placer.on_gateway_report(unreachable, clock.now()); // says so still
+    LONGS_EQUAL(0, static_cast<long>(plan().size()));
+    adapter_placer.on_report("a", std::nullopt, clock.now()); // answers no more
+    STRCMP_EQUAL("b", plan().at(0).upstream.c_str());
+}
