Count the crash of a trial although others were lost in earlier ones

Cause: the crash of a trial is excused if the same upstream ended under another request that was on its way. The comparison took all upstreams that had ever ended under the request on trial, and those of requests that never come again are forgotten by nothing, so that a coincidence of the first second excused every later trial.

Now the excuse holds for the run that ended under this trial only. Evidence: the new test, with 1, 10 and 100 requests that were lost at first and never came again, fails on the code before (strikes 0, expected 1) and passes; the one over a change of leader passes on both.

--- a/include/siskindrift/control/prompt_judge.h
+++ b/include/siskindrift/control/prompt_judge.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "siskindrift/core/clock.h"
@@ -90,8 +91,11 @@
     [[nodiscard]] std::vector<std::string> crashes_of(const std::string& part) const;
 
 private:
+    /// An upstream and the start of its run.
+    using upstream_run = std::pair<std::string, std::uint64_t>;
     struct crash {
         core::time_point at{};
+        std::uint64_t born_ms = 0; ///< Start of the run that may have ended.
         std::set<std::string>
             requests;       ///< Those with the part that the engine had begun to answer.
         bool ended = false; ///< A check has shown that the engine ended.
@@ -108,8 +112,9 @@
         bool trial_survived = false;
         core::time_point trial_crash{};
         std::set<std::string> ended; ///< Upstreams that ended under it.
-        /// Upstreams that ended under a request of it that was sent before it was blocked.
-        std::set<std::string> strays;
+        std::set<upstream_run> trial_ended; ///< Runs that ended under its current trial.
+        /// Runs that ended under a request of it that was sent before it was blocked.
+        std::set<upstream_run> strays;
     };
 
     void record_crash(const wire::prompt_crash_t& item, const state::blocked_parts& blocked,
--- a/src/control/prompt_judge.cpp
+++ b/src/control/prompt_judge.cpp
@@ -104,13 +104,14 @@
     const auto block = blocked.parts.find(item.part);
     if (block != blocked.parts.end() &&
         (block->second.trial_vm.empty() || at < times_of(item.part, now).since)) {
-        times_of(item.part, now).strays.insert(item.upstream);
+        times_of(item.part, now).strays.emplace(item.upstream, item.born_ms);
         return;
     }
     auto& suspected = m_suspects[item.part];
     auto& crash = suspected.crashes.try_emplace(item.upstream).first->second;
     crash.at = crash.requests.empty() ? at : std::min(crash.at, at);
     crash.requests.insert(item.request);
+    crash.born_ms = std::max(crash.born_ms, item.born_ms);
     crash.ended = crash.ended || ended.value_or(false);
     suspected.last_crash = std::max(suspected.last_crash, at);
 }
@@ -356,6 +357,7 @@
                 times.trial_crashed = true;
                 for (const auto& [upstream, crash] : suspected.crashes) {
                     times.ended.insert(upstream);
+                    times.trial_ended.emplace(upstream, crash.born_ms);
                 }
                 item = m_suspects.erase(item);
                 continue;
@@ -411,12 +413,12 @@
 bool prompt_judge::may_be_company(const std::string& part, const state::blocked_parts& blocked,
                                   core::time_point now)
 {
-    const auto& ended = times_of(part, now).ended;
+    const auto& ended = times_of(part, now).trial_ended;
     return std::any_of(blocked.parts.begin(), blocked.parts.end(), [&](const auto& other) {
         const auto& strays = times_of(other.first, now).strays;
         return other.first != part && fleet::is_whole_request(other.first) &&
                std::any_of(strays.begin(), strays.end(),
-                           [&](const auto& upstream) { return ended.contains(upstream); });
+                           [&](const auto& run) { return ended.contains(run); });
     });
 }
 
@@ -431,6 +433,7 @@
         times.since = now;
         times.trial_crashed = false;
         times.trial_survived = false;
+        times.trial_ended.clear();
         times.strays.clear();
     };
     const bool in_trial = !block.trial_vm.empty();
--- a/src/control/prompt_judge_test.cpp
+++ b/src/control/prompt_judge_test.cpp
@@ -457,3 +457,36 @@
     apply_changes();
     CHECK_FALSE(is_blocked("desk:=poll"));
 }
+
+TEST(RequestJudge, ConvictsARequestOnTrialHoweverManyWereLostWithItBeforeAndNeverCameAgain)
+{
+    for (const int others : {1, 10, 100}) {
+        judge = prompt_judge{};
+        state = state::control_state{};
+        judge.begin_term(clock.now());
+        std::vector<std::string> lost{bad};
+        for (int i = 0; i < others; ++i) {
+            lost.push_back("desk:=once-" + std::to_string(i));
+        }
+        lose_three(lost);
+        lost.erase(lost.begin());
+        lose("u-1", lost); // told late, by another gateway
+        clock.advance(core::milliseconds{1000});
+        refuse(bad, "gateway-1");
+        CHECK_TRUE(is_on_trial(bad));
+        lose("u-4", {bad}, core::milliseconds{400});
+        LONGS_EQUAL(1, strikes(bad));
+    }
+}
+
+TEST(RequestJudge, ConvictsARequestOnTrialUnderALaterLeader)
+{
+    lose_three({bad, "desk:=once"});
+    lose("u-1", {"desk:=once"});
+    judge.begin_term(clock.now());
+    apply_changes();
+    clock.advance(core::milliseconds{1000});
+    refuse(bad, "gateway-1");
+    lose("u-4", {bad}, core::milliseconds{400});
+    LONGS_EQUAL(1, strikes(bad));
+}
