--- a/include/siskindrift/fleet/roster.h
+++ b/include/siskindrift/fleet/roster.h
@@ -46,6 +46,10 @@
     roster_change update(wire::fleet_upstream_t announcement, core::time_point now,
                          core::duration age = {});
 
+    /// Marks the run of upstream @p id that began at @p born_ms as draining.
+    /// @return false if it is unknown, another run, or not ready.
+    bool mark_draining(const std::string& id, std::uint64_t born_ms);
+
     /// Marks upstream @p id as gone.
     /// @return false if it is unknown or already gone.
     bool mark_gone(const std::string& id, core::time_point now);
--- a/include/siskindrift/gateway/relay_codec.h
+++ b/include/siskindrift/gateway/relay_codec.h
@@ -28,6 +28,8 @@
     unsigned attempts_sent = 0;
     unsigned may_have_run = 0;
     std::string software_version; ///< Of the upstream that answers.
+    std::string upstream;         ///< Id of that upstream.
+    std::uint64_t born_ms = 0;    ///< Start of its run.
 };
 
 /// Returns the headers that carry @p request.
--- a/src/apps/gateway_exchanges.cpp
+++ b/src/apps/gateway_exchanges.cpp
@@ -76,6 +76,7 @@
                                         {"status", status},
                                         {"upstream", item.upstream_id},
                                         {"helper", item.helper},
+                                        {"helper_chose", item.relay_upstream},
                                         {"relayed", item.relayed},
                                         {"software", item.software_version},
                                         {"resumes", item.metadata.resumed_request},
@@ -188,8 +189,8 @@
     const auto choice = m_pool.choose(item.service, item.adapter, item.tried_upstreams, now,
                                       item.permit_upstream, item.pin);
     stop_awaiting_permit(item);
-    if (choice.crowded) {
     m_awaiting_place.erase(item.id);
+    if (choice.crowded) {
         m_overloaded_adapters[wish_of(item)] = now;
         schedule_report();
     }
@@ -210,10 +211,10 @@
         request_permit(item, choice.upstream);
         return;
     case gateway::pool_choice::kind::limited:
-        refuse_limited(item, choice.retry_after);
         if (choice.waits_for_place && wait_for_place(item)) {
             return;
         }
+        refuse_limited(item, choice.retry_after);
         return;
     case gateway::pool_choice::kind::adapter_not_loaded:
         wait_for_upstream(item);
@@ -268,8 +269,8 @@
         added.last_event_id = item.last_event_id;
     }
     item.unprocessed_prompt_tokens = item.adapter.first.empty() ? 0 : item.metadata.prompt_tokens;
-    m_pool.record_sent(choice.upstream, item.adapter, now, item.unprocessed_prompt_tokens);
     m_limits.places().begin(choice.upstream);
+    m_pool.record_sent(choice.upstream, item.adapter, now, item.unprocessed_prompt_tokens);
     if (!item.adapter.first.empty()) {
         schedule_load_report();
     }
@@ -296,6 +297,7 @@
     ++item.may_have_run;
     item.helper.clear();
     item.relay_verdict.reset();
+    item.relay_upstream.clear();
     item.response_head.reset();
     m_kept_bytes -= item.response_body.size();
     item.response_body.clear();
@@ -496,13 +498,14 @@
     if (item->helper.empty()) {
         item->opened_at = head.reused_connection ? core::time_point{} : item->sent_at;
         m_pool.record_activity(item->upstream_id, m_clock.now(), item->opened_at);
+        record_rejection_limit(*item);
         record_prompt_processed(*item);
         if (item->response_metadata.load) {
-        record_rejection_limit(*item);
             m_pool.record_load(item->upstream_id, *item->response_metadata.load);
         }
         record_limit(*item);
     }
+    record_departure(*item);
     const auto media_type = head.header("Content-Type");
     const bool streaming = item->route.kind == gateway::route_kind::streaming;
     const bool success = head.status < first_redirect_status;
@@ -610,10 +613,10 @@
     record_prompt_processed(*item);
     if (item->helper.empty()) {
         m_pool.record_ended(item->upstream_id, item->adapter);
+        free_place(*item);
         if (call_end.result != http::call_result::not_sent) {
             item->reached_upstreams.insert(item->upstream_id);
         }
-        free_place(*item);
     }
     else {
         end_relay(*item, call_end.result != http::call_result::complete && !item->stream_begun);
@@ -897,10 +900,10 @@
     item.call_id = 0;
     if (item.helper.empty()) {
         m_pool.record_ended(item.upstream_id, item.adapter);
+        free_place(item);
     }
     else {
         end_relay(item, false);
-        free_place(item);
     }
 }
 
--- a/src/apps/gateway_process.h
+++ b/src/apps/gateway_process.h
@@ -132,6 +132,7 @@
         std::string helper; ///< Gateway that the attempt goes through, or empty.
         std::optional<core::verdict> relay_verdict; ///< Of an answer of the helper's own.
         core::reason relay_reason = core::reason::none;
+        std::string relay_upstream; ///< Upstream that the helper chose, for logs.
         std::string upstream_id; ///< Empty if a helper chooses it.
         std::string upstream_address;
         std::uint64_t upstream_born_ms = 0; ///< Start of the upstream's run.
@@ -272,12 +273,12 @@
     void record_crash(exchange& item);
     void restore_trial(exchange& item);
     void record_limit(const exchange& item);
-    void request_permit(exchange& item, const std::string& upstream);
     void record_rejection_limit(const exchange& item);
     void record_departure(const exchange& item);
     [[nodiscard]] bool wait_for_place(exchange& item);
     void free_place(const exchange& item);
     void schedule_place_report();
+    void request_permit(exchange& item, const std::string& upstream);
     void send_permit_query();
     void apply_permits(const wire::send_permit_grant_t& grant);
     void stop_awaiting_permit(exchange& item);
@@ -294,8 +295,8 @@
     boost::asio::steady_timer m_report_timer;
     boost::asio::steady_timer m_share_timer;
     boost::asio::steady_timer m_path_timer;
-    std::shared_ptr<net::mesh> m_mesh;
     boost::asio::steady_timer m_place_timer;
+    std::shared_ptr<net::mesh> m_mesh;
     listener m_caller_listener;
     listener m_readiness_listener;
     listener m_directory_listener;
@@ -341,9 +342,9 @@
     std::map<std::uint64_t, std::uint64_t> m_exchange_by_call; ///< Exchange id by call id.
     std::set<std::uint64_t> m_waiting; ///< Exchanges that wait for an upstream or an adapter.
     std::set<std::uint64_t> m_awaiting_permit;
-    /// Exchanges that were received before the first deployment document.
     std::set<std::uint64_t> m_awaiting_place;
     bool m_place_report_scheduled = false;
+    /// Exchanges that were received before the first deployment document.
     std::set<std::uint64_t> m_awaiting_document;
     /// An adapter and the software version of the engines that are to hold it; empty for any.
     using wish_key = std::pair<gateway::adapter_name, std::string>;
--- a/src/apps/gateway_relays.cpp
+++ b/src/apps/gateway_relays.cpp
@@ -111,6 +111,8 @@
     item.attempts_sent = std::max(item.attempts_sent - 1, answer->attempts_sent);
     item.may_have_run = answer->may_have_run;
     item.software_version = answer->software_version;
+    item.upstream_born_ms = answer->born_ms;
+    item.relay_upstream = answer->upstream;
     item.relay_verdict = answer->own_verdict;
     if (!answer->own_verdict) {
         record_stream_origin(item);
@@ -145,6 +147,8 @@
     answer.attempts_sent = item.attempts_sent;
     answer.may_have_run = item.may_have_run;
     answer.software_version = item.software_version;
+    answer.upstream = item.upstream_id;
+    answer.born_ms = item.upstream_born_ms;
     if (own_reason) {
         answer.own_verdict =
             item.may_have_run > item.may_have_run_before ? core::verdict::may_have_run
--- a/src/fleet/roster.cpp
+++ b/src/fleet/roster.cpp
@@ -76,6 +76,18 @@
     }
 }
 
+bool roster::mark_draining(const std::string& id, std::uint64_t born_ms)
+{
+    const auto found = m_entries.find(id);
+    if (found == m_entries.end() || found->second.info.born_ms != born_ms ||
+        found->second.info.state != wire::fleet_state::ready) {
+        return false;
+    }
+    found->second.info.state = wire::fleet_state::draining;
+    m_changed.insert(id);
+    return true;
+}
+
 bool roster::mark_gone(const std::string& id, core::time_point now)
 {
     const auto found = m_entries.find(id);
--- a/src/fleet/roster_test.cpp
+++ b/src/fleet/roster_test.cpp
@@ -115,3 +115,16 @@
     update(announcement("a", 2));
     LONGS_EQUAL(1, static_cast<long>(upstreams.take_refreshed().size()));
 }
+
+TEST(Roster, SendsNothingToARunThatSaysInAnAnswerThatItLeaves)
+{
+    update(announcement("a", 1));
+    CHECK_FALSE(upstreams.mark_draining("a", 99));
+    CHECK_TRUE(usable("a"));
+    CHECK_TRUE(upstreams.mark_draining("a", 100));
+    CHECK_FALSE(upstreams.mark_draining("a", 100));
+    update(announcement("a", 2)); // late: it still says that it is ready
+    CHECK_FALSE(usable("a"));
+    update(announcement("a", 1, 200));
+    CHECK_TRUE(usable("a"));
+}
--- a/src/gateway/relay_codec.cpp
+++ b/src/gateway/relay_codec.cpp
@@ -13,6 +13,8 @@
 constexpr std::string_view tried_header = "Siskindrift-Relay-Tried";
 constexpr std::string_view pin_header = "Siskindrift-Relay-Pin";
 constexpr std::string_view software_header = "Siskindrift-Relay-Software";
+constexpr std::string_view upstream_header = "Siskindrift-Relay-Upstream";
+constexpr std::string_view born_header = "Siskindrift-Relay-Born";
 constexpr std::string_view verdict_header = "Siskindrift-Relay-Verdict";
 constexpr std::string_view reason_header = "Siskindrift-Relay-Reason";
 
@@ -42,10 +44,11 @@
     return std::nullopt;
 }
 
-std::optional<unsigned> find_number(const http::header_list& headers, std::string_view name)
+template <class Number = unsigned>
+std::optional<Number> find_number(const http::header_list& headers, std::string_view name)
 {
     const auto text = find(headers, name);
-    unsigned value = 0;
+    Number value = 0;
     if (!text) {
         return std::nullopt;
     }
@@ -110,7 +113,9 @@
     http::header_list headers{
         {std::string{sent_header}, std::to_string(answer.attempts_sent)},
         {std::string{may_have_run_header}, std::to_string(answer.may_have_run)},
-        {std::string{software_header}, to_hex(answer.software_version)}};
+        {std::string{software_header}, to_hex(answer.software_version)},
+        {std::string{upstream_header}, to_hex(answer.upstream)},
+        {std::string{born_header}, std::to_string(answer.born_ms)}};
     if (answer.own_verdict) {
         headers.emplace_back(verdict_header,
                              std::to_string(static_cast<unsigned>(*answer.own_verdict)));
@@ -132,6 +137,8 @@
     answer.attempts_sent = *sent;
     answer.may_have_run = *may_have_run;
     answer.software_version = *software;
+    answer.upstream = from_hex(find(headers, upstream_header).value_or("")).value_or("");
+    answer.born_ms = find_number<std::uint64_t>(headers, born_header).value_or(0);
     if (const auto number = find_number(headers, verdict_header)) {
         answer.own_verdict = core::verdict_from(static_cast<std::uint8_t>(*number))
                                  .value_or(core::verdict::may_have_run);
--- a/src/gateway/relay_codec_test.cpp
+++ b/src/gateway/relay_codec_test.cpp
@@ -32,6 +32,8 @@
     sent.attempts_sent = 3;
     sent.may_have_run = 1;
     sent.software_version = "v2";
+    sent.upstream = "i-7";
+    sent.born_ms = 1'900'000'000'000;
     CHECK_FALSE(decode_relay_answer(encode_relay_answer(sent))->own_verdict.has_value());
     sent.own_verdict = core::verdict::not_run;
     sent.reason = core::reason::upstream_unreachable;
@@ -40,6 +42,8 @@
     CHECK_TRUE(core::reason::upstream_unreachable == received->reason);
     LONGS_EQUAL(3, received->attempts_sent);
     STRCMP_EQUAL("v2", received->software_version.c_str());
+    STRCMP_EQUAL("i-7", received->upstream.c_str());
+    CHECK_TRUE(1'900'000'000'000 == received->born_ms);
 }
 
 TEST(RelayCodec, TakesAnUnreadableVerdictForOneThatPromisesNothing)
