--- a/include/siskindrift/gateway/upstream_pool.h
+++ b/include/siskindrift/gateway/upstream_pool.h
@@ -180,6 +180,8 @@
     void record_outcome(const std::string& upstream, bool failed, core::time_point now);
     /// Records the load that the upstream reported in a response.
     void record_load(const std::string& upstream, const upstream_load& load);
+    /// Records that the upstream wants no requests from this gateway until @p until.
+    void record_pause(const std::string& upstream, core::time_point until, core::time_point now);
     /// Records that the upstream reported not to hold the adapter.
     void record_missing_adapter(const std::string& upstream, const adapter_name& name);
 
@@ -207,6 +209,7 @@
         core::time_point last_connect_failure{};
         core::time_point last_trial{};  ///< Last request sent although the upstream was failing.
         core::time_point last_probe{};
+        core::time_point paused_until{}; ///< Until then the run wants no requests.
         core::time_point quiet_since{}; ///< Last byte, or the first request sent after a pause.
         std::uint64_t born_ms = 0;      ///< Run of the upstream that these fields are about.
     };
--- a/src/gateway/upstream_pool.cpp
+++ b/src/gateway/upstream_pool.cpp
@@ -105,6 +105,7 @@
         stats.born_ms = entry->info.born_ms;
         stats.failed_connects = 0;
         stats.quiet_since = now;
+        stats.paused_until = {};
     }
 }
 
@@ -246,8 +247,8 @@
     };
     std::optional<core::duration> retry_after; // of upstreams that have used up their limits
     bool any_unlimited = false;
-    std::vector<candidate> candidates;
     bool waits_for_place = false;
+    std::vector<candidate> candidates;
     bool any_usable = false;
     bool any_reachable = false;
     bool held_elsewhere = false; // by an upstream that refuses the connections of this gateway
@@ -263,10 +264,10 @@
         }
         any_usable = true;
         auto& stats = m_stats[id];
-        // A run that refused a connection may have been followed by one of another version.
         const bool paused = now < stats.paused_until && stats.born_ms == entry.info.born_ms;
         any_unlimited = any_unlimited || (!m_limits.limit_of(id, entry.info.born_ms) && !paused &&
                                           !m_limits.places().is_limited(id, entry.info.born_ms));
+        // A run that refused a connection may have been followed by one of another version.
         if (pin && stats.last_connect_failure > entry.last_heard) {
             continue;
         }
@@ -283,16 +284,19 @@
         if (!wanted.first.empty() && !version) {
             continue;
         }
-        const auto admission = m_limits.admission(id, entry.info.born_ms, now);
+        auto admission = m_limits.admission(id, entry.info.born_ms, now);
+        if (paused) {
+            admission = {send_admission::kind::refused, stats.paused_until - now};
+        }
         if (admission.result == send_admission::kind::refused) {
             if (!tried.contains(id)) {
                 retry_after =
                     std::min(retry_after.value_or(admission.retry_after), admission.retry_after);
+                waits_for_place = waits_for_place || admission.waits_for_place;
             }
             continue;
         }
         current_exists = current_exists || (version && *version >= current_version);
-                waits_for_place = waits_for_place || admission.waits_for_place;
         candidates.push_back({&entry, version, load(entry, stats, !wanted.first.empty()),
                               unreachable || is_ejected(stats, now),
                               admission.result == send_admission::kind::needs_permit, refuses});
@@ -308,11 +312,11 @@
         if (retry_after && (wanted.first.empty() || !any_unlimited)) {
             choice.result = pool_choice::kind::limited;
             choice.retry_after = *retry_after;
+            choice.waits_for_place = waits_for_place;
             return choice;
         }
         choice.crowded = retry_after.has_value(); // an engine without a limit can load it
         choice.result = any_usable && !wanted.first.empty() ? pool_choice::kind::adapter_not_loaded
-            choice.waits_for_place = waits_for_place;
                                                             : pool_choice::kind::none;
         return choice;
     }
@@ -422,6 +426,14 @@
     stats.other_requests = total > stats.in_flight ? total - stats.in_flight : 0;
 }
 
+void upstream_pool::record_pause(const std::string& upstream, core::time_point until,
+                                 core::time_point now)
+{
+    auto& stats = m_stats[upstream];
+    reset_if_restarted(upstream, stats, now);
+    stats.paused_until = std::max(stats.paused_until, until);
+}
+
 void upstream_pool::record_missing_adapter(const std::string& upstream, const adapter_name& name)
 {
     if (const auto engine = m_engines.find(upstream); engine != m_engines.end()) {
--- a/src/gateway/upstream_pool_test.cpp
+++ b/src/gateway/upstream_pool_test.cpp
@@ -455,3 +455,19 @@
     pool.record_activity("a", clock.now());
     CHECK_FALSE(pool.is_lost("a", clock.now()));
 }
+
+TEST(UpstreamPool, SendsNothingToAnUpstreamForAsLongAsItWantsNothing)
+{
+    announce("a");
+    announce("b");
+    pool.record_pause("a", clock.now() + core::milliseconds{2000}, clock.now());
+    for (int i = 0; i < 20; ++i) {
+        pool.record_sent("b", none, clock.now());
+        STRCMP_EQUAL("b", choose(none).upstream.c_str());
+    }
+    const auto tried = choose(none, {"b"});
+    CHECK_TRUE(pool_choice::kind::limited == tried.result);
+    LONGS_EQUAL(2000, core::to_ms(tried.retry_after));
+    clock.advance(core::milliseconds{2000});
+    STRCMP_EQUAL("a", choose(none).upstream.c_str());
+}
