Cuts between gateways and upstreams, and software versions, in the soak

Beside the other faults: random gateways are cut off from all or some upstreams, silently, with resets, or with old connections alive, for 1.2 to 6 s; engines come back with other software versions; callers take up broken streams at any gateway. Checked: every answer's events come from one version, also over both attempts.

--- a/tests/fault_soak.py
+++ b/tests/fault_soak.py
@@ -17,7 +17,7 @@
 import time
 
 from platform_fixture import (APPLY_S, Connection, GRACE_S, PlatformFixture, STREAM_PREFIXES,
-                              call_once, check_answer, request_headers)
+                              call_once, check_answer, event_versions, request_headers)
 
 CALLERS = 12
 STREAM_EVENTS = 9
@@ -90,16 +90,34 @@
         parts = [f"{CRASHING_PART}:20"] * crashing + ["5c1e07a2:60", f"{self.next_id:x}:40"]
         headers = request_headers(request_id, deadline_s, adapter, STREAM_EVENTS, ",".join(parts))
         answer = await connection.call("POST", path, headers, limit=limit + 0.5)
-        self.answers.append((request_id, path, answer))
+        self.answers.append((request_id, path, answer, 1))
+        if path == "/stream/x" and not answer.whole and event_versions(answer.body):
+            await self.resume_stream(rng, headers, answer)
         return answer
 
+    async def resume_stream(self, rng, headers, begun):
+        """Takes up a stream at any gateway; its events must all come from one software version."""
+        versions = event_versions(begun.body)
+        self.next_id += 1
+        request_id = f"{self.next_id:016x}"
+        resuming = {**headers, "X-Siskindrift-Request-Id": request_id,
+                    "Resumes": headers["X-Siskindrift-Request-Id"],
+                    "Last-Event-Id": str(len(versions))}
+        connection = Connection(rng.choice(await self.addresses(rng)))
+        answer = await connection.call("POST", "/stream/x", resuming, limit=4.5)
+        connection.close()
+        self.answers.append((request_id, "/stream/x", answer, len(versions) + 1))
+        if len(set(versions + event_versions(answer.body))) > 1:
+            self.platform.report_violation(f"{request_id}: a stream of {versions[0]} went on at "
+                                           f"{event_versions(answer.body)[0]}")
+
     async def send_crashing_request(self, connection):
         self.next_id += 1
         request_id = f"{self.next_id:016x}"
         path, body = CRASHING_REQUEST
         headers = request_headers(request_id, 2.0)
         answer = await connection.call("POST", path, headers, body, limit=2.5)
-        self.answers.append((request_id, path, answer))
+        self.answers.append((request_id, path, answer, 1))
 
     # --- faults; each reverts itself ---
     def unaffected(self, names):
@@ -279,6 +297,38 @@
                     f"{name}: {arrived} requests in {LIMIT_WINDOW_S} s, {allowed} allowed")
                 return
 
+    async def cut_paths(self):
+        """Cuts gateways off from upstreams beside the other faults."""
+        rng = random.Random(self.seed + 2)
+        end = time.monotonic() + self.seconds
+        while time.monotonic() < end:
+            await asyncio.sleep(rng.uniform(0.5, 4.0))
+            gateways = rng.sample(range(len(self.platform.gateways)),
+                                  rng.randrange(1, len(self.platform.gateways)))
+            upstreams = rng.choice([self.platform.upstreams, self.platform.upstreams,
+                                    rng.sample(self.platform.upstreams, 2)])
+            how = rng.choice(["silent", "reset", "live"])
+            self.log_event(f"cut gateways {gateways} off from {len(upstreams)} upstreams, {how}")
+            for upstream in upstreams:
+                upstream.link.block([self.platform.source_address(i) for i in gateways], how)
+            await asyncio.sleep(rng.choice([1.2, 2.0, 6.0]))
+            for upstream in self.platform.upstreams:
+                upstream.link.unblock()
+
+    async def change_software(self):
+        """Restarts engines with other software versions beside the other faults."""
+        rng = random.Random(self.seed + 3)
+        end = time.monotonic() + self.seconds
+        engines = [item for item in self.platform.upstreams if item.adapter_slots]
+        while time.monotonic() < end:
+            await asyncio.sleep(rng.uniform(1.0, 5.0))
+            engine = rng.choice([item for item in engines if not item.down] or [None])
+            if engine is None:
+                continue
+            engine.software = rng.choice(["v1", "v2", "V2"])
+            self.log_event(f"{engine.name} restarts with software {engine.software}")
+            await engine.crash(0.2)
+
     async def restart_engine(self):
         engines = [item for item in self.platform.upstreams if item.adapter_slots]
         engine = self.random.choice(engines)
@@ -336,7 +386,8 @@
         background = [asyncio.create_task(self.caller(i)) for i in range(CALLERS)]
         background.append(asyncio.create_task(self.read_documents()))
         background.append(asyncio.create_task(self.restart_exited()))
-        await asyncio.gather(self.inject_faults(), self.break_responses(), self.name_limits())
+        await asyncio.gather(self.inject_faults(), self.break_responses(), self.name_limits(),
+                             self.cut_paths(), self.change_software())
         for upstream in self.platform.upstreams:
             upstream.crashing_parts = set()
             upstream.crashing_requests = set()
@@ -345,8 +396,8 @@
         self.stop_callers = True
         await asyncio.gather(*background)
         await asyncio.sleep(0.5)  # late executions at upstreams are checked as well
-        for request_id, path, answer in self.answers:
-            check_answer(self.platform, request_id, path, answer, STREAM_EVENTS)
+        for request_id, path, answer, first in self.answers:
+            check_answer(self.platform, request_id, path, answer, STREAM_EVENTS, first)
         for name in self.platform.gateways + self.platform.coordinators:
             self.platform.signal(name, signal.SIGTERM)
         for name in self.platform.gateways + self.platform.coordinators:
@@ -398,7 +449,7 @@
     for task in soak.open_faults:
         if task.done() and not task.cancelled() and task.exception():
             platform.report_violation(f"a fault could not be injected: {task.exception()!r}")
-    served = sum(1 for _, _, answer in soak.answers if answer.whole and answer.status == 200)
+    served = sum(1 for _, _, answer, _ in soak.answers if answer.whole and answer.status == 200)
     print(f"seed {seed}: {len(soak.answers)} requests, {served} served, {platform.acknowledged}"
           f" documents acknowledged, {len(platform.violations)} promises broken", flush=True)
     if platform.violations:
--- a/tests/platform_fixture.py
+++ b/tests/platform_fixture.py
@@ -787,7 +787,13 @@
     return [int(event.split("\n")[0].partition(": ")[2]) for event in whole.split("\n\n") if event]
 
 
-def check_answer(platform, request_id, path, answer, events=9):
+def event_versions(body):
+    """Returns the software versions that made the complete server-sent events in a body."""
+    whole = body.decode().rpartition("\n\n")[0]
+    return [event.rpartition(" ")[2] for event in whole.split("\n\n") if event]
+
+
+def check_answer(platform, request_id, path, answer, events=9, first=1):
     """Reports each guarantee that an answer violates, given the executions at the upstreams."""
     executions = platform.executions.get(request_id, [])
     if not path.startswith(("/safe/", "/stream/")) and len(executions) > 1:
@@ -803,11 +809,13 @@
             f"{request_id} {path}: success without the seal of an upstream that executed it")
     if path.startswith(STREAM_PREFIXES):
         numbers = event_numbers(answer.body)
-        if numbers != list(range(1, len(numbers) + 1)):
-            platform.report_violation(
-                f"{request_id} {path}: event ids {numbers} are not consecutive from 1")
-        if answer.whole and len(numbers) != events:
+        if numbers != list(range(first, first + len(numbers))):
             platform.report_violation(
-                f"{request_id} {path}: stream ended after {len(numbers)} of {events} events")
+                f"{request_id} {path}: event ids {numbers} are not consecutive from {first}")
+        if answer.whole and first - 1 + len(numbers) != events:
+            platform.report_violation(f"{request_id} {path}: stream ended after "
+                                      f"{first - 1 + len(numbers)} of {events} events")
+        if len(set(event_versions(answer.body))) > 1:
+            platform.report_violation(f"{request_id} {path}: events of several software versions")
     elif answer.whole and answer.body != expected_body(request_id, seal):
         platform.report_violation(f"{request_id} {path}: body differs from the upstream's")
