Don't let a timer that has just expired end the wait that follows

What callers saw: 504 deadline_passed 1.2 s after a request with 4 s came, for requests that had waited for an upstream's place and were just sent. Cause: a wait on a timer that has expired can't be cancelled, its handler is queued; set anew in the same moment, it ended the next wait. This concerns every wait of a request (permit, adapter, origin, place). Now a handler counts only if the timer wasn't set again.

--- a/src/apps/gateway_exchanges.cpp
+++ b/src/apps/gateway_exchanges.cpp
@@ -401,8 +401,11 @@
         item.timer = std::make_unique<boost::asio::steady_timer>(m_context);
     }
     item.timer->expires_after(after);
-    item.timer->async_wait([this, id = item.id](boost::system::error_code error) {
-        if (!error) {
+    // A wait that has expired can't be cancelled any more: its handler is queued.
+    const auto generation = ++item.timer_generation;
+    item.timer->async_wait([this, id = item.id, generation](boost::system::error_code error) {
+        const auto found = m_exchanges.find(id);
+        if (!error && found != m_exchanges.end() && found->second->timer_generation == generation) {
             handle_timeout(id);
         }
     });
--- a/src/apps/gateway_process.h
+++ b/src/apps/gateway_process.h
@@ -107,6 +107,7 @@
         std::optional<core::time_point> first_sent_at;
         std::optional<core::time_point> first_byte_at; ///< When the response to the caller began.
         std::unique_ptr<boost::asio::steady_timer> timer;
+        std::uint64_t timer_generation = 0; ///< Counts how often `timer` was set.
         std::set<std::string> tried_upstreams;
         unsigned attempts_sent = 0;
         unsigned crashes = 0;        ///< Engines that ended as they began to answer it.
