Tell gateways and new runs that the places of a service are divided

What the first test of it with real processes showed: an upstream that had fallen over came back as a new run, of which no gateway knew that it fails by rejections, and fell over again, 10 to 52 times; so did upstreams beside a gateway that had just started. Now the leader tells gateways which upstreams' places it divides, also when they attach, and a gateway expects the same of each new run of the service until an answer says otherwise.

--- a/include/siskindrift/config/settings.h
+++ b/include/siskindrift/config/settings.h
@@ -46,11 +46,11 @@
 struct gateway_settings {
     std::string vm;
     std::string failure_domain;
-    std::string caller_address;     ///< IP:port for callers.
-    std::string readiness_address;  ///< IP:port for the platform's readiness check.
-    std::string directory_address;  ///< IP:port where callers query the list of gateways.
-    std::string inner_address;      ///< IP:port for the system's own processes.
-    std::string relay_address;      ///< IP:port for requests of other gateways.
+    std::string caller_address;    ///< IP:port for callers.
+    std::string readiness_address; ///< IP:port for the platform's readiness check.
+    std::string directory_address; ///< IP:port where callers query the list of gateways.
+    std::string inner_address;     ///< IP:port for the system's own processes.
+    std::string relay_address;     ///< IP:port for requests of other gateways.
     /// IP from which connections to upstreams are opened, or empty: the system chooses it.
     std::string source_address;
     std::vector<std::string> seeds; ///< Internal addresses of some coordinators; may be outdated.
--- a/include/siskindrift/control/place_manager.h
+++ b/include/siskindrift/control/place_manager.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <vector>
 
 #include "siskindrift/core/clock.h"
 #include "siskindrift/wire/messages.h"
@@ -35,6 +36,11 @@
     [[nodiscard]] wire::place_grant_t grant(const std::string& vm, const wire::place_wish_t& wish,
                                             std::uint32_t slots, core::time_point now);
 
+    /// Returns the upstreams whose places are divided now.
+    [[nodiscard]] std::vector<wire::divided_upstream_t> divided(core::time_point now) const;
+    /// Returns whether there are more of these since the last call.
+    [[nodiscard]] bool take_changed();
+
 private:
     struct holder {
         std::uint32_t places = 0;
@@ -53,6 +59,7 @@
     place_manager_options m_options;
     core::time_point m_term_began{};
     std::map<std::string, upstream_state> m_upstreams;
+    bool m_changed = false;
 };
 
 } // namespace siskindrift::control
--- a/include/siskindrift/control/prompt_judge.h
+++ b/include/siskindrift/control/prompt_judge.h
@@ -111,7 +111,7 @@
         bool trial_crashed = false;
         bool trial_survived = false;
         core::time_point trial_crash{};
-        std::set<std::string> ended; ///< Upstreams that ended under it.
+        std::set<std::string> ended;        ///< Upstreams that ended under it.
         std::set<upstream_run> trial_ended; ///< Runs that ended under its current trial.
         /// Runs that ended under a request of it that was sent before it was blocked.
         std::set<upstream_run> strays;
--- a/include/siskindrift/fleet/software_history.h
+++ b/include/siskindrift/fleet/software_history.h
@@ -59,7 +59,10 @@
     heard_within(core::duration span, core::time_point now) const;
 
     /// Returns the time since which this process knows all versions, or none if it knows nothing.
-    [[nodiscard]] std::optional<core::time_point> complete_since() const { return m_complete_since; }
+    [[nodiscard]] std::optional<core::time_point> complete_since() const
+    {
+        return m_complete_since;
+    }
 
 private:
     software_history_options m_options;
--- a/include/siskindrift/gateway/helper_pool.h
+++ b/include/siskindrift/gateway/helper_pool.h
@@ -51,9 +51,8 @@
     void set_gateways(const std::vector<wire::gateway_info_t>& gateways);
 
     /// Chooses a gateway for a request to @p service that is not among @p tried.
-    [[nodiscard]] std::optional<helper> choose(const std::string& service,
-                                               const std::set<std::string>& tried,
-                                               core::time_point now);
+    [[nodiscard]] std::optional<helper>
+    choose(const std::string& service, const std::set<std::string>& tried, core::time_point now);
 
     /// Records that a request was passed on to @p vm.
     void record_sent(const std::string& vm) { ++m_states[vm].in_flight; }
--- a/include/siskindrift/gateway/origin_lookup.h
+++ b/include/siskindrift/gateway/origin_lookup.h
@@ -26,7 +26,7 @@
 /// The software version that a stream goes on at.
 struct origin_decision {
     origin_source source = origin_source::unknown;
-    std::string software_version; ///< Unless the source is `unknown`.
+    std::string software_version;  ///< Unless the source is `unknown`.
     bool may_become_known = false; ///< Nobody has seen several versions, but nobody is sure.
 };
 
--- a/include/siskindrift/gateway/upstream_places.h
+++ b/include/siskindrift/gateway/upstream_places.h
@@ -28,6 +28,7 @@
 
 /// An answer of an upstream, as evidence of whether it fails by rejections.
 struct place_answer {
+    std::string service;
     std::string upstream;
     std::uint64_t born_ms = 0; ///< Start of the upstream's run.
     std::uint32_t slots = 0;   ///< Requests that it executes at once.
@@ -45,6 +46,15 @@
 
     /// Records an answer. @return whether it begins or ends the division of places.
     bool record_answer(const place_answer& answer, core::time_point now);
+    /// Records that the places of a run of @p upstream are divided, unless an answer of this run
+    /// has said otherwise.
+    void set_limited(const std::string& service, const std::string& upstream, std::uint64_t born_ms,
+                     std::uint32_t slots, core::time_point now);
+    /// Returns the services whose upstreams fail by rejections, also those that start anew.
+    [[nodiscard]] const std::map<std::string, core::time_point>& limited_services() const
+    {
+        return m_services;
+    }
     /// Records that a request was sent to @p upstream.
     void begin(const std::string& upstream) { ++m_upstreams[upstream].in_use; }
     /// Records that a request to @p upstream has ended.
@@ -90,6 +100,8 @@
 
     upstream_places_options m_options;
     std::map<std::string, place_state> m_upstreams;
+    /// When an answer last began the division, by service.
+    std::map<std::string, core::time_point> m_services;
     bool m_leader_known = false;
     std::size_t m_gateways = 1;
 };
--- a/include/siskindrift/gateway/upstream_pool.h
+++ b/include/siskindrift/gateway/upstream_pool.h
@@ -73,8 +73,8 @@
 
 /// The software version at which a stream has begun, and must go on.
 struct software_pin {
-    std::string version; ///< Empty if the upstream that began it named none.
-    std::string upstream; ///< That upstream, if it is known.
+    std::string version;       ///< Empty if the upstream that began it named none.
+    std::string upstream;      ///< That upstream, if it is known.
     std::uint64_t born_ms = 0; ///< Start of its run.
 
     /// Returns whether @p upstream may go on with the stream.
@@ -99,7 +99,7 @@
     std::string upstream;
     std::string address;
     std::optional<std::uint64_t> adapter_version; ///< Of the chosen copy, if known.
-    bool crowded = false;         ///< Another copy of the adapter would reduce the delay.
+    bool crowded = false; ///< Another copy of the adapter would reduce the delay.
     /// An upstream that can run the request is not reachable from here, and none that is can run it
     /// now. Another gateway may reach it.
     bool unreachable = false;
@@ -207,11 +207,11 @@
         std::map<adapter_name, std::uint32_t> requests_by_adapter;
         unsigned failed_connects = 0; ///< Since the last byte from the upstream.
         core::time_point last_connect_failure{};
-        core::time_point last_trial{};  ///< Last request sent although the upstream was failing.
+        core::time_point last_trial{}; ///< Last request sent although the upstream was failing.
         core::time_point last_probe{};
         core::time_point paused_until{}; ///< Until then the run wants no requests.
-        core::time_point quiet_since{}; ///< Last byte, or the first request sent after a pause.
-        std::uint64_t born_ms = 0;      ///< Run of the upstream that these fields are about.
+        core::time_point quiet_since{};  ///< Last byte, or the first request sent after a pause.
+        std::uint64_t born_ms = 0;       ///< Run of the upstream that these fields are about.
     };
     struct engine_state {
         std::uint64_t born_ms = 0;  ///< Start time, which identifies one run of the engine.
--- a/src/adapters/placer_plan.cpp
+++ b/src/adapters/placer_plan.cpp
@@ -91,8 +91,8 @@
                 continue;
             }
             const auto key = key_of(name);
-            for (auto* sum : {&index.all[key],
-                              &index.by_software[{key, engine.software_version}]}) {
+            for (auto* sum :
+                 {&index.all[key], &index.by_software[{key, engine.software_version}]}) {
                 const bool loaded = held.state == copy_state::loaded;
                 const bool settling =
                     held.additional && (!loaded || now - held.loaded_at < interval);
--- a/src/adapters/placer_test.cpp
+++ b/src/adapters/placer_test.cpp
@@ -38,8 +38,7 @@
         adapter_placer.on_announcement(announcement, usable);
     }
 
-    void wish_at(const std::string& adapter, const std::string& software,
-                 std::uint32_t waiting = 1)
+    void wish_at(const std::string& adapter, const std::string& software, std::uint32_t waiting = 1)
     {
         wire::gateway_report_t report;
         report.vm = "h-" + software;
--- a/src/apps/coordinator_fleet.cpp
+++ b/src/apps/coordinator_fleet.cpp
@@ -235,6 +235,7 @@
     }
     append_blocked_parts(update);
     append_upstream_limits(update);
+    append_divided(update);
     append_all(update.upstreams, m_roster.snapshot(m_clock.now()));
     for (const auto& [name, version] : m_core->state().adapter_versions()) {
         wire::adapter_copy_t item;
@@ -297,6 +298,9 @@
         m_published_limits = m_core->state().current_upstream_limits().generation;
         append_upstream_limits(update);
     }
+    if (std::exchange(m_divided_changed, false)) {
+        append_divided(update);
+    }
     m_mesh->reply_all(gateway_connections(), wire::make_envelope(std::move(update)));
 }
 
@@ -521,6 +525,10 @@
             wire::append(grant.places, std::move(places));
         }
     }
+    if (m_places.take_changed()) {
+        m_divided_changed = true;
+        m_flush_requested = true;
+    }
     for (const auto& wish : query.wishes) {
         auto permit = m_upstream_limits.grant(*wish, limits, now);
         observe::routine("send_permits", {{"upstream", permit.upstream},
@@ -563,6 +571,14 @@
     schedule_cycle();
 }
 
+// Tells gateways whose places are divided before they send there.
+void coordinator_process::append_divided(wire::fleet_update_t& update) const
+{
+    for (auto& item : m_places.divided(m_clock.now())) {
+        wire::append(update.divided, std::move(item));
+    }
+}
+
 void coordinator_process::append_upstream_limits(wire::fleet_update_t& update) const
 {
     const auto& limits = m_core->state().current_upstream_limits();
--- a/src/apps/coordinator_process.cpp
+++ b/src/apps/coordinator_process.cpp
@@ -20,7 +20,7 @@
 // A predecessor's last order may still be in transit when its lease has ended.
 constexpr core::milliseconds order_transit_margin{600};
 constexpr core::milliseconds election_retry_interval{300}; // about the duration of an election
-constexpr core::milliseconds before_first_start{60'000}; // longer than streams last
+constexpr core::milliseconds before_first_start{60'000};   // longer than streams last
 constexpr core::milliseconds announcement_wait{2500}; // until all upstreams were announced again
 constexpr std::uint64_t compaction_interval_entries = 256; // documents are large and change rarely
 
--- a/src/apps/coordinator_process.h
+++ b/src/apps/coordinator_process.h
@@ -117,6 +117,7 @@
     void handle_permit_query(net::connection_id from, const wire::send_permit_query_t& query);
     void update_upstream_limits();
     void append_upstream_limits(wire::fleet_update_t& update) const;
+    void append_divided(wire::fleet_update_t& update) const;
     [[nodiscard]] bool holds_lease() const;
     void update_gauges(observe::metrics& metrics) const;
     [[nodiscard]] std::vector<net::connection_id> gateway_connections() const;
@@ -146,6 +147,7 @@
     control::upstream_limit_manager m_upstream_limits;
     control::software_version_manager m_software_versions;
     control::place_manager m_places;
+    bool m_divided_changed = false; ///< Further upstreams whose places are divided aren't told yet.
     std::uint64_t m_published_blocks = 0; ///< Generation that the gateways were sent.
     std::uint64_t m_published_limits = 0; ///< Generation that the gateways were sent.
     std::uint64_t m_announced_shares = 0; ///< Generation that this leader announced last.
--- a/src/apps/gateway_guards.cpp
+++ b/src/apps/gateway_guards.cpp
@@ -12,9 +12,9 @@
 constexpr core::milliseconds blocked_retry_after{30'000}; // a blocked part is tried again
 constexpr core::milliseconds suspected_retry_after{1000}; // a suspected request is tried alone
 constexpr std::uint16_t first_redirect_status = 300;
-constexpr core::milliseconds place_check_interval{30}; // the leader has none for so long
+constexpr core::milliseconds place_check_interval{30};  // the leader has none for so long
 constexpr core::milliseconds place_report_interval{20}; // collects what is freed in that time
-constexpr double place_wait_share = 0.3; // of a caller's time; the rest is for the answer
+constexpr double place_wait_share = 0.3;        // of a caller's time; the rest is for the answer
 constexpr std::uint16_t other_run_status = 421; // may come from another run at the address
 
 core::reason reason_for(const gateway::blocked_request& blocked)
@@ -183,6 +183,7 @@
     }
     const auto* entry = m_roster.find(item.upstream_id);
     gateway::place_answer place;
+    place.service = item.service;
     place.upstream = item.upstream_id;
     place.born_ms = item.upstream_born_ms;
     place.slots = entry != nullptr ? entry->info.slots : 1;
@@ -200,6 +201,23 @@
     }
 }
 
+// An upstream that has just started says nothing before its first answers, but fails like the
+// others of its service.
+void gateway_process::divide_places_of_new_runs()
+{
+    auto& places = m_limits.places();
+    if (places.limited_services().empty()) {
+        return;
+    }
+    for (const auto& [id, entry] : m_roster.entries()) {
+        if (places.limited_services().contains(entry.info.service)) {
+            places.set_limited(entry.info.service, id, entry.info.born_ms, entry.info.slots,
+                               m_clock.now());
+        }
+    }
+    schedule_place_report();
+}
+
 // Records that an upstream says that it leaves, or that it wants no requests for some time.
 void gateway_process::record_departure(const exchange& item)
 {
--- a/src/apps/gateway_process.cpp
+++ b/src/apps/gateway_process.cpp
@@ -49,7 +49,8 @@
 gateway_process::gateway_process(config::gateway_settings settings, std::string settings_path)
     : m_settings(std::move(settings)), m_settings_path(std::move(settings_path)), m_context(1),
       m_signals(m_context, SIGTERM, SIGINT, SIGHUP), m_stop_timer(m_context),
-      m_report_timer(m_context), m_share_timer(m_context), m_path_timer(m_context), m_place_timer(m_context),
+      m_report_timer(m_context), m_share_timer(m_context), m_path_timer(m_context),
+      m_place_timer(m_context),
       m_mesh(std::make_shared<net::mesh>(m_context, net::mesh_options{}, *this)),
       m_caller_listener(
           [this](std::uint64_t id, http::server_request request,
@@ -368,6 +369,13 @@
         m_roster.refresh(id, now);
         record_software(id);
     }
+    for (const auto& divided : update.divided) {
+        if (const auto* entry = m_roster.find(divided->upstream)) {
+            m_limits.places().set_limited(entry->info.service, divided->upstream, divided->born_ms,
+                                          entry->info.slots, now);
+        }
+    }
+    divide_places_of_new_runs();
     if (update.full) {
         m_software.on_contact(now - core::milliseconds{update.history_ms}, now);
     }
--- a/src/apps/gateway_process.h
+++ b/src/apps/gateway_process.h
@@ -118,9 +118,9 @@
         std::uint64_t origin_query = 0; ///< Lookup of the stream's origin it waits for, or 0.
         /// Set once the caller has an event of the stream, also by an earlier request.
         std::optional<gateway::software_pin> pin;
-        unsigned sends = 0; ///< Counts up with every send, also one that failed to connect.
+        unsigned sends = 0;   ///< Counts up with every send, also one that failed to connect.
         bool relayed = false; ///< Another gateway passed the request on to this one.
-        unsigned may_have_run_before = 0; ///< `may_have_run` when it was passed on.
+        unsigned may_have_run_before = 0;        ///< `may_have_run` when it was passed on.
         std::set<std::string> tried_helpers;     ///< Gateways that it was passed on to.
         std::set<std::string> reached_upstreams; ///< Those of `tried_upstreams` it was sent to.
         core::reason failure_reason = core::reason::none;
@@ -130,17 +130,17 @@
         bool answer_recorded =
             false; ///< The prompt guard knows that the attempt is being answered.
         bool counts_as_retry = false; ///< The retry budget counts it, and it may still arrive.
-        std::string helper; ///< Gateway that the attempt goes through, or empty.
+        std::string helper;           ///< Gateway that the attempt goes through, or empty.
         std::optional<core::verdict> relay_verdict; ///< Of an answer of the helper's own.
         core::reason relay_reason = core::reason::none;
         std::string relay_upstream; ///< Upstream that the helper chose, for logs.
-        std::string upstream_id; ///< Empty if a helper chooses it.
+        std::string upstream_id;    ///< Empty if a helper chooses it.
         std::string upstream_address;
         std::uint64_t upstream_born_ms = 0; ///< Start of the upstream's run.
         std::string software_version;       ///< Of the upstream, empty if it is unknown.
         core::time_point sent_at{};
         core::time_point opened_at{}; ///< The attempt's connection was opened then or later.
-        bool uses_permit = false; ///< Is sent under the upstream's limit.
+        bool uses_permit = false;     ///< Is sent under the upstream's limit.
         std::uint32_t unprocessed_prompt_tokens =
             0; ///< Prompt tokens the upstream has yet to process.
         std::optional<http::client_head> response_head;
@@ -276,6 +276,7 @@
     void record_limit(const exchange& item);
     void record_rejection_limit(const exchange& item);
     void record_departure(const exchange& item);
+    void divide_places_of_new_runs();
     [[nodiscard]] bool wait_for_place(exchange& item);
     void free_place(const exchange& item);
     void schedule_place_report();
--- a/src/apps/gateway_relays.cpp
+++ b/src/apps/gateway_relays.cpp
@@ -150,9 +150,9 @@
     answer.upstream = item.upstream_id;
     answer.born_ms = item.upstream_born_ms;
     if (own_reason) {
-        answer.own_verdict =
-            item.may_have_run > item.may_have_run_before ? core::verdict::may_have_run
-                                                         : core::verdict::not_run;
+        answer.own_verdict = item.may_have_run > item.may_have_run_before
+                                 ? core::verdict::may_have_run
+                                 : core::verdict::not_run;
         answer.reason = *own_reason;
     }
     return gateway::encode_relay_answer(answer);
--- a/src/apps/gateway_streams.cpp
+++ b/src/apps/gateway_streams.cpp
@@ -129,8 +129,8 @@
 void gateway_process::pin_begun_stream(exchange& item)
 {
     if (!item.pin && item.events.events() > 0) {
-        item.pin = gateway::software_pin{item.software_version, item.upstream_id,
-                                         item.upstream_born_ms};
+        item.pin =
+            gateway::software_pin{item.software_version, item.upstream_id, item.upstream_born_ms};
     }
 }
 
@@ -148,9 +148,9 @@
     origin.service = item.service;
     origin.software_version = item.software_version;
     origin.attempt = item.sends;
-    const auto lifetime = std::max(item.metadata.deadline.value_or(item.route.timeout),
-                                   item.route.timeout) +
-                          origin_margin;
+    const auto lifetime =
+        std::max(item.metadata.deadline.value_or(item.route.timeout), item.route.timeout) +
+        origin_margin;
     origin.lifetime_ms = static_cast<std::uint32_t>(core::to_ms(lifetime));
     keep_stream_origin(origin, true);
     const auto versions =
@@ -227,11 +227,10 @@
     const auto now = m_clock.now();
     bool needed = false;
     if (m_deployment) {
-        needed = std::any_of(m_deployment->services.begin(), m_deployment->services.end(),
-                             [&](const auto& service) {
-                                 return m_software.has_several(service.first,
-                                                               stream_span(service.first), now);
-                             });
+        needed = std::any_of(
+            m_deployment->services.begin(), m_deployment->services.end(), [&](const auto& service) {
+                return m_software.has_several(service.first, stream_span(service.first), now);
+            });
     }
     const auto chosen = needed ? choose_registrars() : std::vector<std::string>{};
     const std::set<std::string> wanted{chosen.begin(), chosen.end()};
--- a/src/control/place_manager.cpp
+++ b/src/control/place_manager.cpp
@@ -1,7 +1,7 @@
 #include "siskindrift/control/place_manager.h"
 
 #include <algorithm>
-#include <vector>
+#include <utility>
 
 namespace siskindrift::control {
 
@@ -34,18 +34,18 @@
 wire::place_grant_t place_manager::grant(const std::string& vm, const wire::place_wish_t& wish,
                                          std::uint32_t slots, core::time_point now)
 {
-    std::erase_if(m_upstreams, [&](const auto& item) {
-        return now - item.second.used_at > m_options.lease;
-    });
+    std::erase_if(m_upstreams,
+                  [&](const auto& item) { return now - item.second.used_at > m_options.lease; });
+    m_changed = m_changed || !m_upstreams.contains(wish.upstream);
     auto& state = m_upstreams[wish.upstream];
     if (wish.born_ms > state.born_ms) {
         state.holders.clear();
         state.born_ms = wish.born_ms;
+        m_changed = true;
     }
     state.used_at = now;
-    std::erase_if(state.holders, [&](const auto& item) {
-        return now - item.second.told_at > m_options.lease;
-    });
+    std::erase_if(state.holders,
+                  [&](const auto& item) { return now - item.second.told_at > m_options.lease; });
     auto& own = state.holders[vm];
     own.demand = wish.in_use + wish.waiting;
     own.told_at = now;
@@ -64,4 +64,23 @@
     return granted;
 }
 
+std::vector<wire::divided_upstream_t> place_manager::divided(core::time_point now) const
+{
+    std::vector<wire::divided_upstream_t> list;
+    for (const auto& [upstream, state] : m_upstreams) {
+        if (now - state.used_at <= m_options.lease) {
+            wire::divided_upstream_t item;
+            item.upstream = upstream;
+            item.born_ms = state.born_ms;
+            list.push_back(std::move(item));
+        }
+    }
+    return list;
+}
+
+bool place_manager::take_changed()
+{
+    return std::exchange(m_changed, false);
+}
+
 } // namespace siskindrift::control
--- a/src/control/place_manager_test.cpp
+++ b/src/control/place_manager_test.cpp
@@ -26,7 +26,7 @@
         manager.begin_term(m_clock.now() - core::milliseconds{1000});
         for (auto& item : m_gateways) {
             item.places.set_leader(true, gateways);
-            item.places.record_answer({"u", born, slots, true, m_clock.now()}, m_clock.now());
+            item.places.record_answer({"s", "u", born, slots, true, m_clock.now()}, m_clock.now());
         }
     }
 
@@ -43,7 +43,7 @@
         running -= static_cast<std::uint32_t>(m_gateways[i].ends.size());
         m_gateways[i] = {};
         m_gateways[i].places.set_leader(true, m_gateways.size());
-        m_gateways[i].places.record_answer({"u", born, m_slots, true, m_clock.now()},
+        m_gateways[i].places.record_answer({"s", "u", born, m_slots, true, m_clock.now()},
                                            m_clock.now());
     }
     void cut_off(std::size_t i, bool cut) { m_gateways[i].cut = cut; }
@@ -133,12 +133,12 @@
         m_messages.emplace(asked + core::milliseconds{delay_ms}, [this, i, wish, asked] {
             const auto grant =
                 manager.grant("vm" + std::to_string(i), wish, m_slots, m_clock.now());
-            m_messages.emplace(m_clock.now() + core::milliseconds{delay_ms}, [this, i, grant,
-                                                                              asked] {
-                if (!m_gateways[i].cut) {
-                    m_gateways[i].places.apply(grant, asked, m_clock.now());
-                }
-            });
+            m_messages.emplace(m_clock.now() + core::milliseconds{delay_ms},
+                               [this, i, grant, asked] {
+                                   if (!m_gateways[i].cut) {
+                                       m_gateways[i].places.apply(grant, asked, m_clock.now());
+                                   }
+                               });
         });
     }
 
@@ -177,10 +177,10 @@
             world.steps = 0;
             world.run(4000);
             const double share = world.used / static_cast<double>(world.steps) / slots;
-            CHECK_TRUE_TEXT(share >= 0.9, (std::to_string(gateways) + " gateways, " +
-                                           std::to_string(slots) + " places: " +
-                                           std::to_string(share))
-                                              .c_str());
+            CHECK_TRUE_TEXT(share >= 0.9,
+                            (std::to_string(gateways) + " gateways, " + std::to_string(slots) +
+                             " places: " + std::to_string(share))
+                                .c_str());
         }
     }
 }
--- a/src/fleet/roster.cpp
+++ b/src/fleet/roster.cpp
@@ -18,8 +18,8 @@
 bool same_attributes(const wire::fleet_upstream_t& left, const wire::fleet_upstream_t& right)
 {
     return left.service == right.service && left.address == right.address &&
-           left.born_ms == right.born_ms && left.state == right.state && left.slots == right.slots &&
-           left.software_version == right.software_version;
+           left.born_ms == right.born_ms && left.state == right.state &&
+           left.slots == right.slots && left.software_version == right.software_version;
 }
 
 } // namespace
--- a/src/fleet/software_history.cpp
+++ b/src/fleet/software_history.cpp
@@ -69,8 +69,8 @@
         return result;
     }
     const auto found = m_last_heard.find(service);
-    const bool complete = m_complete_since && !m_lost_at && now >= m_settled_at &&
-                          *m_complete_since + span <= now;
+    const bool complete =
+        m_complete_since && !m_lost_at && now >= m_settled_at && *m_complete_since + span <= now;
     if (!complete || found == m_last_heard.end() || found->second.empty()) {
         return result;
     }
--- a/src/fleet/software_history_test.cpp
+++ b/src/fleet/software_history_test.cpp
@@ -11,16 +11,25 @@
     software_history history;
     const core::duration span = core::milliseconds{20'000};
 
-    void setup() override { clock.advance(core::milliseconds{100'000}); }
+    void setup() override
+    {
+        clock.advance(core::milliseconds{100'000});
+    }
 
     void contact(int known_for_ms)
     {
         history.on_contact(clock.now() - core::milliseconds{known_for_ms}, clock.now());
     }
 
-    void hear(const std::string& version) { history.record("llm", version, clock.now()); }
+    void hear(const std::string& version)
+    {
+        history.record("llm", version, clock.now());
+    }
 
-    software_versions versions() const { return history.versions("llm", span, clock.now()); }
+    software_versions versions() const
+    {
+        return history.versions("llm", span, clock.now());
+    }
 };
 
 TEST(SoftwareHistory, IsUnsureUntilItKnowsAllVersionsForTheWholeSpan)
--- a/src/fleet/stream_origins.cpp
+++ b/src/fleet/stream_origins.cpp
@@ -7,8 +7,8 @@
 bool stream_origins::record(const wire::stream_origin_t& origin, bool own, core::time_point now)
 {
     remove_expired(now);
-    const auto expires =
-        now + std::min<core::duration>(core::milliseconds{origin.lifetime_ms}, m_options.max_lifetime);
+    const auto expires = now + std::min<core::duration>(core::milliseconds{origin.lifetime_ms},
+                                                        m_options.max_lifetime);
     const auto known = m_entries.find(origin.request);
     if (known != m_entries.end()) {
         auto& item = known->second;
--- a/src/gateway/helper_pool.cpp
+++ b/src/gateway/helper_pool.cpp
@@ -33,9 +33,9 @@
         if (skip) {
             continue;
         }
-        const double cost = state.in_flight + (info.failure_domain == m_failure_domain
-                                                   ? 0.0
-                                                   : m_options.domain_distance);
+        const double cost =
+            state.in_flight +
+            (info.failure_domain == m_failure_domain ? 0.0 : m_options.domain_distance);
         // Of several that cost the same, each is chosen with the same probability.
         ties = best != nullptr && cost == best_cost ? ties + 1 : 1;
         const bool better = best == nullptr || cost < best_cost ||
--- a/src/gateway/relay_codec.cpp
+++ b/src/gateway/relay_codec.cpp
@@ -119,8 +119,7 @@
     if (answer.own_verdict) {
         headers.emplace_back(verdict_header,
                              std::to_string(static_cast<unsigned>(*answer.own_verdict)));
-        headers.emplace_back(reason_header,
-                             std::to_string(static_cast<unsigned>(answer.reason)));
+        headers.emplace_back(reason_header, std::to_string(static_cast<unsigned>(answer.reason)));
     }
     return headers;
 }
--- a/src/gateway/relay_codec_test.cpp
+++ b/src/gateway/relay_codec_test.cpp
@@ -60,8 +60,8 @@
 TEST(RelayCodec, TakesNoRequestWithoutItsStateForOneOfAGateway)
 {
     CHECK_FALSE(decode_relay_request({{"Siskindrift-Relay-Sent", "1"}}).has_value());
-    CHECK_FALSE(decode_relay_request({{"Siskindrift-Relay-Sent", "x"},
-                                      {"Siskindrift-Relay-May-Have-Run", "0"}})
+    CHECK_FALSE(decode_relay_request(
+                    {{"Siskindrift-Relay-Sent", "x"}, {"Siskindrift-Relay-May-Have-Run", "0"}})
                     .has_value());
 }
 
--- a/src/gateway/upstream_places.cpp
+++ b/src/gateway/upstream_places.cpp
@@ -9,8 +9,20 @@
     const auto found = m_upstreams.find(answer.upstream);
     const bool was_limited = found != m_upstreams.end() && found->second.limited &&
                              found->second.born_ms == answer.born_ms;
-    if (!answer.limited && (!was_limited || answer.sent < found->second.limited_at)) {
-        return false; // nothing ends, or the answer may be older than the one that began it
+    const auto service = m_services.find(answer.service);
+    if (!answer.limited) {
+        const auto began = was_limited                   ? found->second.limited_at
+                           : service != m_services.end() ? service->second
+                                                         : core::time_point::max();
+        if (answer.sent < began) {
+            return false; // nothing ends, or the answer may be older than the one that began it
+        }
+        if (service != m_services.end() && answer.sent >= service->second) {
+            m_services.erase(service);
+        }
+    }
+    else {
+        m_services.try_emplace(answer.service, now);
     }
     auto& state = m_upstreams[answer.upstream];
     state.limited = answer.limited;
@@ -24,12 +36,21 @@
     return answer.limited != was_limited;
 }
 
+void upstream_places::set_limited(const std::string& service, const std::string& upstream,
+                                  std::uint64_t born_ms, std::uint32_t slots, core::time_point now)
+{
+    const auto found = m_upstreams.find(upstream);
+    if (found == m_upstreams.end() || found->second.born_ms < born_ms) {
+        record_answer({service, upstream, born_ms, slots, true, now}, now);
+    }
+}
+
 void upstream_places::end(const std::string& upstream)
 {
     auto& state = m_upstreams[upstream];
     state.in_use -= state.in_use > 0 ? 1 : 0;
     state.released = state.limited;
-    if (state.in_use == 0 && !state.limited) {
+    if (state.in_use == 0 && !state.limited && m_services.empty()) {
         m_upstreams.erase(upstream);
     }
 }
@@ -90,8 +111,7 @@
     for (auto& [upstream, state] : m_upstreams) {
         const bool open = state.asked_at && now - *state.asked_at < m_options.answer_timeout;
         const auto since = now - state.told_at;
-        const bool due = state.wanted > 0 ||
-                         (state.released && since >= m_options.release_delay) ||
+        const bool due = state.wanted > 0 || (state.released && since >= m_options.release_delay) ||
                          (state.in_use > 0 && since >= m_options.renewal_interval);
         if (!state.limited || open || !due) {
             continue;
--- a/src/gateway/upstream_pool.cpp
+++ b/src/gateway/upstream_pool.cpp
@@ -118,8 +118,8 @@
     }
     return std::count_if(m_stats.begin(), m_stats.end(), [&](const auto& item) {
                const auto& stats = item.second;
-               const bool waits = stats.in_flight > 0 &&
-                                  now - stats.quiet_since > m_options.path_silence_limit;
+               const bool waits =
+                   stats.in_flight > 0 && now - stats.quiet_since > m_options.path_silence_limit;
                return waits || stats.failed_connects > 0;
            }) > 1;
 }
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -535,18 +535,18 @@
         return;
     }
     stream->expires_after(timeout);
-    stream->async_connect(*endpoint, [self = shared_from_this(), address, stream,
-                                      done](error_code failed) {
-        if (!failed) {
-            error_code ignored;
-            stream->socket().set_option(tcp::no_delay{true}, ignored);
-            net::detect_dead_peer(stream->socket(), unacknowledged_timeout);
-            stream->expires_never();
-            self->return_idle(address, std::make_unique<beast::tcp_stream>(std::move(*stream)),
-                              max_idle_lifetime);
-        }
-        done(!failed);
-    });
+    stream->async_connect(
+        *endpoint, [self = shared_from_this(), address, stream, done](error_code failed) {
+            if (!failed) {
+                error_code ignored;
+                stream->socket().set_option(tcp::no_delay{true}, ignored);
+                net::detect_dead_peer(stream->socket(), unacknowledged_timeout);
+                stream->expires_never();
+                self->return_idle(address, std::make_unique<beast::tcp_stream>(std::move(*stream)),
+                                  max_idle_lifetime);
+            }
+            done(!failed);
+        });
 }
 
 client::client(asio::io_context& context, client_handler& handler, const std::string& source_ip)
--- a/tests/platform_fixture.py
+++ b/tests/platform_fixture.py
@@ -205,6 +205,10 @@
         self.lost_response_share = 0.0  # share of responses lost after execution
         self.broken_response_share = 0.0  # share of responses broken off midway
         self.limit = None  # requests a second, named in each answer
+        self.rejection_limit = None  # named in each answer; falls over when it rejects more in 1 s
+        self.queue = 3 * SLOTS  # requests beyond its slots that it takes
+        self.rejected = 0
+        self.rejected_at = []
         self.software = "v1"  # version of its software, part of each event
         self.work_s = 0.02
         self.event_pause_s = 0.02
@@ -294,7 +298,10 @@
         self.platform.arrivals.append((time.monotonic(), self.service, request_id))
         self.platform.arrivals_by_upstream.append((time.monotonic(), self.name))
         self.platform.prompts.setdefault(request_id, prompt)
-        if self.refusing or self.running >= 4 * SLOTS:
+        full = self.running >= SLOTS + self.queue
+        if full:
+            self.record_rejection()
+        if self.refusing or full:
             return await self.reply(writer, 503, request_id, not_run=True)
         adapter = headers.get("x-siskindrift-model", "").partition("/")[2]
         if self.adapter_slots and adapter and adapter not in self.adapters:
@@ -336,7 +343,9 @@
         self.platform.executions.setdefault(request_id, []).append(execution)
         self.running += 1
         try:
-            await asyncio.sleep(self.work_s)
+            if not await self.pause(writer, self.work_s):
+                self.left_requests.add(request_id)
+                return False  # a request whose connection is closed is dropped
             if self.platform.random.random() < self.lost_response_share:
                 reset_connection(writer)
                 return False
@@ -365,7 +374,19 @@
             self.running -= 1
 
     def limit_header(self):
-        return {} if self.limit is None else {"Server-Limit": str(self.limit)}
+        headers = {} if self.limit is None else {"Server-Limit": str(self.limit)}
+        if self.rejection_limit is not None:
+            headers["Server-Brittle"] = str(self.rejection_limit)
+        return headers
+
+    def record_rejection(self):
+        """Falls over when it rejects more than it says in a second."""
+        now = time.monotonic()
+        self.rejected += 1
+        self.rejected_at = [at for at in self.rejected_at if at > now - 1] + [now]
+        if (self.rejection_limit is not None and len(self.rejected_at) > self.rejection_limit
+                and not self.down):
+            self.platform.tasks.append(asyncio.create_task(self.crash(CRASH_DOWN_S)))
 
     async def stream(self, writer, request_id, seal, first, events):
         parts = [f"id: {number}\ndata: {request_id} {self.software}\n\n".encode()
