--- a/src/apps/gateway_relays.cpp
+++ b/src/apps/gateway_relays.cpp
@@ -105,7 +105,13 @@
 {
     const auto answer = gateway::decode_relay_answer(head.headers);
     gateway::remove_relay_headers(head.headers);
-    if (item.helper.empty() || !answer) {
+    if (item.helper.empty()) {
+        return;
+    }
+    if (!answer) {
+        // Not from an upstream, and not from the part of the helper that knows what became of it.
+        item.relay_verdict = core::verdict::may_have_run;
+        item.relay_reason = core::reason::answer_incomplete;
         return;
     }
     item.attempts_sent = std::max(item.attempts_sent - 1, answer->attempts_sent);
