Pass requests on to other gateways while stopping, too

By reading: a gateway that has lost the upstreams and is told to stop refused the requests that it still takes in the first seconds. It passes them on now, like before the signal.

--- a/src/apps/gateway_exchanges.cpp
+++ b/src/apps/gateway_exchanges.cpp
@@ -195,7 +195,8 @@
         schedule_report();
     }
     if (choice.unreachable) {
-        if (may_relay(item) && send_relay(item)) {
+        // Passed on once only, so that no request goes round in circles.
+        if (!item.relayed && send_relay(item)) {
             return;
         }
         if (item.relayed) {
--- a/src/apps/gateway_process.h
+++ b/src/apps/gateway_process.h
@@ -233,7 +233,6 @@
     void handle_relay_disconnect(std::uint64_t server_id);
     void handle_relayed_request(std::uint64_t server_id, http::server_request request,
                                 std::shared_ptr<http::responder> responder);
-    [[nodiscard]] bool may_relay(const exchange& item) const;
     bool send_relay(exchange& item);
     void apply_relay_head(exchange& item, http::client_head& head);
     void end_relay(exchange& item, bool failed);
--- a/src/apps/gateway_relays.cpp
+++ b/src/apps/gateway_relays.cpp
@@ -50,12 +50,6 @@
     begin_exchange(id, std::move(new_exchange), std::move(request), std::move(responder));
 }
 
-// Returns whether another gateway may serve a request that no upstream reachable from here can.
-bool gateway_process::may_relay(const exchange& item) const
-{
-    return !item.relayed && !m_draining;
-}
-
 // Passes a request on to another gateway. Returns false if there is none to pass it on to.
 bool gateway_process::send_relay(exchange& item)
 {
