Don't recurse without end for a permit while there is no leader

What callers saw: connections of a gateway broke, as the process ended with SIGSEGV. Cause: a request that needs a permit of the leader was dispatched again at once if no leader was known; if one had been asked in the last 50 ms nothing marked the upstream as refused, so it asked for a permit again, until the stack was full.

The new unit test names the state.

--- a/include/siskindrift/gateway/upstream_limits.h
+++ b/include/siskindrift/gateway/upstream_limits.h
@@ -88,6 +88,8 @@
 
     /// Returns the query to send to the leader, if any is due.
     [[nodiscard]] std::optional<wire::send_permit_query_t> take_query(core::time_point now);
+    /// Records that there is no leader to ask, so that nothing is sent to the upstream for a while.
+    void record_no_leader(const std::string& upstream, core::time_point now);
     /// Applies the leader's answer to a query.
     void apply_grant(const wire::send_permit_grant_t& grant, core::time_point now);
     /// Records that the leader didn't answer in time, or that no leader is known.
--- a/src/apps/gateway_guards.cpp
+++ b/src/apps/gateway_guards.cpp
@@ -298,7 +298,7 @@
     item.waiting = false;
     m_waiting.erase(item.id);
     if (leader_address().empty()) {
-        m_limits.record_silence(upstream, m_clock.now());
+        m_limits.record_no_leader(upstream, m_clock.now());
         m_limits.places().set_leader(false, gateway_count());
         dispatch(item); // elsewhere, or it is refused
         return;
--- a/src/gateway/upstream_limits.cpp
+++ b/src/gateway/upstream_limits.cpp
@@ -238,4 +238,13 @@
     }
 }
 
+void upstream_limits::record_no_leader(const std::string& upstream, core::time_point now)
+{
+    auto& own = m_permits[upstream];
+    own.wanted = 0;
+    own.asked_at.reset();
+    own.refused_until = now + m_options.silence_pause;
+    own.retry_at = own.refused_until;
+}
+
 } // namespace siskindrift::gateway
--- a/src/gateway/upstream_limits_test.cpp
+++ b/src/gateway/upstream_limits_test.cpp
@@ -171,3 +171,14 @@
     limits.restore("a");
     CHECK_TRUE(admission() == kind::allowed);
 }
+
+TEST(UpstreamLimits, SendsNothingWithoutALeaderAlsoRightAfterOneWasAsked)
+{
+    tell(1.0);
+    limits.add_wish("a");
+    CHECK_TRUE(limits.take_query(clock.now()).has_value());
+    limits.record_no_leader("a", clock.now());
+    CHECK_TRUE(admission() == kind::refused);
+    clock.advance(core::milliseconds{500});
+    CHECK_TRUE(admission() == kind::needs_permit);
+}
--- a/tests/request_crash_test.py
+++ b/tests/request_crash_test.py
@@ -140,6 +140,17 @@
         self.assertEqual([], self.refused(self.sound))
         self.assertGreater(self.served_share(0, time.monotonic()), 0.9)
 
+    async def test_trials_of_a_crashing_request_end_beside_others_that_never_come_again(self):
+        self.start_callers(3.0, lambda: ("/safe/poll", b"poll"), self.sound)
+        self.start_callers(3.0, lambda: ("/safe/x", str(self.next_id).encode()), self.sound)
+        await asyncio.sleep(3.0)
+        for upstream in self.platform.upstreams:
+            upstream.crashing_requests = {CRASHING}
+        self.start_callers(0.7, lambda: CRASHING, self.crashing)
+        await asyncio.sleep(18.0)
+        await self.stop_callers()
+        self.check_learnt()
+
 
 if __name__ == "__main__":
     unittest.main(verbosity=2)
--- a/tools/loopback.py
+++ b/tools/loopback.py
@@ -4,9 +4,15 @@
 import socket
 
 
+FIRST_PORT = 20_000
+END_PORT = 32_768  # from here on the system chooses ports of outgoing connections
+
+
 def free_port_block(addresses, ports):
     """Returns the first of `ports` consecutive ports that are free on all addresses."""
-    for base in range(20000 + os.getpid() * 8 % 30000, 60000, 8):
+    blocks = (END_PORT - FIRST_PORT) // ports
+    for i in range(blocks):
+        base = FIRST_PORT + (os.getpid() + i) % blocks * ports
         try:
             for address in addresses:
                 for offset in range(ports):
