Name an upstream's next software version only when it comes back

By reading, the fixture set the next version before it ended the upstream, so that an event in between bore it; the check stays as it is. The soak had the same order.

--- a/tests/fault_soak.py
+++ b/tests/fault_soak.py
@@ -325,9 +325,9 @@
             engine = rng.choice([item for item in engines if not item.down] or [None])
             if engine is None:
                 continue
-            engine.software = rng.choice(["v1", "v2", "V2"])
-            self.log_event(f"{engine.name} restarts with software {engine.software}")
-            await engine.crash(0.2)
+            software = rng.choice(["v1", "v2", "V2"])
+            self.log_event(f"{engine.name} restarts with software {software}")
+            await engine.crash(0.2, software)
 
     async def restart_engine(self):
         engines = [item for item in self.platform.upstreams if item.adapter_slots]
--- a/tests/platform_fixture.py
+++ b/tests/platform_fixture.py
@@ -247,8 +247,9 @@
                     break
             await asyncio.sleep(ANNOUNCE_S)
 
-    async def crash(self, down_s):
-        """Ends at once, and comes back empty as another instance at the same address."""
+    async def crash(self, down_s, software=None):
+        """Ends at once, and comes back empty as another instance at the same address, perhaps with
+        another software version."""
         self.crashes += 1
         self.platform.crash_times.append(time.monotonic())
         self.down = True
@@ -257,6 +258,7 @@
         for writer in list(self.connections):
             reset_connection(writer)
         await asyncio.sleep(down_s)
+        self.software = software or self.software
         self.name = f"{self.name.partition('.')[0]}.{self.crashes}"
         self.started_ms = int(time.time() * 1000)
         self.adapters.clear()
--- a/tests/software_version_test.py
+++ b/tests/software_version_test.py
@@ -70,8 +70,7 @@
         """Restarts each engine whose version is to change, under a new id."""
         for upstream, version in zip(self.engines, versions):
             if upstream.software != version:
-                upstream.software = version
-                self.platform.tasks.append(asyncio.create_task(upstream.crash(0.1)))
+                self.platform.tasks.append(asyncio.create_task(upstream.crash(0.1, version)))
 
     async def attempt(self, stream, gateway, headers, break_after):
         """Sends one attempt and leaves after `break_after` more events; 0 stays to the end."""
