--- a/include/siskindrift/gateway/upstream_pool.h
+++ b/include/siskindrift/gateway/upstream_pool.h
@@ -77,7 +77,7 @@
     std::string upstream;      ///< That upstream, if it is known.
     std::uint64_t born_ms = 0; ///< Start of its run.
 
-    /// Returns whether @p upstream may go on with the stream.
+    /// Returns whether @p candidate may go on with the stream.
     [[nodiscard]] bool allows(const wire::fleet_upstream_t& candidate) const
     {
         // Upstreams that name no version may differ, except one run from itself.
--- a/include/siskindrift/http/client.h
+++ b/include/siskindrift/http/client.h
@@ -100,7 +100,8 @@
 /// Sends HTTP requests over pooled connections. Thread-safe.
 class client {
 public:
-    /// @param context and @p handler must outlive this object.
+    /// @param context must outlive this object.
+    /// @param handler must outlive this object.
     /// @param source_ip IP from which connections are opened, or empty: the system chooses it.
     client(boost::asio::io_context& context, client_handler& handler,
            const std::string& source_ip = {});
--- a/src/apps/gateway_relays.cpp
+++ b/src/apps/gateway_relays.cpp
@@ -12,8 +12,6 @@
 constexpr core::milliseconds helper_connect_timeout{300}; // several round trips
 constexpr core::milliseconds probe_timeout{400};          // several round trips
 constexpr core::milliseconds path_check_interval{250};    // a few within the time to notice a cut
-constexpr core::milliseconds max_reusable_idle{800};
-constexpr core::milliseconds refused_retry_after{300}; // another gateway may be free by then
 constexpr std::size_t max_relayed_bytes = 16UL * 1024 * 1024;
 // A gateway takes on the requests of some others, but no more than it can carry beside its own.
 constexpr std::size_t max_helped_requests = 256;
