Tell what requests that weren't served lacked, and on which views

load_failed was written for every request whose time ran out while it waited. request_ended now says what the request lacked at its last choice of an upstream, and how old the views were; coordinators log what they send by kind.

--- a/include/siskindrift/gateway/upstream_pool.h
+++ b/include/siskindrift/gateway/upstream_pool.h
@@ -86,6 +86,20 @@
     }
 };
 
+/// What a request lacks that can't be sent now.
+enum class shortage : std::uint8_t {
+    none,
+    upstream,        ///< The service has no usable upstream.
+    copy,            ///< No usable upstream holds the adapter.
+    reachable_copy,  ///< The upstreams that hold it refuse connections or are silent.
+    current_copy,    ///< They hold an old version only.
+    untried_copy,    ///< Each of them has rejected or failed the request.
+    room,            ///< They have used up their limits or want a pause.
+};
+
+/// Returns the name of @p what as it appears in logs and metrics.
+[[nodiscard]] std::string_view to_string(shortage what);
+
 /// Result of choosing an upstream.
 struct pool_choice {
     enum class kind : std::uint8_t {
@@ -105,6 +119,7 @@
     bool unreachable = false;
     core::duration retry_after{}; ///< When a caller should return, if `limited`.
     bool waits_for_place = false; ///< A place may be free at any moment, if `limited`.
+    shortage lacks = shortage::none; ///< If there is no upstream to send to.
 };
 
 /// Tracks the load, the adapters and the failures of the upstreams, including the requests that
--- a/include/siskindrift/net/mesh.h
+++ b/include/siskindrift/net/mesh.h
@@ -63,6 +63,10 @@
     virtual void on_closed(connection_id) {}
     /// A connection sent an invalid frame; it is closed.
     virtual void on_bad_frame(core::reason why) = 0;
+    /// Messages were queued to be sent.
+    /// @param kind name of the message's type.
+    /// @param bytes of all its copies.
+    virtual void on_queued(std::string_view /*kind*/, std::size_t /*bytes*/) {}
 };
 
 class mesh_connection;
--- a/src/apps/coordinator_fleet.cpp
+++ b/src/apps/coordinator_fleet.cpp
@@ -17,6 +17,7 @@
 constexpr std::uint16_t other_upstream_status = 421; // another run uses the address
 constexpr core::milliseconds usability_check_interval{500};
 constexpr core::milliseconds summary_interval{1000};
+constexpr std::uint64_t min_logged_bytes = 100'000;
 constexpr std::chrono::microseconds copy_update_interval_per_gateway{300}; // 27 ms at 91 gateways
 constexpr std::chrono::microseconds plan_interval_per_gateway{100};
 constexpr core::milliseconds load_update_interval_per_gateway{4};
@@ -657,6 +658,39 @@
                                       {"just_used", summary.just_used}});
 }
 
+void coordinator_process::on_queued(std::string_view kind, std::size_t bytes)
+{
+    m_metrics.count("siskindrift_sent_bytes_" + std::string{kind} + "_total", bytes);
+    const auto found = m_queued_bytes.find(kind);
+    if (found == m_queued_bytes.end()) {
+        m_queued_bytes.emplace(kind, bytes);
+    }
+    else {
+        found->second += bytes;
+    }
+}
+
+// Logs once a second how many bytes of which kinds of messages were queued, if there were many.
+void coordinator_process::log_sent_bytes()
+{
+    const auto now = m_clock.now();
+    if (now < m_bytes_line_due) {
+        return;
+    }
+    m_bytes_line_due = now + summary_interval;
+    std::uint64_t total = 0;
+    std::vector<std::string> kinds;
+    for (const auto& [kind, bytes] : std::exchange(m_queued_bytes, {})) {
+        total += bytes;
+        if (bytes >= min_logged_bytes) {
+            kinds.push_back(kind + "=" + std::to_string(bytes));
+        }
+    }
+    if (!kinds.empty()) {
+        observe::info("bytes_queued", {{"bytes", total}, {"kinds", kinds}});
+    }
+}
+
 void coordinator_process::request_reports()
 {
     const auto now = m_clock.now();
--- a/src/apps/coordinator_process.cpp
+++ b/src/apps/coordinator_process.cpp
@@ -236,6 +236,7 @@
     apply_document();
     place_adapters();
     flush_updates();
+    log_sent_bytes();
     arm_timer();
 }
 
--- a/src/apps/coordinator_process.h
+++ b/src/apps/coordinator_process.h
@@ -75,6 +75,7 @@
     void on_connection_state(const std::string& address, bool up) override;
     void on_closed(net::connection_id connection) override;
     void on_bad_frame(core::reason reason) override;
+    void on_queued(std::string_view kind, std::size_t bytes) override;
     void on_request(std::uint64_t exchange, http::server_request request,
                     std::shared_ptr<http::responder> responder) override;
     void on_caller_disconnected(std::uint64_t exchange) override;
@@ -124,6 +125,7 @@
     void place_adapters();
     void request_reports();
     void log_placement();
+    void log_sent_bytes();
     void send_order(const adapters::order& order);
     [[nodiscard]] std::vector<std::string> peer_addresses() const;
 
@@ -181,6 +183,9 @@
     core::time_point m_load_update_due{};
     core::time_point m_copy_update_due{};
     core::time_point m_plan_due{};
+    /// Bytes of the messages queued since the last line about them, by kind.
+    std::map<std::string, std::uint64_t, std::less<>> m_queued_bytes;
+    core::time_point m_bytes_line_due{};
     core::time_point m_summary_due{};
 };
 
--- a/src/apps/gateway_exchanges.cpp
+++ b/src/apps/gateway_exchanges.cpp
@@ -190,6 +190,7 @@
                                       item.permit_upstream, item.pin);
     stop_awaiting_permit(item);
     m_awaiting_place.erase(item.id);
+    item.lacks = choice.lacks;
     if (choice.crowded) {
         m_overloaded_adapters[wish_of(item)] = now;
         schedule_report();
@@ -699,6 +700,7 @@
                                          {"error", item.call_end.error},
                                          {"prompt", gateway::to_string(item.metadata.prompt)},
                                          {"digest", item.digest},
+                                         {"engines_age_ms", core::to_ms(now - m_engines_heard_at)},
                                          {"age_ms", core::to_ms(now - item.arrived_at)}});
     }
     gateway::forward_state state;
@@ -833,13 +835,22 @@
                                          std::optional<core::duration> retry_after)
 {
     count_reason(reason);
+    const auto now = m_clock.now();
     m_metrics.count("siskindrift_answers_own_total");
+    m_metrics.count("siskindrift_unserved_lacking_" + std::string{to_string(item.lacks)} +
+                    "_total");
     observe::info("request_ended", {{"request", item.metadata.request_id},
                                     {"route", item.route.name},
                                     {"status", status},
                                     {"reason", core::to_string(reason)},
+                                    {"lacks", to_string(item.lacks)},
+                                    {"relayed", item.relayed},
+                                    {"attempts", item.attempts_sent},
+                                    {"sends", item.sends},
                                     {"adapter", item.adapter.second},
-                                    {"age_ms", core::to_ms(m_clock.now() - item.arrived_at)}});
+                                    {"fleet_age_ms", core::to_ms(now - m_fleet_heard_at)},
+                                    {"engines_age_ms", core::to_ms(now - m_engines_heard_at)},
+                                    {"age_ms", core::to_ms(now - item.arrived_at)}});
     auto headers = platform::local_response_headers(item.metadata, retry_after);
     for (auto& header : relay_headers(item, reason)) {
         headers.push_back(std::move(header));
--- a/src/apps/gateway_process.cpp
+++ b/src/apps/gateway_process.cpp
@@ -181,6 +181,16 @@
     metrics.set("siskindrift_limited_upstreams", static_cast<double>(m_limits.size()));
     metrics.set("siskindrift_retry_share", m_retry_share.fraction(m_clock.now()));
     metrics.set("siskindrift_leader_term", static_cast<double>(m_engine_term));
+    const auto now = m_clock.now();
+    metrics.set("siskindrift_fleet_view_age_ms",
+                static_cast<double>(core::to_ms(now - m_fleet_heard_at)));
+    metrics.set("siskindrift_engine_view_age_ms",
+                static_cast<double>(core::to_ms(now - m_engines_heard_at)));
+}
+
+void gateway_process::on_queued(std::string_view kind, std::size_t bytes)
+{
+    m_metrics.count("siskindrift_sent_bytes_" + std::string{kind} + "_total", bytes);
 }
 
 void gateway_process::begin_drain()
@@ -326,6 +336,7 @@
 {
     const auto now = m_clock.now();
     sender.connected = true;
+    m_fleet_heard_at = now;
     if (update.leader_term != sender.leader_term) {
         sender.leader_term = update.leader_term;
         m_reported_wishes.clear();
@@ -438,6 +449,7 @@
         m_pool.update_engine(*view);
     }
     const auto now = m_clock.now();
+    m_engines_heard_at = now;
     if (now - m_last_dispatch_at >= full_dispatch_interval) {
         m_last_dispatch_at = now;
         dispatch_waiting();
--- a/src/apps/gateway_process.h
+++ b/src/apps/gateway_process.h
@@ -114,6 +114,7 @@
         bool on_trial = false;       ///< Is sent although it has a blocked part.
         unsigned may_have_run = 0;   ///< Attempts whose upstream may have run the request.
         bool waiting = false;        ///< For an upstream or an adapter.
+        gateway::shortage lacks = gateway::shortage::none; ///< At the last choice of an upstream.
         std::string permit_upstream; ///< Upstream for which it waits for a permit; empty for none.
         std::uint64_t origin_query = 0; ///< Lookup of the stream's origin it waits for, or 0.
         /// Set once the caller has an event of the stream, also by an earlier request.
@@ -168,6 +169,7 @@
     void on_message(net::connection_id from, wire::envelope_t message) override;
     void on_connection_state(const std::string& address, bool connected) override;
     void on_bad_frame(core::reason reason) override;
+    void on_queued(std::string_view kind, std::size_t bytes) override;
     void apply_fleet_update(coordinator_state& sender, const wire::fleet_update_t& update);
     void apply_document(const wire::document_page_t& page);
     void apply_engine_update(const wire::engine_update_t& update);
@@ -337,6 +339,8 @@
     std::map<std::string, gateway::retry_budget> m_retry_budgets;
     gateway::retry_share m_retry_share;
     gateway::prompt_guard m_prompt_guard;
+    core::time_point m_fleet_heard_at{};   ///< Last news of upstreams and documents.
+    core::time_point m_engines_heard_at{}; ///< Last news of what engines hold.
     std::uint64_t m_engine_term = 0; ///< Highest leader term among the engine updates.
 
     std::map<std::uint64_t, std::unique_ptr<exchange>> m_exchanges;
--- a/src/gateway/upstream_pool.cpp
+++ b/src/gateway/upstream_pool.cpp
@@ -11,6 +11,27 @@
 
 } // namespace
 
+std::string_view to_string(shortage what)
+{
+    switch (what) {
+    case shortage::none:
+        return "none";
+    case shortage::upstream:
+        return "upstream";
+    case shortage::copy:
+        return "copy";
+    case shortage::reachable_copy:
+        return "reachable_copy";
+    case shortage::current_copy:
+        return "current_copy";
+    case shortage::untried_copy:
+        return "untried_copy";
+    case shortage::room:
+        return "room";
+    }
+    return "none";
+}
+
 void upstream_pool::update_engine(const wire::engine_view_t& view)
 {
     auto& engine = m_engines[view.upstream];
@@ -250,6 +271,7 @@
     bool waits_for_place = false;
     std::vector<candidate> candidates;
     bool any_usable = false;
+    shortage lacks = shortage::upstream; // of the upstream that comes nearest to being chosen
     bool any_reachable = false;
     bool held_elsewhere = false; // by an upstream that refuses the connections of this gateway
     const auto current = m_current_versions.find(wanted);
@@ -263,6 +285,7 @@
             continue;
         }
         any_usable = true;
+        lacks = std::max(lacks, shortage::copy);
         auto& stats = m_stats[id];
         const bool paused = now < stats.paused_until && stats.born_ms == entry.info.born_ms;
         any_unlimited = any_unlimited || (!m_limits.limit_of(id, entry.info.born_ms) && !paused &&
@@ -279,6 +302,7 @@
         const bool trial_due =
             now - stats.last_trial >= m_options.unreachable_trial_interval && !tried.contains(id);
         if (unreachable && !wanted.first.empty() && !trial_due) {
+            lacks = version ? std::max(lacks, shortage::reachable_copy) : lacks;
             continue;
         }
         if (!wanted.first.empty() && !version) {
@@ -289,6 +313,7 @@
             admission = {send_admission::kind::refused, stats.paused_until - now};
         }
         if (admission.result == send_admission::kind::refused) {
+            lacks = shortage::room;
             if (!tried.contains(id)) {
                 retry_after =
                     std::min(retry_after.value_or(admission.retry_after), admission.retry_after);
@@ -302,12 +327,17 @@
                               admission.result == send_admission::kind::needs_permit, refuses});
     }
     std::erase_if(candidates, [&](const candidate& one) {
-        return tried.contains(one.entry->info.id) ||
-               (one.version &&
-                !accepts_version(wanted, *one.version, current_exists, one.load, now));
+        const bool was_tried = tried.contains(one.entry->info.id);
+        const bool old = one.version &&
+                         !accepts_version(wanted, *one.version, current_exists, one.load, now);
+        if (was_tried || old) {
+            lacks = std::max(lacks, old ? shortage::current_copy : shortage::untried_copy);
+        }
+        return was_tried || old;
     });
     pool_choice choice;
     if (candidates.empty()) {
+        choice.lacks = lacks;
         choice.unreachable = held_elsewhere || (any_usable && !any_reachable);
         if (retry_after && (wanted.first.empty() || !any_unlimited)) {
             choice.result = pool_choice::kind::limited;
--- a/src/gateway/upstream_pool_test.cpp
+++ b/src/gateway/upstream_pool_test.cpp
@@ -407,6 +407,22 @@
     CHECK_FALSE(choose(wanted).unreachable);
 }
 
+TEST(UpstreamPool, SaysWhatARequestLacks)
+{
+    CHECK_TRUE(shortage::upstream == choose(wanted).lacks);
+    announce("a");
+    CHECK_TRUE(shortage::copy == choose(wanted).lacks);
+    set_held_version("a", 1);
+    CHECK_TRUE(shortage::none == choose(wanted).lacks);
+    CHECK_TRUE(shortage::untried_copy == choose(wanted, {"a"}).lacks);
+    pool.record_pause("a", clock.now() + core::milliseconds{2000}, clock.now());
+    CHECK_TRUE(shortage::room == choose(wanted).lacks);
+    clock.advance(core::milliseconds{2000});
+    fail_connects("a");
+    CHECK_TRUE(shortage::none == choose(wanted).lacks); // one request tries it again
+    CHECK_TRUE(shortage::reachable_copy == choose(wanted).lacks);
+}
+
 TEST(UpstreamPool, IsNotMisledByConnectionsThatLiveOnWhileNewOnesFail)
 {
     announce("a");
--- a/src/net/mesh.cpp
+++ b/src/net/mesh.cpp
@@ -327,7 +327,9 @@
 void mesh::send(const std::string& address, const wire::envelope_t& message)
 {
     if (auto connection = connection_to(address)) {
-        connection->send(std::make_shared<std::string>(wire::encode_frame(message)));
+        auto frame = std::make_shared<std::string>(wire::encode_frame(message));
+        m_handler.on_queued(wire::EnumNamemessage(message.body.type), frame->size());
+        connection->send(std::move(frame));
     }
 }
 
@@ -342,7 +344,9 @@
         }
         connection = found->second;
     }
-    connection->send(std::make_shared<std::string>(wire::encode_frame(message)));
+    auto frame = std::make_shared<std::string>(wire::encode_frame(message));
+    m_handler.on_queued(wire::EnumNamemessage(message.body.type), frame->size());
+    connection->send(std::move(frame));
 }
 
 void mesh::reply_all(const std::vector<connection_id>& to, const wire::envelope_t& message)
@@ -357,6 +361,8 @@
             }
         }
     }
+    m_handler.on_queued(wire::EnumNamemessage(message.body.type),
+                        frame->size() * connections.size());
     for (const auto& connection : connections) {
         connection->send(frame);
     }
