Don't tell all gateways with each heartbeat what engines hold

Callers of grown deployments saw views that were old. An announcement whose adapters differ from the last one's counted as a change of the upstream: it was sent to every gateway at once and in full, although the leader tells them the same with each change. Roster.TellsOtherAdaptersOfAnUpstreamApartFromOtherChanges doesn't compile before, as it needs the new kind of change.

--- a/include/siskindrift/fleet/roster.h
+++ b/include/siskindrift/fleet/roster.h
@@ -32,7 +32,8 @@
 enum class roster_change : std::uint8_t {
     stale,     ///< Outdated; ignored.
     refreshed, ///< Only shows that the upstream is alive.
-    changed,   ///< The upstream is new, or changed its address, its state or its adapters.
+    copies,    ///< The upstream holds other adapters.
+    changed,   ///< The upstream is new, or changed its address or its state.
 };
 
 /// Keeps the latest announcement of each upstream. Performs no I/O. The number of upstreams
@@ -61,7 +62,11 @@
     /// that were silent for longer than the retention.
     std::vector<wire::fleet_upstream_t> take_changed(core::time_point now);
     /// Returns the ids of upstreams that were refreshed, but not changed, since the last call.
+    /// Those that hold other adapters are among them.
     std::vector<std::string> take_refreshed();
+    /// Returns the upstreams that hold other adapters, but didn't change otherwise, since the last
+    /// call, with their ages.
+    std::vector<wire::fleet_upstream_t> take_changed_copies(core::time_point now);
 
     /// Returns whether an upstream may get new work: it is ready and not silent.
     [[nodiscard]] bool usable(const roster_entry& entry, core::time_point now) const;
@@ -74,6 +79,8 @@
     [[nodiscard]] std::vector<wire::fleet_upstream_t> snapshot(core::time_point now) const;
 
 private:
+    [[nodiscard]] static wire::fleet_upstream_t with_age(const roster_entry& entry,
+                                                         core::time_point now);
     /// Marks upstreams that started earlier at the address of @p newcomer as gone.
     void retire_address(const wire::fleet_upstream_t& newcomer);
 
@@ -81,6 +88,7 @@
     std::map<std::string, roster_entry> m_entries;
     std::set<std::string> m_changed;
     std::set<std::string> m_refreshed;
+    std::set<std::string> m_changed_copies;
 };
 
 } // namespace siskindrift::fleet
--- a/src/apps/coordinator_fleet.cpp
+++ b/src/apps/coordinator_fleet.cpp
@@ -271,11 +271,7 @@
         }
     }
     append_all(update.upstreams, std::move(changed));
-    for (const auto& peer : peer_addresses()) {
-        if (!update.upstreams.empty() || !update.heard.empty()) {
-            m_mesh->send(peer, wire::make_envelope(update));
-        }
-    }
+    send_to_peers(update, local);
     update.gateways_included = std::exchange(m_gateways_changed, false);
     if (update.gateways_included) {
         for (const auto& [connection, gateway] : m_gateways) {
@@ -305,6 +301,22 @@
     m_mesh->reply_all(gateway_connections(), wire::make_envelope(std::move(update)));
 }
 
+// Tells the other coordinators what was announced here. What engines hold is told to them only: the
+// gateways learn it from the leader, with each change.
+void coordinator_process::send_to_peers(wire::fleet_update_t update,
+                                        const std::set<std::string>& local)
+{
+    auto changed = m_roster.take_changed_copies(m_clock.now());
+    std::erase_if(changed, [&](const auto& upstream) { return !local.contains(upstream.id); });
+    append_all(update.upstreams, std::move(changed));
+    if (update.upstreams.empty() && update.heard.empty()) {
+        return;
+    }
+    for (const auto& peer : peer_addresses()) {
+        m_mesh->send(peer, wire::make_envelope(update));
+    }
+}
+
 std::vector<net::connection_id> coordinator_process::gateway_connections() const
 {
     std::vector<net::connection_id> connections;
--- a/src/apps/gateway_process.cpp
+++ b/src/apps/gateway_process.cpp
@@ -396,6 +396,7 @@
     }
     const bool changed = !m_roster.take_changed(now).empty() || !update.named.empty();
     m_roster.take_refreshed();
+    m_roster.take_changed_copies(now);
     m_pool.remove_departed();
     request_document();
     if (changed) {
--- a/src/fleet/roster.cpp
+++ b/src/fleet/roster.cpp
@@ -52,15 +52,22 @@
             announcement.state = wire::fleet_state::draining;
         }
     }
-    const bool changed =
-        !same_attributes(entry.info, announcement) || !same_copies(entry.info, announcement);
+    const bool changed = !same_attributes(entry.info, announcement);
+    const bool other_copies = !same_copies(entry.info, announcement);
     if (entry.info.address != announcement.address) {
         retire_address(announcement);
     }
     entry.info = std::move(announcement);
     entry.last_heard = std::max(entry.last_heard, now - age);
     (changed ? m_changed : m_refreshed).insert(id);
-    return changed ? roster_change::changed : roster_change::refreshed;
+    if (changed) {
+        return roster_change::changed;
+    }
+    if (other_copies) {
+        m_changed_copies.insert(id);
+        return roster_change::copies;
+    }
+    return roster_change::refreshed;
 }
 
 // An upstream that starts at an address replaces the one that used the address before.
@@ -107,6 +114,25 @@
     }
 }
 
+wire::fleet_upstream_t roster::with_age(const roster_entry& entry, core::time_point now)
+{
+    auto info = entry.info;
+    const auto age = std::max(core::to_ms(now - entry.last_heard), std::int64_t{0});
+    info.age_ms = static_cast<std::uint32_t>(age);
+    return info;
+}
+
+std::vector<wire::fleet_upstream_t> roster::take_changed_copies(core::time_point now)
+{
+    std::vector<wire::fleet_upstream_t> changed;
+    for (const auto& id : std::exchange(m_changed_copies, {})) {
+        if (const auto found = m_entries.find(id); found != m_entries.end()) {
+            changed.push_back(with_age(found->second, now));
+        }
+    }
+    return changed;
+}
+
 std::vector<wire::fleet_upstream_t> roster::take_changed(core::time_point now)
 {
     std::erase_if(m_entries, [&](const auto& known) {
@@ -115,10 +141,9 @@
     std::vector<wire::fleet_upstream_t> changed;
     for (const auto& id : std::exchange(m_changed, {})) {
         m_refreshed.erase(id);
+        m_changed_copies.erase(id);
         if (const auto found = m_entries.find(id); found != m_entries.end()) {
-            changed.push_back(found->second.info);
-            const auto age = std::max(core::to_ms(now - found->second.last_heard), std::int64_t{0});
-            changed.back().age_ms = static_cast<std::uint32_t>(age);
+            changed.push_back(with_age(found->second, now));
         }
     }
     return changed;
@@ -146,9 +171,7 @@
 {
     std::vector<wire::fleet_upstream_t> list;
     for (const auto& [id, entry] : m_entries) {
-        list.push_back(entry.info);
-        const auto age = std::max(core::to_ms(now - entry.last_heard), std::int64_t{0});
-        list.back().age_ms = static_cast<std::uint32_t>(age);
+        list.push_back(with_age(entry, now));
     }
     return list;
 }
--- a/src/fleet/roster_test.cpp
+++ b/src/fleet/roster_test.cpp
@@ -128,3 +128,21 @@
     update(announcement("a", 1, 200));
     CHECK_TRUE(usable("a"));
 }
+
+TEST(Roster, TellsOtherAdaptersOfAnUpstreamApartFromOtherChanges)
+{
+    update(announcement("a", 1));
+    upstreams.take_changed(clock.now());
+    auto holds_more = announcement("a", 2);
+    wire::adapter_copy_t copy;
+    copy.model = "base";
+    copy.adapter = "x";
+    wire::append(holds_more.copies, std::move(copy));
+    CHECK_TRUE(update(std::move(holds_more)) == roster_change::copies);
+    LONGS_EQUAL(0, upstreams.take_changed(clock.now()).size());
+    LONGS_EQUAL(1, upstreams.take_refreshed().size());
+    const auto told = upstreams.take_changed_copies(clock.now());
+    LONGS_EQUAL(1, told.size());
+    LONGS_EQUAL(1, told.front().copies.size());
+    LONGS_EQUAL(0, upstreams.take_changed_copies(clock.now()).size());
+}
