Publish what has changed at an engine, not all that it holds

Gateways say whether they read differences; those of earlier builds get whole views. A leader's first view of an engine in its term is whole. Placer.PublishesOnlyWhatHasChangedAtAnEngine, UpstreamPool.AppliesDifferencesOfWhatAnEngineHolds.

--- a/include/siskindrift/adapters/placer.h
+++ b/include/siskindrift/adapters/placer.h
@@ -172,8 +172,12 @@
     /// Processes the outcome of the order @p id. An unknown ID is ignored.
     void on_order_result(std::uint64_t id, order_result result, core::time_point now);
 
-    /// Returns the views of the engines whose copies have changed since the last call.
+    /// Returns the changes of the engines whose copies have changed since the last call: a whole
+    /// view of an engine that is new, else the difference.
     std::vector<wire::engine_view_t> take_changed_views();
+    /// Returns the whole views of the engines in @p changes, for gateways that read no differences.
+    [[nodiscard]] std::vector<wire::engine_view_t>
+    whole_views(const wire::engine_update_t& changes) const;
     /// Returns the views, without copies, of the engines whose load has changed since the last
     /// call.
     std::vector<wire::engine_view_t> take_load_views();
@@ -229,7 +233,8 @@
         bool answers_polls = false;
         core::time_point doubted_since{}; ///< When gateways began to say so.
         bool load_changed = false;
-        std::uint64_t published_digest = 0; ///< Of the copies in the latest published view.
+        /// Loaded copies and their versions as last published, or none before the first time.
+        std::optional<std::map<adapter_name, std::uint64_t>> published;
     };
     /// A gateway's request for a copy of an adapter.
     struct wish {
@@ -345,8 +350,12 @@
     void learn_from_load(const adapter_copy& held, core::time_point now);
     void update_store_load_time(const adapter_copy& held, core::time_point now);
     void apply_report(engine_state& engine, const engine_report& report, core::time_point now);
-    [[nodiscard]] static std::uint64_t copies_digest(const engine_state& engine);
     [[nodiscard]] wire::engine_view_t make_view(const engine_state& engine) const;
+    [[nodiscard]] static wire::engine_view_t make_load_view(const engine_state& engine);
+    [[nodiscard]] static wire::engine_view_t
+    make_delta(const engine_state& engine, const std::map<adapter_name, std::uint64_t>& loaded);
+    [[nodiscard]] static std::map<adapter_name, std::uint64_t>
+    loaded_versions(const engine_state& engine);
     engine_state* find_by_order(std::uint64_t order_id);
 
     placer_options m_options;
--- a/src/adapters/placer.cpp
+++ b/src/adapters/placer.cpp
@@ -12,6 +12,15 @@
 // Relative decrease of the estimate after each load that was complete at its first poll.
 constexpr double timely_load_decrease = 0.01;
 
+wire::adapter_copy_t make_copy(const adapter_name& name, std::uint64_t version)
+{
+    wire::adapter_copy_t copy;
+    copy.model = name.first;
+    copy.adapter = name.second;
+    copy.version = version;
+    return copy;
+}
+
 } // namespace
 
 adapter_key key_of(const adapter_name& name)
@@ -50,7 +59,7 @@
         engine.unconfirmed_order.reset();
         engine.report_pending = false;
         engine.report_due = {};
-        engine.published_digest = 0; // another leader may have published since
+        engine.published.reset(); // another leader may have published since
     }
 }
 
@@ -495,7 +504,7 @@
                  m_store_load_time + std::chrono::duration_cast<core::duration>(shift));
 }
 
-wire::engine_view_t placer::make_view(const engine_state& engine) const
+wire::engine_view_t placer::make_load_view(const engine_state& engine)
 {
     wire::engine_view_t view;
     view.upstream = engine.id;
@@ -503,30 +512,28 @@
     view.running = engine.running;
     view.waiting = engine.waiting;
     view.pending_tokens = engine.pending_tokens;
-    view.copies_included = true;
-    for (const auto& [name, held] : engine.copies) {
-        if (held.state == copy_state::loaded) {
-            wire::adapter_copy_t copy;
-            copy.model = name.first;
-            copy.adapter = name.second;
-            copy.version = held.version;
-            wire::append(view.copies, std::move(copy));
-        }
-    }
     return view;
 }
 
-// Identifies the set of loaded copies.
-std::uint64_t placer::copies_digest(const engine_state& engine)
+std::map<adapter_name, std::uint64_t> placer::loaded_versions(const engine_state& engine)
 {
-    std::uint64_t digest = engine.born_ms;
+    std::map<adapter_name, std::uint64_t> versions;
     for (const auto& [name, held] : engine.copies) {
         if (held.state == copy_state::loaded) {
-            const auto key = key_of(name);
-            digest += XXH3_64bits_withSeed(&key, sizeof key, held.version);
+            versions.emplace(name, held.version);
         }
     }
-    return digest;
+    return versions;
+}
+
+wire::engine_view_t placer::make_view(const engine_state& engine) const
+{
+    auto view = make_load_view(engine);
+    view.copies_included = true;
+    for (const auto& [name, version] : loaded_versions(engine)) {
+        wire::append(view.copies, make_copy(name, version));
+    }
+    return view;
 }
 
 std::vector<wire::engine_view_t> placer::take_changed_views()
@@ -538,10 +545,51 @@
             continue;
         }
         auto& engine = found->second;
-        const auto digest = copies_digest(engine);
-        if (std::exchange(engine.published_digest, digest) != digest) {
+        auto loaded = loaded_versions(engine);
+        if (!engine.published) {
             views.push_back(make_view(engine));
         }
+        else if (loaded != *engine.published) {
+            views.push_back(make_delta(engine, loaded));
+        }
+        engine.published = std::move(loaded);
+    }
+    return views;
+}
+
+// Returns what has changed at an engine since its copies were published.
+wire::engine_view_t placer::make_delta(const engine_state& engine,
+                                       const std::map<adapter_name, std::uint64_t>& loaded)
+{
+    auto view = make_load_view(engine);
+    view.copies_included = true;
+    view.delta = true;
+    for (const auto& [name, version] : loaded) {
+        const auto known = engine.published->find(name);
+        if (known == engine.published->end() || known->second != version) {
+            wire::append(view.copies, make_copy(name, version));
+        }
+    }
+    for (const auto& [name, version] : *engine.published) {
+        if (!loaded.contains(name)) {
+            wire::append(view.removed, make_copy(name, version));
+        }
+    }
+    return view;
+}
+
+std::vector<wire::engine_view_t>
+placer::whole_views(const wire::engine_update_t& changes) const
+{
+    std::vector<wire::engine_view_t> views;
+    for (const auto& change : changes.engines) {
+        const auto found = m_engines.find(change->upstream);
+        if (!change->delta || found == m_engines.end()) {
+            views.push_back(*change);
+        }
+        else {
+            views.push_back(make_view(found->second));
+        }
     }
     return views;
 }
@@ -551,9 +599,7 @@
     std::vector<wire::engine_view_t> views;
     for (auto& [id, engine] : m_engines) {
         if (std::exchange(engine.load_changed, false)) {
-            views.push_back(make_view(engine));
-            views.back().copies.clear();
-            views.back().copies_included = false;
+            views.push_back(make_load_view(engine));
         }
     }
     return views;
--- a/src/adapters/placer_test.cpp
+++ b/src/adapters/placer_test.cpp
@@ -643,3 +643,28 @@
     adapter_placer.on_report("a", std::nullopt, clock.now()); // answers no more
     STRCMP_EQUAL("b", plan().at(0).upstream.c_str());
 }
+
+TEST(Placer, PublishesOnlyWhatHasChangedAtAnEngine)
+{
+    engine("a", {"x"});
+    const auto first = adapter_placer.take_changed_views();
+    LONGS_EQUAL(1, first.size());
+    CHECK_FALSE(first.front().delta);
+    LONGS_EQUAL(2, first.front().copies.size()); // with the base model
+    report("a", 0, {"y"});
+    const auto next = adapter_placer.take_changed_views();
+    LONGS_EQUAL(1, next.size());
+    CHECK_TRUE(next.front().delta);
+    LONGS_EQUAL(1, next.front().copies.size());
+    STRCMP_EQUAL("y", next.front().copies.front()->adapter.c_str());
+    LONGS_EQUAL(1, next.front().removed.size());
+    STRCMP_EQUAL("x", next.front().removed.front()->adapter.c_str());
+    wire::engine_update_t update;
+    wire::append(update.engines, next.front());
+    const auto whole = adapter_placer.whole_views(update);
+    CHECK_FALSE(whole.front().delta);
+    LONGS_EQUAL(2, whole.front().copies.size());
+    adapter_placer.begin_leadership(clock.now());
+    report("a", 0, {"y"});
+    CHECK_FALSE(adapter_placer.take_changed_views().front().delta);
+}
--- a/src/apps/coordinator_fleet.cpp
+++ b/src/apps/coordinator_fleet.cpp
@@ -352,13 +352,17 @@
     }
 }
 
+// Sends changes to the gateways that have all earlier ones, and everything to those that caught up.
+// Gateways of earlier builds read no differences.
 void coordinator_process::send_engine_changes(const wire::engine_update_t& changes)
 {
     std::vector<net::connection_id> up_to_date;
+    std::vector<net::connection_id> without_deltas;
     for (const auto& [connection, gateway] : m_gateways) {
         switch (m_pacer.next(connection, m_mesh->queued_bytes(connection))) {
         case fleet::update_kind::delta:
-            up_to_date.push_back(connection);
+            (gateway.attach_message.reads_deltas ? up_to_date : without_deltas)
+                .push_back(connection);
             break;
         case fleet::update_kind::full:
             m_mesh->reply(connection, wire::make_envelope(make_full_engine_update()));
@@ -368,8 +372,17 @@
             break;
         }
     }
-    if (!changes.engines.empty()) {
-        m_mesh->reply_all(up_to_date, wire::make_envelope(changes));
+    if (changes.engines.empty()) {
+        return;
+    }
+    m_mesh->reply_all(up_to_date, wire::make_envelope(changes));
+    if (!without_deltas.empty()) {
+        wire::engine_update_t whole;
+        whole.term = changes.term;
+        for (auto& view : m_placer.whole_views(changes)) {
+            wire::append(whole.engines, std::move(view));
+        }
+        m_mesh->reply_all(without_deltas, wire::make_envelope(whole));
     }
 }
 
--- a/src/apps/gateway_process.cpp
+++ b/src/apps/gateway_process.cpp
@@ -240,6 +240,7 @@
 {
     wire::gateway_attach_t message;
     message.incarnation = m_incarnation;
+    message.reads_deltas = true;
     message.info = std::make_unique<wire::gateway_info_t>();
     message.info->vm = m_settings.vm;
     message.info->caller_address = m_settings.caller_address;
--- a/src/gateway/upstream_pool.cpp
+++ b/src/gateway/upstream_pool.cpp
@@ -35,10 +35,16 @@
 void upstream_pool::update_engine(const wire::engine_view_t& view)
 {
     auto& engine = m_engines[view.upstream];
+    const bool same_run = engine.born_ms == view.born_ms;
     engine.born_ms = view.born_ms;
     engine.requests = view.running + view.waiting;
     if (view.copies_included) {
-        engine.versions.clear();
+        if (!view.delta || !same_run) {
+            engine.versions.clear();
+        }
+        for (const auto& dropped : view.removed) {
+            engine.versions.erase({dropped->model, dropped->adapter});
+        }
         for (const auto& held : view.copies) {
             engine.versions[{held->model, held->adapter}] = held->version;
         }
--- a/src/gateway/upstream_pool_test.cpp
+++ b/src/gateway/upstream_pool_test.cpp
@@ -487,3 +487,28 @@
     clock.advance(core::milliseconds{2000});
     STRCMP_EQUAL("a", choose(none).upstream.c_str());
 }
+
+TEST(UpstreamPool, AppliesDifferencesOfWhatAnEngineHolds)
+{
+    announce("a");
+    set_held_version("a", 1);
+    wire::engine_view_t change;
+    change.upstream = "a";
+    change.born_ms = 100;
+    change.copies_included = true;
+    change.delta = true;
+    wire::adapter_copy_t copy;
+    copy.model = wanted.first;
+    copy.adapter = "other";
+    copy.version = 3;
+    wire::append(change.copies, copy);
+    pool.update_engine(change);
+    STRCMP_EQUAL("a", choose(wanted).upstream.c_str());
+    LONGS_EQUAL(3, *choose({wanted.first, "other"}).adapter_version);
+    copy.adapter = wanted.second;
+    change.copies.clear();
+    wire::append(change.removed, copy);
+    pool.update_engine(change);
+    CHECK_TRUE(pool_choice::kind::adapter_not_loaded == choose(wanted).result);
+    STRCMP_EQUAL("a", choose({wanted.first, "other"}).upstream.c_str());
+}
