Send the list of gateways once, not with each gateway that attaches

A gateway that stops is still told at once, a newcomer with the next list, 10 ms later for each gateway. No unit test covers it: the list is made in the process; the bytes are in the log line bytes_queued.

--- a/src/apps/coordinator_fleet.cpp
+++ b/src/apps/coordinator_fleet.cpp
@@ -21,6 +21,7 @@
 constexpr std::chrono::microseconds copy_update_interval_per_gateway{300}; // 27 ms at 91 gateways
 constexpr std::chrono::microseconds plan_interval_per_gateway{100};
 constexpr core::milliseconds load_update_interval_per_gateway{4};
+constexpr core::milliseconds gateway_list_interval_per_gateway{10};
 // A quarter of the time that an engine takes to process one prompt.
 constexpr core::milliseconds min_load_update_interval{60};
 
@@ -178,9 +179,13 @@
         return item.first != from && item.second.attach_message.info->vm == message.info->vm;
     });
     const bool already_attached = m_gateways.contains(from);
+    // Callers must soon be kept from a gateway that stops. Others hear of a newcomer with the next
+    // list: at a restart all of them come at once, and each list names all.
+    const bool urgent = already_attached || !message.info->accepting;
     m_gateways[from].attach_message = message;
     m_gateways_changed = true;
-    m_flush_requested = true;
+    m_gateways_urgent = m_gateways_urgent || urgent;
+    m_flush_requested = m_flush_requested || urgent;
     if (already_attached) {
         return;
     }
@@ -272,8 +277,11 @@
     }
     append_all(update.upstreams, std::move(changed));
     send_to_peers(update, local);
-    update.gateways_included = std::exchange(m_gateways_changed, false);
-    if (update.gateways_included) {
+    if (m_gateways_changed && (m_gateways_urgent || now >= m_gateways_due)) {
+        m_gateways_changed = false;
+        m_gateways_urgent = false;
+        m_gateways_due = now + gateway_list_interval_per_gateway * m_gateways.size();
+        update.gateways_included = true;
         for (const auto& [connection, gateway] : m_gateways) {
             wire::append(update.gateways, *gateway.attach_message.info);
         }
--- a/src/apps/coordinator_process.cpp
+++ b/src/apps/coordinator_process.cpp
@@ -424,7 +424,6 @@
     m_gateways.erase(found);
     m_pacer.remove_reader(connection);
     m_gateways_changed = true;
-    m_flush_requested = true;
     schedule_cycle();
 }
 
--- a/src/apps/coordinator_process.h
+++ b/src/apps/coordinator_process.h
@@ -176,6 +176,8 @@
     std::uint64_t m_document_version = 0;
     /// Current adapter versions that were sent to the gateways.
     std::map<state::adapter_name, std::uint64_t> m_published_versions;
+    bool m_gateways_urgent = false; ///< The list must not wait until `m_gateways_due`.
+    core::time_point m_gateways_due{};
     bool m_gateways_changed = false;
     bool m_flush_requested = false; ///< The next cycle sends updates.
     bool m_plan_requested = false;  ///< Placement inputs changed since the last plan.
