Don't take an upstream that has ended for a path that is cut

Now the first gateway that can't reach an engine makes the leader poll it; if it doesn't answer either, its copies don't count. A gateway that has lost all upstreams still passes everything on. Placer.LoadsElsewhereOnceTheEngineThatHoldsTheOnlyCopyHasEnded, UpstreamPool.AwaitsAnotherCopyOnceAnotherGatewayDoesNotReachTheEngineEither.

--- a/include/siskindrift/adapters/placer.h
+++ b/include/siskindrift/adapters/placer.h
@@ -94,6 +94,7 @@
     /// the weight store.
     core::duration recent_engine_wait_limit = core::milliseconds{150};
     /// Fraction of the gateways that must be unable to reach an engine for its copies not to count.
+    /// One is enough if the engine doesn't answer the leader either.
     double unreachable_ratio = 0.3;
     /// Time after which a wish, a gateway's request for a copy of an adapter, expires. Gateways
     /// repeat their wishes.
@@ -229,6 +230,7 @@
         std::uint64_t pending_tokens = 0; ///< Prompt tokens that await prefill, of all gateways.
         std::map<adapter_name, std::uint32_t> using_gateways; ///< Gateways that use each one.
         std::size_t unreachable_from = 0; ///< Number of gateways that can't reach it.
+        bool poll_failed = false;         ///< The last poll had no answer.
         /// It has answered a poll since gateways began to say that they can't reach it.
         bool answers_polls = false;
         core::time_point doubted_since{}; ///< When gateways began to say so.
--- a/include/siskindrift/gateway/upstream_pool.h
+++ b/include/siskindrift/gateway/upstream_pool.h
@@ -117,6 +117,8 @@
     /// An upstream that can run the request is not reachable from here, and none that is can run it
     /// now. Another gateway may reach it.
     bool unreachable = false;
+    /// Those that hold the adapter and are not reachable, if `unreachable`.
+    std::vector<std::string> unreached;
     core::duration retry_after{}; ///< When a caller should return, if `limited`.
     bool waits_for_place = false; ///< A place may be free at any moment, if `limited`.
     shortage lacks = shortage::none; ///< If there is no upstream to send to.
@@ -176,6 +178,9 @@
                          core::time_point opened);
     /// Records that no connection to @p upstream could be established.
     void record_connect_failure(const std::string& upstream, core::time_point now);
+    /// Records that another gateway doesn't reach @p upstream either: it has rather ended than been
+    /// cut off, and requests wait for another copy instead of travelling through other gateways.
+    void record_unreached_elsewhere(const std::string& upstream, core::time_point now);
     /// Records the result of a connection that was opened to see whether @p upstream is reachable.
     void record_probe(const std::string& upstream, bool connected, core::time_point now);
     /// Returns the upstreams to probe now, with their addresses, and marks them as probed: those
@@ -222,6 +227,7 @@
         std::map<adapter_name, std::uint32_t> requests_by_adapter;
         unsigned failed_connects = 0; ///< Since the last byte from the upstream.
         core::time_point last_connect_failure{};
+        core::time_point unreached_elsewhere{}; ///< When another gateway last didn't reach it.
         core::time_point last_trial{}; ///< Last request sent although the upstream was failing.
         core::time_point last_probe{};
         core::time_point paused_until{}; ///< Until then the run wants no requests.
--- a/src/adapters/placer.cpp
+++ b/src/adapters/placer.cpp
@@ -123,6 +123,7 @@
     engine.report_due =
         asked + (engine.state_known ? m_options.report_interval : m_options.max_report_age);
     engine.answers_polls = engine.answers_polls && report.has_value();
+    engine.poll_failed = !report;
     if (!report || (report->born_ms != 0 && report->born_ms != engine.born_ms)) {
         return;
     }
@@ -183,6 +184,8 @@
 void placer::on_gateway_report(const wire::gateway_report_t& report, core::time_point now)
 {
     auto& state = m_gateways[report.vm];
+    const std::set<std::string> unreachable_before{state.unreachable.begin(),
+                                                   state.unreachable.end()};
     std::set<std::string> doubted;
     for (const auto& id : state.unreachable) {
         const auto engine = m_engines.find(id);
@@ -199,6 +202,10 @@
             engine->second.doubted_since = now;
             engine->second.report_due = std::min(engine->second.report_due, now);
         }
+        if (engine != m_engines.end() && !unreachable_before.contains(id) &&
+            engine->second.unreachable_from == 1) {
+            engine->second.report_due = std::min(engine->second.report_due, now);
+        }
     }
     for (const auto& item : report.wishes) {
         auto& wish = state.wishes[{{item->model, item->adapter}, item->software_version}];
@@ -339,7 +346,8 @@
 {
     const auto gateways = static_cast<double>(m_gateways.size());
     return engine.unreachable_from > 0 &&
-           static_cast<double>(engine.unreachable_from) >= m_options.unreachable_ratio * gateways;
+           (engine.poll_failed || static_cast<double>(engine.unreachable_from) >=
+                                      m_options.unreachable_ratio * gateways);
 }
 
 // Gateways reach an engine through others while any of them does, so one that answers is used.
--- a/src/adapters/placer_test.cpp
+++ b/src/adapters/placer_test.cpp
@@ -1,6 +1,7 @@
 #include "siskindrift/adapters/placer.h"
 
 #include <CppUTest/TestHarness.h>
+#include <algorithm>
 
 using namespace siskindrift;
 using namespace siskindrift::adapters;
@@ -668,3 +669,28 @@
     report("a", 0, {"y"});
     CHECK_FALSE(adapter_placer.take_changed_views().front().delta);
 }
+
+TEST(Placer, LoadsElsewhereOnceTheEngineThatHoldsTheOnlyCopyHasEnded)
+{
+    engine("a", {"x"});
+    engine("b");
+    for (int i = 0; i < 90; ++i) {
+        wire::gateway_report_t reachable;
+        reachable.vm = "g" + std::to_string(i);
+        adapter_placer.on_gateway_report(reachable, clock.now());
+    }
+    static_cast<void>(adapter_placer.take_engines_to_poll(clock.now()));
+    adapter_placer.on_report("a", std::nullopt, clock.now()); // one that was lost
+    wish("x");
+    LONGS_EQUAL(0, plan().size());
+    wire::gateway_report_t unreachable;
+    unreachable.vm = "g0";
+    unreachable.unreachable.emplace_back("a");
+    report("a", 0, {"x"});
+    adapter_placer.on_gateway_report(unreachable, clock.now());
+    LONGS_EQUAL(0, plan().size());
+    const auto polled = adapter_placer.take_engines_to_poll(clock.now());
+    CHECK_TRUE(std::find(polled.begin(), polled.end(), "a") != polled.end());
+    adapter_placer.on_report("a", std::nullopt, clock.now());
+    STRCMP_EQUAL("b", plan().at(0).upstream.c_str());
+}
--- a/src/apps/gateway_exchanges.cpp
+++ b/src/apps/gateway_exchanges.cpp
@@ -197,6 +197,7 @@
     }
     if (choice.unreachable) {
         // Passed on once only, so that no request goes round in circles.
+        item.unreached = choice.unreached;
         if (!item.relayed && send_relay(item)) {
             return;
         }
--- a/src/apps/gateway_process.h
+++ b/src/apps/gateway_process.h
@@ -122,6 +122,7 @@
         unsigned sends = 0;   ///< Counts up with every send, also one that failed to connect.
         bool relayed = false; ///< Another gateway passed the request on to this one.
         unsigned may_have_run_before = 0;        ///< `may_have_run` when it was passed on.
+        std::vector<std::string> unreached; ///< Holders that this gateway doesn't reach.
         std::set<std::string> tried_helpers;     ///< Gateways that it was passed on to.
         std::set<std::string> reached_upstreams; ///< Those of `tried_upstreams` it was sent to.
         core::reason failure_reason = core::reason::none;
--- a/src/apps/gateway_relays.cpp
+++ b/src/apps/gateway_relays.cpp
@@ -121,6 +121,9 @@
         ++item.may_have_run; // taken back when the attempt ends as not executed
         if (answer->reason == core::reason::upstream_unreachable) {
             m_helpers.record_refusal(item.helper, item.service, m_clock.now());
+            for (const auto& upstream : item.unreached) {
+                m_pool.record_unreached_elsewhere(upstream, m_clock.now());
+            }
         }
     }
 }
--- a/src/gateway/upstream_pool.cpp
+++ b/src/gateway/upstream_pool.cpp
@@ -114,6 +114,13 @@
     stats.last_connect_failure = now;
 }
 
+void upstream_pool::record_unreached_elsewhere(const std::string& upstream, core::time_point now)
+{
+    auto& stats = m_stats[upstream];
+    reset_if_restarted(upstream, stats, now);
+    stats.unreached_elsewhere = now;
+}
+
 void upstream_pool::record_probe(const std::string& upstream, bool connected, core::time_point now)
 {
     if (connected) {
@@ -133,6 +140,7 @@
         stats.failed_connects = 0;
         stats.quiet_since = now;
         stats.paused_until = {};
+        stats.unreached_elsewhere = {};
     }
 }
 
@@ -279,7 +287,7 @@
     bool any_usable = false;
     shortage lacks = shortage::upstream; // of the upstream that comes nearest to being chosen
     bool any_reachable = false;
-    bool held_elsewhere = false; // by an upstream that refuses the connections of this gateway
+    std::vector<std::string> unreached; // refuse the connections of this gateway only
     const auto current = m_current_versions.find(wanted);
     const auto current_version = current == m_current_versions.end() ? 0 : current->second.first;
     bool current_exists = false;
@@ -304,7 +312,10 @@
         const bool unreachable = refuses || is_silent(entry, stats, now);
         any_reachable = any_reachable || !refuses;
         const auto version = wanted.first.empty() ? std::nullopt : held_version(entry, wanted);
-        held_elsewhere = held_elsewhere || (refuses && (wanted.first.empty() || version));
+        const bool ended = now - stats.unreached_elsewhere < m_options.ejection_time;
+        if (refuses && !ended && (wanted.first.empty() || version)) {
+            unreached.push_back(id);
+        }
         const bool trial_due =
             now - stats.last_trial >= m_options.unreachable_trial_interval && !tried.contains(id);
         if (unreachable && !wanted.first.empty() && !trial_due) {
@@ -344,7 +355,8 @@
     pool_choice choice;
     if (candidates.empty()) {
         choice.lacks = lacks;
-        choice.unreachable = held_elsewhere || (any_usable && !any_reachable);
+        choice.unreachable = !unreached.empty() || (any_usable && !any_reachable);
+        choice.unreached = std::move(unreached);
         if (retry_after && (wanted.first.empty() || !any_unlimited)) {
             choice.result = pool_choice::kind::limited;
             choice.retry_after = *retry_after;
@@ -382,7 +394,7 @@
         candidates.resize(std::min(candidates.size(), compared));
     }
     const auto best = std::min_element(candidates.begin(), candidates.end(), better);
-    choice.unreachable = best->refuses;
+    choice.unreachable = best->refuses && !unreached.empty();
     if (best->ejected) {
         m_stats[best->entry->info.id].last_trial = now;
     }
--- a/src/gateway/upstream_pool_test.cpp
+++ b/src/gateway/upstream_pool_test.cpp
@@ -407,6 +407,24 @@
     CHECK_FALSE(choose(wanted).unreachable);
 }
 
+TEST(UpstreamPool, AwaitsAnotherCopyOnceAnotherGatewayDoesNotReachTheEngineEither)
+{
+    announce("a");
+    announce("b");
+    set_held_version("a", 1);
+    fail_connects("a");
+    static_cast<void>(choose(wanted)); // a request that tries it again
+    const auto first = choose(wanted);
+    CHECK_TRUE(first.unreachable);
+    LONGS_EQUAL(1, first.unreached.size());
+    pool.record_unreached_elsewhere(first.unreached.front(), clock.now());
+    const auto second = choose(wanted);
+    CHECK_FALSE(second.unreachable);
+    CHECK_TRUE(pool_choice::kind::adapter_not_loaded == second.result);
+    fail_connects("b"); // now this gateway may be the one that is cut off
+    CHECK_TRUE(choose(wanted).unreachable);
+}
+
 TEST(UpstreamPool, SaysWhatARequestLacks)
 {
     CHECK_TRUE(shortage::upstream == choose(wanted).lacks);
