Neither flood gateways with suspects nor convict a part by late news

Two faults of one mechanism, which can't be taken apart: what is asked for is what is waited for. Ends counted as separate when they were heard of 200 ms apart, and answers that would acquit a part were waited for 400 ms only. Change: suspects are announced only if answers on them can matter, at most every 100 ms; a crash is reported once to each leader, a run is checked once. An engine counts as ended after another only if it was alive after the end of that one was noticed: gateways tell when they sent the request, in relation to the last time of the leader that they heard. A part is blocked once each attached gateway has replied to the announcement; one that a quarter of the gateways refuse is tried again after 1.5 s and shows in siskindrift_popular_blocked_parts. PromptGuard.ReportsCrashesAgainForAWhile demanded the repetition that flooded the leader; ReportsACrashOnceToEachLeaderForAWhile demands it for each leader. The fixtures of the judge's tests tell times as gateways now do.

--- a/include/siskindrift/control/prompt_judge.h
+++ b/include/siskindrift/control/prompt_judge.h
@@ -22,16 +22,27 @@
     std::size_t crashes_to_block = 3;
     /// Highest probability at which a part that does no harm loses as many answers in a row.
     double max_chance = 1e-4;
-    /// Engines that end within this time count once: they may share a cause.
+    /// Upstreams that end within this time count once against a whole request, unless it is known
+    /// that one of them was alive after the other had ended.
     core::duration same_cause = core::milliseconds{200};
+    /// Precision of the times that gateways report.
+    core::duration time_precision = core::milliseconds{2};
     /// Time after the last of these crashes in which gateways report answers that acquit the part.
     core::duration acquittal_wait = core::milliseconds{400};
     /// Answers on the part that are older than this at its first crash don't acquit it.
     core::duration acquittal_age = core::milliseconds{10'000};
     /// A part that crashed no engine for this long is no longer suspected.
     core::duration suspicion_time = core::milliseconds{60'000};
+    /// Least time between two announcements of the suspects to all gateways.
+    core::duration announce_interval = core::milliseconds{100};
     /// How long a part is blocked before one request tries it again; longer after each failure.
     core::duration first_block = core::milliseconds{30'000};
+    /// The same for a popular part, whose block refuses many callers.
+    core::duration first_popular_block = core::milliseconds{1500};
+    /// A part is popular if this share of the gateways, and so many, refused it lately.
+    double popular_share = 0.25;
+    std::size_t min_popular_gateways = 3;
+    core::duration popular_window = core::milliseconds{2000};
     core::duration longest_block = std::chrono::hours{1};
     /// A trial without a result ends after this; one of a request that is only suspected earlier.
     core::duration trial_timeout = core::milliseconds{15'000};
@@ -56,10 +67,12 @@
 /// A part is a piece of a prompt that several requests share, or a whole request that comes again.
 /// A part is blocked by evidence of its own: several engines ended, one after the other, just as
 /// they began an answer on it, no engine went on with an answer on it meanwhile, and so few other
-/// answers are lost that this is no coincidence. Parts that only accompany it are answered
-/// elsewhere, which acquits them, and engines whose end a blocked part explains count against no
-/// other part. Each engine is checked, so that an answer that was only
-/// broken off counts for nothing.
+/// answers are lost that this is no coincidence. Two engines count as having ended one after the
+/// other only if one is known to have been alive after the end of the other, however late their
+/// ends are heard of. Parts that only accompany it are answered elsewhere, which acquits them: a
+/// part is blocked only after each gateway has told the answers that it knows. Engines whose end a
+/// blocked part explains count against no other part. Each engine is checked, so that an answer
+/// that was only broken off counts for nothing.
 ///
 /// A whole request under which three upstreams ended, at whatever times, and that none answered
 /// meanwhile is suspected. It is tried alone as soon as it comes again, one request of a service at
@@ -69,10 +82,18 @@
     explicit prompt_judge(prompt_judge_options options = {}) : m_options(options) {}
 
     /// Forgets all evidence. Gateways repeat what is recent; blocks last.
-    void begin_term(core::time_point now);
+    /// @param term of the leader, higher than all before.
+    void begin_term(core::time_point now, std::uint64_t term);
+
+    /// Sets the gateways whose answers are awaited before a part is blocked.
+    void set_gateways(std::set<std::string> vms) { m_gateways = std::move(vms); }
+
+    /// Records that a run of an upstream was alive at @p at or later.
+    void record_alive(const std::string& upstream, std::uint64_t born_ms, core::time_point at);
 
     /// Records what a gateway observed.
-    /// @return the crashes to check.
+    /// @return the crashes to check, one for each run of an upstream that isn't known to have
+    /// ended.
     [[nodiscard]] std::vector<suspected_crash>
     record_evidence(const wire::prompt_evidence_t& evidence, const state::blocked_parts& blocked,
                     core::time_point now);
@@ -84,8 +105,12 @@
     [[nodiscard]] std::optional<wire::change_blocked_parts_t>
     next_change(const state::blocked_parts& blocked, core::time_point now);
 
-    /// Returns the parts whose answers gateways should report, if they changed since the last call.
-    [[nodiscard]] std::optional<wire::prompt_suspects_t> take_suspects();
+    /// Returns the parts whose answers gateways should report, if gateways have to be told again.
+    [[nodiscard]] std::optional<wire::prompt_suspects_t> take_suspects(core::time_point now);
+
+    /// Returns the number of blocked parts that many gateways refuse.
+    [[nodiscard]] std::size_t count_popular(const state::blocked_parts& blocked,
+                                            core::time_point now) const;
 
     /// Returns the crashes that speak against @p part, as "upstream/request", for logs.
     [[nodiscard]] std::vector<std::string> crashes_of(const std::string& part) const;
@@ -103,11 +128,19 @@
     struct suspect {
         std::map<std::string, crash> crashes; ///< By upstream.
         core::time_point last_crash{};
+        /// First announcement since an upstream was added to `crashes`; 0 before it.
+        std::uint64_t announced_in = 0;
+    };
+    /// The time in which a run of an upstream ended.
+    struct run_end {
+        std::optional<core::time_point> alive_at;
+        core::time_point ended_by = core::time_point::max();
     };
     struct block_times {
         core::time_point since{};
         core::time_point last_refusal{};
-        std::string refused_by; ///< Gateway that refused it last.
+        std::string refused_by;                           ///< Gateway that refused it last.
+        std::map<std::string, core::time_point> refusals; ///< The last one of each gateway.
         bool trial_crashed = false;
         bool trial_survived = false;
         core::time_point trial_crash{};
@@ -117,8 +150,12 @@
         std::set<upstream_run> strays;
     };
 
+    void record_run_end(const wire::prompt_evidence_t& evidence, const wire::prompt_crash_t& item,
+                        core::time_point now);
     void record_crash(const wire::prompt_crash_t& item, const state::blocked_parts& blocked,
                       core::time_point now);
+    void make_room_for_suspect();
+    void record_reply(const wire::prompt_evidence_t& evidence, core::time_point now);
     void record_survival(const wire::prompt_survival_t& item, const state::blocked_parts& blocked,
                          core::time_point now);
     [[nodiscard]] core::time_point acquitted_from(const suspect& item) const;
@@ -127,6 +164,11 @@
                                        core::time_point now) const;
     [[nodiscard]] double share_lost(const std::string& part, const suspect& item,
                                     core::time_point now) const;
+    [[nodiscard]] bool ended_after(const run_end& later, const run_end& earlier, bool whole) const;
+    [[nodiscard]] std::vector<run_end> separate_ends(const std::string& part, const suspect& item,
+                                                     bool confirmed) const;
+    [[nodiscard]] bool answers_known(const suspect& item) const;
+    [[nodiscard]] bool needs_answers(const std::string& part, const suspect& item) const;
     [[nodiscard]] bool is_guilty(const std::string& part, const suspect& item,
                                  core::time_point now) const;
     [[nodiscard]] bool is_suspicious(const std::string& part, const suspect& item,
@@ -142,7 +184,8 @@
                      wire::change_blocked_parts_t& change, core::time_point now);
     [[nodiscard]] bool may_be_company(const std::string& part, const state::blocked_parts& blocked,
                                       core::time_point now);
-    [[nodiscard]] core::duration block_time(std::uint32_t strikes) const;
+    [[nodiscard]] bool is_popular(const block_times& times, core::time_point now) const;
+    [[nodiscard]] core::duration block_time(std::uint32_t strikes, bool popular) const;
     block_times& times_of(const std::string& part, core::time_point now);
 
     prompt_judge_options m_options;
@@ -159,11 +202,19 @@
         core::time_point reported{};
     };
     std::map<suspected_crash, check> m_checks;
+    std::map<upstream_run, run_end> m_run_ends;
+    std::set<upstream_run> m_ended_runs;   ///< Runs that a check has shown to have ended.
+    std::set<upstream_run> m_checked_runs; ///< Runs whose check has no result yet.
+    std::set<std::string> m_gateways;      ///< Whose answers are awaited.
+    /// By gateway: the latest announcement of suspects that it replied to.
+    std::map<std::string, std::uint64_t> m_replies;
     /// By gateway, then service.
     std::map<std::string, std::map<std::string, answer_counts>> m_answered;
     std::map<std::string, core::time_point> m_survivals; ///< Last answer on parts once suspected.
-    std::set<std::string> m_explained;          ///< Upstreams that ended under a blocked part.
-    std::set<std::string> m_announced;          ///< Suspects that the gateways were told.
+    std::set<std::string> m_explained; ///< Upstreams that ended under a blocked part.
+    std::set<std::string> m_announced; ///< Suspects that the gateways were told.
+    core::time_point m_announced_at{};
+    std::uint64_t m_announcement = 0; ///< Number of the last one, higher than in former terms.
     std::optional<std::uint64_t> m_proposed_on; ///< Generation that the last change is based on.
 };
 
--- a/include/siskindrift/gateway/prompt_guard.h
+++ b/include/siskindrift/gateway/prompt_guard.h
@@ -19,7 +19,7 @@
 /// Limits of a prompt guard.
 struct prompt_guard_options {
     std::size_t seconds_counted = 60; ///< For which the numbers of answers are kept.
-    /// Crashes are reported again to a leader, which may be new, for this long.
+    /// Crashes are reported to a new leader for this long.
     core::duration report_time = core::milliseconds{20'000};
     std::size_t max_crashes = 128; ///< Reported crashes, one per part.
     /// Parts whose last answers are remembered; up to twice as many.
@@ -33,6 +33,13 @@
     std::uint64_t born_ms = 0; ///< Start of the upstream's run.
     std::string request;
     bool without_head = false; ///< It had not begun an answer.
+    core::time_point sent{};   ///< When the request was sent to it.
+};
+
+/// The latest time of the leader that a gateway has heard of.
+struct leader_time {
+    std::uint64_t leader_ms = 0; ///< On the leader's clock; 0 if it told none.
+    core::time_point heard{};    ///< On the clock of the gateway.
 };
 
 /// Names of the parts of a request by which it may be refused.
@@ -65,6 +72,9 @@
     /// Replaces the blocked parts, unless @p update is older than what is known.
     /// @return whether they changed.
     bool apply_blocked(const wire::fleet_update_t& update);
+    /// Prepares the reports to another leader: it knows nothing of what was reported before.
+    void begin_leader();
+
     /// Replaces the parts whose answers are reported. There is evidence to send afterwards.
     void set_suspects(const wire::prompt_suspects_t& suspects, core::time_point now);
 
@@ -86,8 +96,9 @@
 
     /// Returns whether there is evidence that the leader has not been sent.
     [[nodiscard]] bool has_news() const { return m_news; }
-    /// Returns the evidence to send to the leader, if any.
-    [[nodiscard]] std::optional<wire::prompt_evidence_t> take_evidence(core::time_point now);
+    /// Returns the evidence that the leader has not been sent, if any.
+    [[nodiscard]] std::optional<wire::prompt_evidence_t> take_evidence(const leader_time& leader,
+                                                                       core::time_point now);
 
     [[nodiscard]] std::uint64_t generation() const { return m_generation; }
     [[nodiscard]] std::size_t blocked_parts() const { return m_blocked.size(); }
@@ -99,7 +110,9 @@
         std::string request;
         std::uint64_t born_ms = 0;
         bool without_head = false;
+        core::time_point sent{};
         core::time_point at{};
+        bool reported = false;
     };
     struct block {
         bool may_try = false; ///< This gateway may send one request.
@@ -118,8 +131,9 @@
     std::uint64_t m_generation = 0;
     std::map<std::string, block> m_blocked; ///< By part.
     std::set<std::string> m_suspects;
-    answer_times m_answered;        ///< Last answer by part.
-    answer_times m_answered_before; ///< Older ones, dropped when `m_answered` is full again.
+    std::uint64_t m_suspects_number = 0; ///< Of the leader's announcement of them.
+    answer_times m_answered;             ///< Last answer by part.
+    answer_times m_answered_before;      ///< Older ones, dropped when `m_answered` is full again.
     std::deque<crash> m_crashes;
     std::map<std::string, core::time_point> m_survivals;  ///< To be reported.
     std::set<std::string> m_refused;                      ///< To be reported.
--- a/src/apps/coordinator_fleet.cpp
+++ b/src/apps/coordinator_fleet.cpp
@@ -183,6 +183,7 @@
     // list: at a restart all of them come at once, and each list names all.
     const bool urgent = already_attached || !message.info->accepting;
     m_gateways[from].attach_message = message;
+    update_judged_gateways();
     m_gateways_changed = true;
     m_gateways_urgent = m_gateways_urgent || urgent;
     m_flush_requested = m_flush_requested || urgent;
@@ -220,6 +221,7 @@
 {
     update.vm = m_settings.vm;
     update.address = m_settings.inner_address;
+    update.sent_ms = static_cast<std::uint64_t>(core::to_ms(m_clock.now().time_since_epoch()));
     update.leader_term = m_placement_term;
     update.document_version = m_document_version;
     const auto now = m_clock.now();
@@ -449,11 +451,29 @@
     for (const auto& crash : m_prompt_judge.record_evidence(evidence, blocked, m_clock.now())) {
         check_engine(crash);
     }
-    if (const auto suspects = m_prompt_judge.take_suspects()) {
+}
+
+// Asks the gateways for their answers on parts that may be blocked.
+void coordinator_process::publish_suspects()
+{
+    if (m_placement_term == 0) {
+        return;
+    }
+    if (const auto suspects = m_prompt_judge.take_suspects(m_clock.now())) {
         m_mesh->reply_all(gateway_connections(), wire::make_envelope(*suspects));
     }
 }
 
+// A gateway that is attached to no coordinator can't be asked.
+void coordinator_process::update_judged_gateways()
+{
+    std::set<std::string> vms;
+    for (const auto& [connection, gateway] : m_gateways) {
+        vms.insert(gateway.attach_message.info->vm);
+    }
+    m_prompt_judge.set_gateways(std::move(vms));
+}
+
 // Finds out whether an engine ended. One that doesn't answer at all may only be cut off or frozen.
 void coordinator_process::check_engine(const control::suspected_crash& crash)
 {
@@ -638,6 +658,11 @@
     metrics.set(
         "siskindrift_limited_upstreams",
         static_cast<double>(m_core ? m_core->state().current_upstream_limits().entries.size() : 0));
+    metrics.set("siskindrift_popular_blocked_parts",
+                static_cast<double>(m_core ? m_prompt_judge.count_popular(
+                                                 m_core->state().current_blocked_parts(),
+                                                 m_clock.now())
+                                           : 0));
     metrics.set("siskindrift_placing_term", static_cast<double>(m_placement_term));
     metrics.set("siskindrift_open_engine_calls", static_cast<double>(m_calls.open_calls()));
 }
@@ -739,8 +764,12 @@
         m_calls.start(
             std::move(call), [this, id, now](std::optional<http::buffered_response> response) {
                 const bool succeeded = response && response->head.status == 200;
-                m_placer.on_report(
-                    id, succeeded ? platform::decode_report(response->body) : std::nullopt, now);
+                const auto report =
+                    succeeded ? platform::decode_report(response->body) : std::nullopt;
+                if (report) {
+                    m_prompt_judge.record_alive(id, report->born_ms, now);
+                }
+                m_placer.on_report(id, report, now);
                 schedule_cycle();
             });
     }
--- a/src/apps/coordinator_process.cpp
+++ b/src/apps/coordinator_process.cpp
@@ -231,6 +231,7 @@
     update_leadership();
     update_retry_shares();
     update_blocked_parts();
+    publish_suspects();
     update_upstream_limits();
     update_software_versions();
     apply_document();
@@ -346,7 +347,7 @@
     m_last_placement_term = term;
     const auto now = m_clock.now();
     m_retry_shares.begin_term(now);
-    m_prompt_judge.begin_term(now);
+    m_prompt_judge.begin_term(now, term);
     m_upstream_limits.begin_term(now);
     m_places.begin_term(now);
     m_announced_shares = 0;
@@ -422,6 +423,7 @@
     observe::info("gateway_detached", {{"gateway", found->second.attach_message.info->vm}});
     m_placer.remove_gateway(found->second.attach_message.info->vm);
     m_gateways.erase(found);
+    update_judged_gateways();
     m_pacer.remove_reader(connection);
     m_gateways_changed = true;
     schedule_cycle();
--- a/src/apps/coordinator_process.h
+++ b/src/apps/coordinator_process.h
@@ -113,6 +113,8 @@
     void handle_retry_share_query(net::connection_id from, const wire::retry_share_query_t& query);
     void update_retry_shares();
     void handle_prompt_evidence(const wire::prompt_evidence_t& evidence);
+    void publish_suspects();
+    void update_judged_gateways();
     void check_engine(const control::suspected_crash& crash);
     void update_blocked_parts();
     void append_blocked_parts(wire::fleet_update_t& update) const;
--- a/src/apps/gateway_guards.cpp
+++ b/src/apps/gateway_guards.cpp
@@ -16,6 +16,9 @@
 constexpr core::milliseconds place_report_interval{20}; // collects what is freed in that time
 constexpr double place_wait_share = 0.3;        // of a caller's time; the rest is for the answer
 constexpr std::uint16_t other_run_status = 421; // may come from another run at the address
+// Combines what many requests show at the same time in one message.
+constexpr core::milliseconds evidence_interval{50};
+constexpr core::milliseconds refusal_report_interval{500};
 
 core::reason reason_for(const gateway::blocked_request& blocked)
 {
@@ -43,6 +46,7 @@
         item.on_trial = true;
         return false;
     }
+    schedule_prompt_evidence(refusal_report_interval);
     const auto reason = reason_for(*blocked);
     if (item.stream_begun) {
         abort_stream(item, reason);
@@ -95,7 +99,7 @@
         const auto& parts = success ? item.parts : gateway::request_parts{item.parts.back()};
         m_prompt_guard.record_answer(item.service, parts, m_clock.now());
         if (m_prompt_guard.has_news()) {
-            send_prompt_evidence();
+            schedule_prompt_evidence(evidence_interval);
         }
     }
 }
@@ -123,6 +127,7 @@
     crash.born_ms = item.upstream_born_ms;
     crash.request = item.metadata.request_id;
     crash.without_head = without_head;
+    crash.sent = item.sent_at;
     observe::info("upstream_ended_under_request",
                   {{"request", item.metadata.request_id},
                    {"service", item.service},
@@ -131,7 +136,43 @@
                    {"digest", item.digest},
                    {"prompt", gateway::to_string(item.metadata.prompt)}});
     m_prompt_guard.record_crash(crash, m_clock.now());
-    send_prompt_evidence();
+    schedule_prompt_evidence(evidence_interval);
+}
+
+// Tells the leader which prompt parts crashed engines, were answered, or were refused here.
+void gateway_process::send_prompt_evidence()
+{
+    const auto leader = leader_address();
+    if (leader.empty()) {
+        return;
+    }
+    m_evidence_sent_at = m_clock.now();
+    if (auto evidence =
+            m_prompt_guard.take_evidence(m_coordinators[leader].time, m_evidence_sent_at)) {
+        m_mesh->send(leader, wire::make_envelope(std::move(*evidence)));
+    }
+}
+
+// Sends the evidence at once, unless the last was sent less than @p interval ago.
+void gateway_process::schedule_prompt_evidence(core::duration interval)
+{
+    const auto now = m_clock.now();
+    const auto due = m_evidence_sent_at + interval;
+    if (due <= now) {
+        send_prompt_evidence();
+        return;
+    }
+    if (m_evidence_due && *m_evidence_due <= due) {
+        return;
+    }
+    m_evidence_due = due;
+    m_evidence_timer.expires_after(due - now);
+    m_evidence_timer.async_wait([this](boost::system::error_code error) {
+        if (!error) {
+            m_evidence_due.reset();
+            send_prompt_evidence();
+        }
+    });
 }
 
 // Lets another request try a blocked part, if this one was to try it and was never sent.
--- a/src/apps/gateway_process.cpp
+++ b/src/apps/gateway_process.cpp
@@ -50,7 +50,7 @@
     : m_settings(std::move(settings)), m_settings_path(std::move(settings_path)), m_context(1),
       m_signals(m_context, SIGTERM, SIGINT, SIGHUP), m_stop_timer(m_context),
       m_report_timer(m_context), m_share_timer(m_context), m_path_timer(m_context),
-      m_place_timer(m_context),
+      m_place_timer(m_context), m_evidence_timer(m_context),
       m_mesh(std::make_shared<net::mesh>(m_context, net::mesh_options{}, *this)),
       m_caller_listener(
           [this](std::uint64_t id, http::server_request request,
@@ -275,6 +275,7 @@
     else {
         m_document_follower.on_disconnect(address);
         found->second.leader_term = 0;
+        found->second.time = {};
         found->second.gateways.clear();
         if (!coordinator_connected()) {
             m_software.on_contact_lost(m_clock.now());
@@ -338,11 +339,15 @@
     const auto now = m_clock.now();
     sender.connected = true;
     m_fleet_heard_at = now;
+    if (update.sent_ms != 0) {
+        sender.time = {update.sent_ms, now};
+    }
     if (update.leader_term != sender.leader_term) {
         sender.leader_term = update.leader_term;
         m_reported_wishes.clear();
         schedule_report();
         send_share_query();
+        m_prompt_guard.begin_leader();
         send_prompt_evidence();
         m_limits.report_again();
         m_limits.places().report_again();
@@ -553,18 +558,6 @@
     });
 }
 
-// Tells the leader which prompt parts crashed engines, were answered, or were refused here.
-void gateway_process::send_prompt_evidence()
-{
-    const auto leader = leader_address();
-    if (leader.empty()) {
-        return;
-    }
-    if (auto evidence = m_prompt_guard.take_evidence(m_clock.now())) {
-        m_mesh->send(leader, wire::make_envelope(std::move(*evidence)));
-    }
-}
-
 void gateway_process::schedule_report()
 {
     schedule_report_at(std::max(m_clock.now(), m_last_report_at + min_report_interval));
--- a/src/apps/gateway_process.h
+++ b/src/apps/gateway_process.h
@@ -82,6 +82,7 @@
     struct coordinator_state {
         bool connected = false;
         std::uint64_t leader_term = 0; ///< Term in which it leads, or 0.
+        gateway::leader_time time;     ///< The latest that it told.
         std::vector<wire::gateway_info_t> gateways;
     };
 
@@ -188,7 +189,6 @@
     void send_report();
     void send_share_query();
     void schedule_share_query();
-    void send_prompt_evidence();
 
     // Request forwarding (gateway_exchanges.cpp).
     void handle_request(std::uint64_t id, http::server_request request,
@@ -274,6 +274,8 @@
     void refuse_newly_blocked();
     void record_answer(exchange& item, bool success);
     void record_crash(exchange& item);
+    void send_prompt_evidence();
+    void schedule_prompt_evidence(core::duration interval);
     void restore_trial(exchange& item);
     void record_limit(const exchange& item);
     void record_rejection_limit(const exchange& item);
@@ -300,6 +302,7 @@
     boost::asio::steady_timer m_share_timer;
     boost::asio::steady_timer m_path_timer;
     boost::asio::steady_timer m_place_timer;
+    boost::asio::steady_timer m_evidence_timer;
     std::shared_ptr<net::mesh> m_mesh;
     listener m_caller_listener;
     listener m_readiness_listener;
@@ -342,6 +345,8 @@
     gateway::prompt_guard m_prompt_guard;
     core::time_point m_fleet_heard_at{};   ///< Last news of upstreams and documents.
     core::time_point m_engines_heard_at{}; ///< Last news of what engines hold.
+    std::optional<core::time_point> m_evidence_due;
+    core::time_point m_evidence_sent_at{};
     std::uint64_t m_engine_term = 0; ///< Highest leader term among the engine updates.
 
     std::map<std::uint64_t, std::unique_ptr<exchange>> m_exchanges;
--- a/src/control/prompt_judge.cpp
+++ b/src/control/prompt_judge.cpp
@@ -12,6 +12,9 @@
 constexpr std::size_t max_checks = 1024; // older ones are only repeated
 constexpr std::size_t max_explained = 4096;
 constexpr std::size_t max_survivals = 4096;
+constexpr std::size_t max_runs = 4096;
+constexpr unsigned announcement_bits = 32;         // of the numbers within one term
+constexpr std::uint32_t unknown_age = 0xffff'ffff; // of a gateway that doesn't tell it
 
 wire::blocked_part_t make_block(const std::string& part, std::uint32_t strikes,
                                 const std::string& trial_vm)
@@ -25,7 +28,7 @@
 
 } // namespace
 
-void prompt_judge::begin_term(core::time_point)
+void prompt_judge::begin_term(core::time_point, std::uint64_t term)
 {
     m_suspects.clear();
     m_block_times.clear();
@@ -34,9 +37,42 @@
     m_explained.clear();
     m_survivals.clear();
     m_announced.clear();
+    m_announced_at = {};
+    m_announcement = term << announcement_bits;
+    m_run_ends.clear();
+    m_ended_runs.clear();
+    m_checked_runs.clear();
+    m_replies.clear();
     m_proposed_on.reset();
 }
 
+void prompt_judge::record_alive(const std::string& upstream, std::uint64_t born_ms,
+                                core::time_point at)
+{
+    if (m_run_ends.size() >= max_runs) {
+        m_run_ends.clear();
+    }
+    auto& alive_at = m_run_ends[{upstream, born_ms}].alive_at;
+    alive_at = std::max(alive_at.value_or(at), at);
+}
+
+// Narrows down when a run ended. Its end was noticed at some time; the head of an answer shows that
+// the run was alive after the request had been sent.
+void prompt_judge::record_run_end(const wire::prompt_evidence_t& evidence,
+                                  const wire::prompt_crash_t& item, core::time_point now)
+{
+    const core::time_point heard_leader{core::milliseconds{evidence.leader_ms}};
+    const bool timed = evidence.leader_ms != 0 && heard_leader <= now;
+    if (timed && !item.without_head && item.sent_age_ms != unknown_age) {
+        // The gateway heard the leader at this time or later.
+        record_alive(item.upstream, item.born_ms,
+                     heard_leader + core::milliseconds{evidence.leader_age_ms} -
+                         core::milliseconds{item.sent_age_ms} - m_options.time_precision);
+    }
+    auto& ended_by = m_run_ends[{item.upstream, item.born_ms}].ended_by;
+    ended_by = std::min(ended_by, now - core::milliseconds{item.age_ms});
+}
+
 prompt_judge::block_times& prompt_judge::times_of(const std::string& part, core::time_point now)
 {
     const auto [found, inserted] = m_block_times.try_emplace(part);
@@ -47,6 +83,15 @@
     return found->second;
 }
 
+void prompt_judge::record_reply(const wire::prompt_evidence_t& evidence, core::time_point now)
+{
+    // Gateways of earlier builds don't tell which announcement they reply to.
+    const bool numbered = evidence.suspects_number != 0;
+    if (numbered || now - m_announced_at >= m_options.acquittal_wait) {
+        m_replies[evidence.vm] = numbered ? evidence.suspects_number : m_announcement;
+    }
+}
+
 std::vector<suspected_crash> prompt_judge::record_evidence(const wire::prompt_evidence_t& evidence,
                                                            const state::blocked_parts& blocked,
                                                            core::time_point now)
@@ -56,7 +101,9 @@
     for (const auto& item : evidence.answered) {
         answered[item->service] = {item->by_second, now};
     }
+    record_reply(evidence, now);
     for (const auto& item : evidence.crashes) {
+        record_run_end(evidence, *item, now);
         record_crash(*item, blocked, now);
     }
     for (const auto& item : evidence.survivals) {
@@ -67,6 +114,7 @@
             auto& times = times_of(part, now);
             times.last_refusal = now;
             times.refused_by = evidence.vm;
+            times.refusals[evidence.vm] = now;
         }
     }
     std::vector<suspected_crash> to_check;
@@ -75,9 +123,18 @@
             m_checks.clear();
         }
         suspected_crash key{item->upstream, item->request, item->born_ms};
-        const check unknown{now - core::milliseconds{item->age_ms}, std::nullopt,
-                            fleet::service_of(item->part), item->without_head};
-        if (m_checks.try_emplace(key, unknown).second) {
+        const upstream_run run{item->upstream, item->born_ms};
+        const bool ended = m_ended_runs.contains(run);
+        const check found{now - core::milliseconds{item->age_ms},
+                          ended ? std::optional{true} : std::nullopt, fleet::service_of(item->part),
+                          item->without_head};
+        if (!m_checks.try_emplace(key, found).second) {
+            continue;
+        }
+        if (ended) {
+            record_check(key, true);
+        }
+        else if (m_checked_runs.insert(run).second) {
             to_check.push_back(std::move(key));
         }
     }
@@ -98,7 +155,7 @@
         return;
     }
     if (!m_suspects.contains(item.part) && m_suspects.size() >= m_options.max_suspects) {
-        return;
+        make_room_for_suspect();
     }
     // Requests that were on their way when the part was blocked say nothing about its trial.
     const auto block = blocked.parts.find(item.part);
@@ -108,7 +165,9 @@
         return;
     }
     auto& suspected = m_suspects[item.part];
-    auto& crash = suspected.crashes.try_emplace(item.upstream).first->second;
+    const auto [entry, added] = suspected.crashes.try_emplace(item.upstream);
+    auto& crash = entry->second;
+    suspected.announced_in = added ? 0 : suspected.announced_in;
     crash.at = crash.requests.empty() ? at : std::min(crash.at, at);
     crash.requests.insert(item.request);
     crash.born_ms = std::max(crash.born_ms, item.born_ms);
@@ -116,6 +175,17 @@
     suspected.last_crash = std::max(suspected.last_crash, at);
 }
 
+// Drops the suspect that has crashed fewest upstreams, the oldest of several.
+void prompt_judge::make_room_for_suspect()
+{
+    const auto least = std::min_element(
+        m_suspects.begin(), m_suspects.end(), [](const auto& left, const auto& right) {
+            return std::pair{left.second.crashes.size(), left.second.last_crash} <
+                   std::pair{right.second.crashes.size(), right.second.last_crash};
+        });
+    m_suspects.erase(least);
+}
+
 void prompt_judge::record_survival(const wire::prompt_survival_t& item,
                                    const state::blocked_parts& blocked, core::time_point now)
 {
@@ -153,17 +223,38 @@
 
 void prompt_judge::record_check(const suspected_crash& checked, bool ended)
 {
-    const auto check = m_checks.find(checked);
-    if (check != m_checks.end()) {
-        check->second.ended = ended;
+    const upstream_run run{checked.upstream, checked.born_ms};
+    m_checked_runs.erase(run);
+    if (ended) {
+        if (m_ended_runs.size() >= max_runs) {
+            m_ended_runs.clear();
+        }
+        m_ended_runs.insert(run);
+    }
+    std::set<std::string> requests; // that were lost at the run and wait for this check
+    const suspected_crash first{checked.upstream, "", 0};
+    for (auto item = m_checks.lower_bound(first);
+         item != m_checks.end() && item->first.upstream == checked.upstream; ++item) {
+        if (item->first.born_ms == checked.born_ms && !item->second.ended.value_or(false)) {
+            item->second.ended = ended;
+            requests.insert(item->first.request);
+        }
     }
+    requests.insert(checked.request);
     for (auto item = m_suspects.begin(); item != m_suspects.end();) {
         auto& crashes = item->second.crashes;
         const auto found = crashes.find(checked.upstream);
-        if (found != crashes.end() && found->second.requests.contains(checked.request)) {
+        const bool concerned =
+            found != crashes.end() &&
+            std::any_of(requests.begin(), requests.end(), [&](const std::string& request) {
+                return found->second.requests.contains(request);
+            });
+        if (concerned) {
             found->second.ended = found->second.ended || ended;
             if (!ended) {
-                found->second.requests.erase(checked.request);
+                std::erase_if(found->second.requests, [&](const std::string& request) {
+                    return requests.contains(request);
+                });
             }
             if (found->second.requests.empty()) {
                 crashes.erase(found);
@@ -232,30 +323,74 @@
     return lost / (answered + lost + 1);
 }
 
+// Returns whether one run was still alive after another had ended. If it isn't known when an
+// upstream was alive, its end speaks against a whole request only.
+bool prompt_judge::ended_after(const run_end& later, const run_end& earlier, bool whole) const
+{
+    if (later.alive_at && *later.alive_at > earlier.ended_by) {
+        return true;
+    }
+    return whole && !later.alive_at && later.ended_by - earlier.ended_by > m_options.same_cause;
+}
+
+// Returns the ends of as many upstreams as possible of which each ended after the one before.
+std::vector<prompt_judge::run_end>
+prompt_judge::separate_ends(const std::string& part, const suspect& item, bool confirmed) const
+{
+    const bool whole = fleet::is_whole_request(part);
+    std::vector<run_end> ends;
+    for (const auto& [upstream, crash] : item.crashes) {
+        const auto found = m_run_ends.find({upstream, crash.born_ms});
+        if (found != m_run_ends.end() && (crash.ended || !confirmed)) {
+            ends.push_back(found->second);
+        }
+    }
+    std::sort(ends.begin(), ends.end(), [](const run_end& left, const run_end& right) {
+        return left.ended_by < right.ended_by;
+    });
+    std::vector<run_end> separate;
+    for (const auto& end : ends) {
+        if (separate.empty() || ended_after(end, separate.back(), whole)) {
+            separate.push_back(end);
+        }
+    }
+    return separate;
+}
+
+// Returns whether all gateways have told their answers on a part since its last crash was heard of.
+bool prompt_judge::answers_known(const suspect& item) const
+{
+    return m_gateways.empty() ||
+           (item.announced_in != 0 &&
+            std::all_of(m_gateways.begin(), m_gateways.end(), [&](const std::string& vm) {
+                const auto reply = m_replies.find(vm);
+                return reply != m_replies.end() && reply->second >= item.announced_in;
+            }));
+}
+
+// Returns whether answers on a part would make a difference.
+bool prompt_judge::needs_answers(const std::string& part, const suspect& item) const
+{
+    return item.crashes.size() + 1 >= m_options.crashes_to_block &&
+           (fleet::is_whole_request(part) ||
+            separate_ends(part, item, false).size() + 1 >= m_options.crashes_to_block);
+}
+
 bool prompt_judge::is_guilty(const std::string& part, const suspect& item,
                              core::time_point now) const
 {
     if (item.crashes.size() < m_options.crashes_to_block) {
         return false;
     }
-    std::vector<core::time_point> times;
-    for (const auto& [upstream, crash] : item.crashes) {
-        if (crash.ended) {
-            times.push_back(crash.at);
-        }
+    const auto ends = separate_ends(part, item, true);
+    if (ends.size() < m_options.crashes_to_block) {
+        return false;
     }
-    std::sort(times.begin(), times.end());
     const auto lost = share_lost(part, item, now);
-    std::size_t separate = 0;
-    std::optional<core::time_point> last;
-    for (const auto at : times) {
-        if (!last || at - *last > m_options.same_cause) {
-            last = at;
-            ++separate;
-            if (separate >= m_options.crashes_to_block &&
-                std::pow(lost, static_cast<double>(separate)) <= m_options.max_chance) {
-                return now - at >= m_options.acquittal_wait;
-            }
+    for (auto count = m_options.crashes_to_block; count <= ends.size(); ++count) {
+        if (std::pow(lost, static_cast<double>(count)) <= m_options.max_chance) {
+            return now - ends[count - 1].ended_by >= m_options.acquittal_wait &&
+                   answers_known(item);
         }
     }
     return false;
@@ -313,12 +448,32 @@
     }
 }
 
-core::duration prompt_judge::block_time(std::uint32_t strikes) const
+bool prompt_judge::is_popular(const block_times& times, core::time_point now) const
+{
+    const auto gateways = static_cast<std::size_t>(
+        std::count_if(times.refusals.begin(), times.refusals.end(), [&](const auto& refusal) {
+            return now - refusal.second <= m_options.popular_window;
+        }));
+    return gateways >= m_options.min_popular_gateways &&
+           static_cast<double>(gateways) >=
+               m_options.popular_share * static_cast<double>(m_gateways.size());
+}
+
+std::size_t prompt_judge::count_popular(const state::blocked_parts& blocked,
+                                        core::time_point now) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_block_times.begin(), m_block_times.end(), [&](const auto& item) {
+            return blocked.parts.contains(item.first) && is_popular(item.second, now);
+        }));
+}
+
+core::duration prompt_judge::block_time(std::uint32_t strikes, bool popular) const
 {
     if (strikes == 0) {
         return {};
     }
-    auto time = m_options.first_block;
+    auto time = popular ? m_options.first_popular_block : m_options.first_block;
     for (std::uint32_t i = 1; i < strikes && time < m_options.longest_block; ++i) {
         time *= block_growth;
     }
@@ -386,7 +541,8 @@
     std::map<std::string, std::string> oldest; // by service
     for (const auto& [part, block] : blocked.parts) {
         const auto& times = times_of(part, now);
-        if (!block.trial_vm.empty() || now - times.since <= block_time(block.strikes) ||
+        if (!block.trial_vm.empty() ||
+            now - times.since <= block_time(block.strikes, is_popular(times, now)) ||
             times.last_refusal <= times.since || times.refused_by.empty()) {
             continue;
         }
@@ -487,18 +643,33 @@
     return change;
 }
 
-std::optional<wire::prompt_suspects_t> prompt_judge::take_suspects()
+std::optional<wire::prompt_suspects_t> prompt_judge::take_suspects(core::time_point now)
 {
+    if (m_announced_at != core::time_point{} &&
+        now - m_announced_at < m_options.announce_interval) {
+        return std::nullopt;
+    }
     std::set<std::string> parts;
+    bool news = false;
     for (const auto& [part, suspected] : m_suspects) {
-        parts.insert(part);
+        if (needs_answers(part, suspected)) {
+            parts.insert(part);
+            news = news || suspected.announced_in == 0;
+        }
     }
-    if (parts == m_announced) {
+    if (parts == m_announced && !news) {
         return std::nullopt;
     }
+    ++m_announcement;
+    for (const auto& part : parts) {
+        auto& announced_in = m_suspects.at(part).announced_in;
+        announced_in = announced_in == 0 ? m_announcement : announced_in;
+    }
     m_announced = parts;
+    m_announced_at = now;
     wire::prompt_suspects_t suspects;
     suspects.parts.assign(parts.begin(), parts.end());
+    suspects.number = m_announcement;
     return suspects;
 }
 
--- a/src/control/prompt_judge_test.cpp
+++ b/src/control/prompt_judge_test.cpp
@@ -13,13 +13,18 @@
     prompt_judge judge;
     state::control_state state;
     int next_crash = 0;
+    static constexpr std::uint32_t prefill_ms = 240; ///< From sending a request to its crash.
     std::vector<std::uint32_t> answered = std::vector<std::uint32_t>(60, 15); ///< In each second.
 
-    void setup() override { judge.begin_term(clock.now()); }
+    std::uint64_t term = 1;
+
+    void setup() override { judge.begin_term(clock.now(), term); }
 
     wire::prompt_evidence_t make_evidence(const std::string& service = "") const
     {
         wire::prompt_evidence_t evidence;
+        evidence.leader_ms =
+            static_cast<std::uint64_t>(core::to_ms(clock.now().time_since_epoch()));
         wire::service_answers_t item;
         item.service = service;
         item.by_second = answered;
@@ -58,6 +63,7 @@
             item.part = part;
             item.upstream = "engine-" + number;
             item.request = "request-" + number;
+            item.sent_age_ms = prefill_ms;
             wire::append(evidence.crashes, std::move(item));
         }
         for (const auto& check : judge.record_evidence(evidence, blocked(), clock.now())) {
@@ -77,6 +83,14 @@
         LONGS_EQUAL(0, judge.record_evidence(evidence, blocked(), clock.now()).size());
     }
 
+    void reply(const std::string& vm, std::uint64_t number)
+    {
+        auto evidence = make_evidence();
+        evidence.vm = vm;
+        evidence.suspects_number = number;
+        LONGS_EQUAL(0, judge.record_evidence(evidence, blocked(), clock.now()).size());
+    }
+
     void refuse(const std::string& part, const std::string& vm)
     {
         wire::prompt_evidence_t evidence;
@@ -154,6 +168,7 @@
             item.part = request == 0 ? "rare" : "other-" + std::to_string(i * 12 + request);
             item.upstream = "engine-" + std::to_string(i);
             item.request = std::to_string(i) + "-" + std::to_string(request);
+            item.sent_age_ms = prefill_ms;
             wire::append(evidence.crashes, std::move(item));
         }
         for (const auto& check : judge.record_evidence(evidence, blocked(), clock.now())) {
@@ -175,6 +190,7 @@
             item.part = part;
             item.upstream = "engine-" + number;
             item.request = number + part;
+            item.sent_age_ms = prefill_ms;
             if (part == "bad" || i % 2 == 0) {
                 wire::append(evidence.crashes, std::move(item));
             }
@@ -216,6 +232,155 @@
     CHECK_FALSE(is_blocked("sound"));
 }
 
+TEST(PromptJudge, BlocksNoPartByACrashOfManyEnginesThatIsHeardOfLate)
+{
+    constexpr int engines = 35;
+    const auto crashed_at = clock.now();
+    const auto leader_ms =
+        static_cast<std::uint64_t>(core::to_ms(crashed_at.time_since_epoch())) - 100;
+    for (int round = 0; round < 2; ++round) { // gateways repeat it
+        for (int i = 0; i < engines; ++i) {
+            const int order = i * 11 % engines;
+            auto evidence = make_evidence();
+            evidence.leader_ms = leader_ms;
+            evidence.leader_age_ms = 100;
+            wire::prompt_crash_t item;
+            item.part = "sound";
+            item.upstream = "engine-" + std::to_string(order);
+            item.request = "request-" + std::to_string(order);
+            item.sent_age_ms = prefill_ms;
+            wire::append(evidence.crashes, std::move(item));
+            for (const auto& check : judge.record_evidence(evidence, blocked(), clock.now())) {
+                judge.record_check(check, true);
+            }
+            clock.advance(core::milliseconds{210});
+            apply_changes();
+        }
+    }
+    CHECK_FALSE(is_blocked("sound"));
+}
+
+TEST(PromptJudge, BlocksNoPartBeforeEveryGatewayHasToldItsAnswers)
+{
+    judge.set_gateways({"gateway-1", "gateway-2"});
+    for (int i = 0; i < 3; ++i) {
+        crash({"sound"});
+    }
+    const auto suspects = judge.take_suspects(clock.now());
+    CHECK_TRUE(suspects.has_value());
+    reply("gateway-1", suspects->number);
+    clock.advance(core::milliseconds{5000});
+    apply_changes();
+    CHECK_FALSE(is_blocked("sound"));
+    reply("gateway-2", suspects->number - 1);
+    apply_changes();
+    CHECK_FALSE(is_blocked("sound"));
+    reply("gateway-2", suspects->number);
+    apply_changes();
+    CHECK_TRUE(is_blocked("sound"));
+}
+
+TEST(PromptJudge, AwaitsNoGatewayThatIsNotAttachedAnyMore)
+{
+    judge.set_gateways({"gateway-1", "gateway-2"});
+    for (int i = 0; i < 3; ++i) {
+        crash({"bad"});
+    }
+    reply("gateway-1", judge.take_suspects(clock.now())->number);
+    apply_changes();
+    CHECK_FALSE(is_blocked("bad"));
+    judge.set_gateways({"gateway-1"});
+    apply_changes();
+    CHECK_TRUE(is_blocked("bad"));
+}
+
+TEST(PromptJudge, CountsEnginesThatWereSeenAliveAfterAnotherHadEnded)
+{
+    for (int i = 0; i < 3; ++i) {
+        judge.record_alive("engine-" + std::to_string(next_crash + 1), 0, clock.now());
+        auto evidence = make_evidence();
+        evidence.leader_ms = 0; // of an earlier build
+        wire::prompt_crash_t item;
+        item.part = "bad";
+        item.upstream = "engine-" + std::to_string(++next_crash);
+        item.request = "request-" + std::to_string(next_crash);
+        wire::append(evidence.crashes, std::move(item));
+        for (const auto& check : judge.record_evidence(evidence, blocked(), clock.now())) {
+            judge.record_check(check, true);
+        }
+        clock.advance(core::milliseconds{700});
+        apply_changes();
+    }
+    CHECK_TRUE(is_blocked("bad"));
+}
+
+TEST(PromptJudge, AsksForNoAnswersOnPartsThatACrashOfManyEnginesTookDown)
+{
+    std::size_t announced_bytes = 0;
+    for (int i = 0; i < 1000; ++i) {
+        auto evidence = make_evidence();
+        for (const auto& part : {std::string{"models:shared"}, "models:=" + std::to_string(i)}) {
+            wire::prompt_crash_t item;
+            item.part = part;
+            item.upstream = "engine-" + std::to_string(i % 35);
+            item.request = "request-" + std::to_string(i);
+            item.sent_age_ms = 400; // sent before the crash, which was 200 ms ago
+            item.age_ms = 200;
+            wire::append(evidence.crashes, std::move(item));
+        }
+        for (const auto& check : judge.record_evidence(evidence, blocked(), clock.now())) {
+            judge.record_check(check, true);
+        }
+        if (const auto suspects = judge.take_suspects(clock.now())) {
+            for (const auto& part : suspects->parts) {
+                announced_bytes += part.size();
+            }
+        }
+        clock.advance(std::chrono::microseconds{200});
+    }
+    CHECK_TRUE(announced_bytes < 4096);
+}
+
+TEST(PromptJudge, ChecksARunOfAnEngineOnceHoweverManyRequestsWereLostThere)
+{
+    std::size_t checks = 0;
+    for (int i = 0; i < 100; ++i) {
+        auto evidence = make_evidence();
+        wire::prompt_crash_t item;
+        item.part = "models:=" + std::to_string(i);
+        item.upstream = "engine-1";
+        item.request = "request-" + std::to_string(i);
+        wire::append(evidence.crashes, std::move(item));
+        for (const auto& check : judge.record_evidence(evidence, blocked(), clock.now())) {
+            judge.record_check(check, true);
+            ++checks;
+        }
+    }
+    LONGS_EQUAL(1, checks);
+}
+
+TEST(PromptJudge, TriesABlockedPartThatManyGatewaysRefuseAgainWithinTwoSeconds)
+{
+    judge.set_gateways({"gateway-1", "gateway-2", "gateway-3", "gateway-4"});
+    for (int i = 0; i < 3; ++i) {
+        crash({"sound"});
+    }
+    const auto number = judge.take_suspects(clock.now())->number;
+    for (const std::string vm : {"gateway-1", "gateway-2", "gateway-3", "gateway-4"}) {
+        reply(vm, number);
+    }
+    apply_changes();
+    CHECK_TRUE(is_blocked("sound"));
+    clock.advance(core::milliseconds{1600});
+    refuse("sound", "gateway-1");
+    refuse("sound", "gateway-2");
+    STRCMP_EQUAL("", blocked().parts.at("sound").trial_vm.c_str());
+    LONGS_EQUAL(0, judge.count_popular(blocked(), clock.now()));
+    refuse("sound", "gateway-3");
+    LONGS_EQUAL(1, judge.count_popular(blocked(), clock.now()));
+    STRCMP_EQUAL("gateway-3", blocked().parts.at("sound").trial_vm.c_str());
+}
+
 TEST(PromptJudge, ForgetsCrashesThatLieLongApart)
 {
     for (int i = 0; i < 6; ++i) {
@@ -279,7 +444,7 @@
     block("bad");
     state::control_state restored;
     CHECK_TRUE(restored.restore(state.save()));
-    judge.begin_term(clock.now());
+    judge.begin_term(clock.now(), ++term);
     clock.advance(core::milliseconds{10'000});
     CHECK_FALSE(judge.next_change(restored.current_blocked_parts(), clock.now()).has_value());
     CHECK_TRUE(restored.current_blocked_parts().parts.contains("bad"));
@@ -290,8 +455,13 @@
     for (int i = 0; i < 5000; ++i) {
         crash({"part-" + std::to_string(i)}, true, core::milliseconds{1});
     }
-    const auto suspects = judge.take_suspects();
-    CHECK_TRUE(suspects && suspects->parts.size() <= prompt_judge_options{}.max_suspects);
+    for (int i = 0; i < 5000; ++i) {
+        crash({"desk:=" + std::to_string(i)}, true, core::milliseconds{1});
+        crash({"desk:=" + std::to_string(i)}, true, core::milliseconds{1});
+    }
+    const auto suspects = judge.take_suspects(clock.now());
+    CHECK_TRUE(suspects && !suspects->parts.empty());
+    CHECK_TRUE(suspects->parts.size() <= prompt_judge_options{}.max_suspects);
 }
 
 TEST_GROUP_BASE(RequestJudge, judge_fixture)
@@ -463,7 +633,7 @@
     for (const int others : {1, 10, 100}) {
         judge = prompt_judge{};
         state = state::control_state{};
-        judge.begin_term(clock.now());
+        judge.begin_term(clock.now(), ++term);
         std::vector<std::string> lost{bad};
         for (int i = 0; i < others; ++i) {
             lost.push_back("desk:=once-" + std::to_string(i));
@@ -483,7 +653,7 @@
 {
     lose_three({bad, "desk:=once"});
     lose("u-1", {"desk:=once"});
-    judge.begin_term(clock.now());
+    judge.begin_term(clock.now(), ++term);
     apply_changes();
     clock.advance(core::milliseconds{1000});
     refuse(bad, "gateway-1");
--- a/src/gateway/prompt_guard.cpp
+++ b/src/gateway/prompt_guard.cpp
@@ -42,9 +42,20 @@
     return true;
 }
 
+void prompt_guard::begin_leader()
+{
+    m_suspects.clear();
+    m_suspects_number = 0;
+    for (auto& crash : m_crashes) {
+        crash.reported = false;
+    }
+    m_news = !m_crashes.empty();
+}
+
 void prompt_guard::set_suspects(const wire::prompt_suspects_t& suspects, core::time_point now)
 {
     m_suspects = {suspects.parts.begin(), suspects.parts.end()};
+    m_suspects_number = suspects.number;
     m_news = !m_suspects.empty();
     for (const auto& part : m_suspects) {
         for (const auto* answers : {&m_answered, &m_answered_before}) {
@@ -128,8 +139,8 @@
 void prompt_guard::record_crash(const crash_report& crash, core::time_point now)
 {
     for (const auto& part : crash.parts) {
-        m_crashes.push_back(
-            {part, crash.upstream, crash.request, crash.born_ms, crash.without_head, now});
+        m_crashes.push_back({part, crash.upstream, crash.request, crash.born_ms, crash.without_head,
+                             crash.sent, now});
         m_news = true;
     }
     while (m_crashes.size() > m_options.max_crashes) {
@@ -154,24 +165,33 @@
     return counts;
 }
 
-std::optional<wire::prompt_evidence_t> prompt_guard::take_evidence(core::time_point now)
+std::optional<wire::prompt_evidence_t> prompt_guard::take_evidence(const leader_time& leader,
+                                                                   core::time_point now)
 {
     while (!m_crashes.empty() && now - m_crashes.front().at > m_options.report_time) {
         m_crashes.pop_front();
     }
     const bool asked = std::exchange(m_news, false);
-    if (!asked && m_crashes.empty() && m_refused.empty()) {
+    if (!asked && m_refused.empty()) {
         return std::nullopt;
     }
     wire::prompt_evidence_t evidence;
     evidence.vm = m_vm;
+    evidence.suspects_number = m_suspects_number;
+    if (leader.leader_ms != 0) {
+        evidence.leader_ms = leader.leader_ms;
+        evidence.leader_age_ms = age_ms(leader.heard, now);
+    }
     for (const auto& [service, counted] : m_answer_counts) {
         wire::service_answers_t answers;
         answers.service = service;
         answers.by_second = count_answers(counted, now);
         wire::append(evidence.answered, std::move(answers));
     }
-    for (const auto& item : m_crashes) {
+    for (auto& item : m_crashes) {
+        if (std::exchange(item.reported, true)) {
+            continue;
+        }
         wire::prompt_crash_t crash;
         crash.part = item.part;
         crash.upstream = item.upstream;
@@ -179,6 +199,7 @@
         crash.age_ms = age_ms(item.at, now);
         crash.born_ms = item.born_ms;
         crash.without_head = item.without_head;
+        crash.sent_age_ms = age_ms(item.sent, now);
         wire::append(evidence.crashes, std::move(crash));
     }
     for (const auto& [part, at] : std::exchange(m_survivals, {})) {
--- a/src/gateway/prompt_guard_test.cpp
+++ b/src/gateway/prompt_guard_test.cpp
@@ -24,6 +24,12 @@
         wire::append(update.blocked, std::move(item));
         guard.apply_blocked(update);
     }
+    leader_time leader;
+
+    std::optional<wire::prompt_evidence_t> take_evidence()
+    {
+        return guard.take_evidence(leader, clock.now());
+    }
     [[nodiscard]] bool refuses(const std::vector<prompt_part>& given)
     {
         return guard.find_blocked(prompt_guard::parts_of("models", given, "digest")).has_value();
@@ -57,18 +63,45 @@
     CHECK_TRUE(refuses(prompt));
 }
 
-TEST(PromptGuard, ReportsCrashesAgainForAWhile)
+TEST(PromptGuard, ReportsACrashOnceToEachLeaderForAWhile)
 {
-    guard.record_crash({parts, "engine-1", 7, "r1", false}, clock.now());
+    const auto sent = clock.now() - core::milliseconds{300};
+    guard.record_crash({parts, "engine-1", 7, "r1", false, sent}, clock.now());
     CHECK_TRUE(guard.has_news());
-    LONGS_EQUAL(3, guard.take_evidence(clock.now())->crashes.size());
+    LONGS_EQUAL(3, take_evidence()->crashes.size());
     CHECK_FALSE(guard.has_news());
+    guard.record_crash({parts, "engine-2", 7, "r2", false, sent}, clock.now());
+    const auto more = take_evidence();
+    LONGS_EQUAL(3, more->crashes.size());
+    STRCMP_EQUAL("engine-2", more->crashes.front()->upstream.c_str());
     clock.advance(core::milliseconds{5000});
-    const auto again = guard.take_evidence(clock.now());
-    LONGS_EQUAL(3, again->crashes.size());
+    CHECK_FALSE(take_evidence().has_value());
+    guard.begin_leader();
+    const auto again = take_evidence();
+    LONGS_EQUAL(6, again->crashes.size());
     LONGS_EQUAL(5000, again->crashes.front()->age_ms);
+    LONGS_EQUAL(5300, again->crashes.front()->sent_age_ms);
     clock.advance(core::milliseconds{20'000});
-    CHECK_FALSE(guard.take_evidence(clock.now()).has_value());
+    guard.begin_leader();
+    CHECK_TRUE(take_evidence().value_or(wire::prompt_evidence_t{}).crashes.empty());
+    CHECK_FALSE(take_evidence().has_value());
+}
+
+TEST(PromptGuard, TellsWhichAnnouncementOfSuspectsItRepliesTo)
+{
+    wire::prompt_suspects_t suspects;
+    suspects.parts = {"models:aa"};
+    suspects.number = 17;
+    guard.set_suspects(suspects, clock.now());
+    leader = {500, clock.now()};
+    clock.advance(core::milliseconds{40});
+    const auto reply = take_evidence();
+    LONGS_EQUAL(17, reply->suspects_number);
+    LONGS_EQUAL(500, reply->leader_ms);
+    LONGS_EQUAL(40, reply->leader_age_ms);
+    guard.begin_leader();
+    guard.record_crash({parts, "engine-1", 7, "r1", false}, clock.now());
+    LONGS_EQUAL(0, take_evidence()->suspects_number);
 }
 
 TEST(PromptGuard, ReportsEarlierAndNewAnswersOnASuspectedPart)
@@ -79,19 +112,19 @@
     wire::prompt_suspects_t suspects;
     suspects.parts = {"models:aa"};
     guard.set_suspects(suspects, clock.now());
-    const auto earlier = guard.take_evidence(clock.now());
+    const auto earlier = take_evidence();
     LONGS_EQUAL(1, earlier->survivals.size());
     STRCMP_EQUAL("models:aa", earlier->survivals.front()->part.c_str());
     LONGS_EQUAL(3000, earlier->survivals.front()->age_ms);
     guard.record_answer("models", parts, clock.now());
-    LONGS_EQUAL(0, guard.take_evidence(clock.now())->survivals.front()->age_ms);
+    LONGS_EQUAL(0, take_evidence()->survivals.front()->age_ms);
 }
 
 TEST(PromptGuard, ReportsWhatItRefused)
 {
     block(1, "models:bad");
     CHECK_TRUE(refuses(prompt));
-    const auto evidence = guard.take_evidence(clock.now());
+    const auto evidence = take_evidence();
     STRCMP_EQUAL("gateway-1", evidence->vm.c_str());
     STRCMP_EQUAL("models:bad", evidence->refused.front().c_str());
 }
