Name all gateways while they attach to restarted coordinators again

After all coordinators had lost power, their first lists named the few gateways that had attached, and callers were sent to these only. For 1.5 s after contact is regained a gateway adds those that it knew before. By reading; no test.

--- a/src/apps/gateway_process.cpp
+++ b/src/apps/gateway_process.cpp
@@ -31,6 +31,8 @@
 constexpr core::milliseconds kill_margin{500};        // before the platform kills the process
 constexpr unsigned missed_announcements = 3;          // until an upstream counts as silent
 constexpr core::milliseconds announcement_delay{200};
+// All gateways have attached to a coordinator again, which may have restarted.
+constexpr core::milliseconds attach_time{1500};
 
 fleet::roster_options roster_options(core::duration announcement)
 {
@@ -265,7 +267,11 @@
         observe::info(connected ? "coordinator_reached" : "coordinator_lost",
                       {{"address", address}});
     }
+    const bool had_contact = coordinator_connected();
     found->second.connected = connected;
+    if (connected && !had_contact) {
+        m_contact_regained_at = m_clock.now();
+    }
     if (connected) {
         send_attach(address);
         tell_all_stream_origins(address);
@@ -276,6 +282,9 @@
         m_document_follower.on_disconnect(address);
         found->second.leader_term = 0;
         found->second.time = {};
+        if (had_contact && !coordinator_connected()) {
+            m_gateways_at_loss = m_last_known_gateways;
+        }
         found->second.gateways.clear();
         if (!coordinator_connected()) {
             m_software.on_contact_lost(m_clock.now());
@@ -488,6 +497,14 @@
             }
         }
     }
+    // A coordinator that has restarted lists few gateways at first.
+    if (m_clock.now() - m_contact_regained_at < attach_time) {
+        for (const auto& info : m_gateways_at_loss) {
+            if (info.accepting) {
+                addresses.insert(info.caller_address);
+            }
+        }
+    }
     for (const auto& address : leaving) {
         addresses.erase(address);
     }
@@ -578,6 +595,9 @@
     for (const auto& [address, state] : m_coordinators) {
         count = std::max(count, state.gateways.size());
     }
+    if (m_clock.now() - m_contact_regained_at < attach_time) {
+        count = std::max(count, m_gateways_at_loss.size());
+    }
     return count;
 }
 
--- a/src/apps/gateway_process.h
+++ b/src/apps/gateway_process.h
@@ -323,6 +323,9 @@
     std::map<std::string, coordinator_state> m_coordinators; ///< Keyed by inner address.
     /// Latest list from any coordinator, kept for when none is connected.
     std::vector<wire::gateway_info_t> m_last_known_gateways;
+    /// Those known when the last coordinator was lost.
+    std::vector<wire::gateway_info_t> m_gateways_at_loss;
+    core::time_point m_contact_regained_at{};
     fleet::roster m_roster;
     fleet::software_history m_software;
     fleet::stream_origins m_origins;
