Leave out upstreams that no request can be sent to

Slots were cut to 32 bits, so that 4,294,967,304 counted as 8, and addresses weren't checked: such an upstream was given requests. Announcements, and what other processes tell of upstreams, are checked by one function; an odd entry is left out with one line that names it.

--- a/src/apps/coordinator_fleet.cpp
+++ b/src/apps/coordinator_fleet.cpp
@@ -3,6 +3,7 @@
 #include "coordinator_process.h"
 #include "platform/deployment_codec.h"
 #include "platform/upstream_codec.h"
+#include "siskindrift/fleet/entry_check.h"
 #include "siskindrift/observe/log.h"
 
 namespace siskindrift::apps {
@@ -51,6 +52,8 @@
 {
     auto announcement = platform::decode_announcement(call.upstream_id, request.body);
     if (!announcement) {
+        observe::warn("announcement_refused", {{"upstream", call.upstream_id.substr(0, 64)},
+                                               {"bytes", request.body.size()}});
         responder->respond(400, {{"Content-Type", "application/json"}},
                            platform::encode_error("not an announcement"));
         return;
@@ -91,6 +94,12 @@
 {
     const auto now = m_clock.now();
     for (const auto& announcement : update.upstreams) {
+        if (const auto error = fleet::entry_error(*announcement)) {
+            observe::warn("upstream_refused", {{"upstream", announcement->id.substr(0, 64)},
+                                               {"from", update.vm},
+                                               {"reason", *error}});
+            continue;
+        }
         const auto age = core::milliseconds{announcement->age_ms};
         m_roster.update(*announcement, now, age);
         update_placer(announcement->id);
--- a/src/apps/gateway_process.cpp
+++ b/src/apps/gateway_process.cpp
@@ -5,6 +5,7 @@
 #include "platform/calls.h"
 #include "platform/deployment_codec.h"
 #include "siskindrift/core/random.h"
+#include "siskindrift/fleet/entry_check.h"
 #include "siskindrift/observe/log.h"
 
 namespace siskindrift::apps {
@@ -388,6 +389,12 @@
                       {{"generation", m_limits.generation()}, {"limits", m_limits.size()}});
     }
     for (const auto& upstream : update.upstreams) {
+        if (const auto error = fleet::entry_error(*upstream)) {
+            observe::warn("upstream_refused", {{"upstream", upstream->id.substr(0, 64)},
+                                               {"from", update.vm},
+                                               {"reason", *error}});
+            continue;
+        }
         m_roster.update(*upstream, now, core::milliseconds{upstream->age_ms});
         record_software(upstream->id);
     }
