Send a request to the same upstream again over a new connection

The users' report on refusals written twice. A request that waited after a rejection could be sent to the same upstream over the connection that had carried it; an upstream that wrote its refusal once more then had it taken for the answer to the second try, as the id is the same: the caller was told 'not run' while it ran. Client.DoesNotTakeALateCopyOfAnAnswerForTheAnswerToTheSameRequest gets 503 twice without the new setting.

--- a/include/siskindrift/http/client.h
+++ b/include/siskindrift/http/client.h
@@ -61,6 +61,9 @@
     /// The request may be repeated, so any idle connection may be used although the server may
     /// already have closed it.
     bool repeatable = false;
+    /// Use no connection that was open before. The server has had the request already, and a late
+    /// copy of its answer on an old connection would pass for the answer to this call.
+    bool new_connection = false;
     /// A call that isn't repeatable reuses only connections that were idle for less than this;
     /// zero always opens a new one.
     core::duration max_idle_time{};
--- a/src/apps/gateway_exchanges.cpp
+++ b/src/apps/gateway_exchanges.cpp
@@ -325,6 +325,7 @@
     call.headers = platform::upstream_request_headers(item.request, added);
     call.repeatable = item.route.repeatable();
     call.max_idle_time = max_reusable_idle;
+    call.new_connection = item.reached_upstreams.contains(item.upstream_id);
     call.match_header = platform::request_id_header();
     call.match_value = item.metadata.request_id;
     call.connect_timeout = std::min<core::duration>(connect_timeout, time_left(item));
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -197,7 +197,8 @@
     // Selects the connection. Called before the exchange is shared with other threads.
     void prepare()
     {
-        if (m_call.repeatable || m_call.max_idle_time > core::duration::zero()) {
+        const bool may_reuse = m_call.repeatable || m_call.max_idle_time > core::duration::zero();
+        if (may_reuse && !m_call.new_connection) {
             m_stream = m_owner->take_idle(m_call.address, m_call.repeatable ? max_idle_lifetime
                                                                             : m_call.max_idle_time);
         }
--- a/src/http/client_test.cpp
+++ b/src/http/client_test.cpp
@@ -1,5 +1,6 @@
 #include "siskindrift/http/client.h"
 
+#include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/streambuf.hpp>
@@ -233,3 +234,55 @@
     });
     expect_end(call_result::timed_out, body_framing::until_close);
 }
+
+TEST(Client, DoesNotTakeALateCopyOfAnAnswerForTheAnswerToTheSameRequest)
+{
+    asio::io_context server_context;
+    tcp::acceptor acceptor{server_context, *net::parse_address(address)};
+    const std::string refusal =
+        "HTTP/1.1 503 Service Unavailable\r\nId: 7\r\nContent-Length: 0\r\n\r\n";
+    std::thread server{[&] {
+        boost::system::error_code ignored;
+        auto first = acceptor.accept();
+        asio::streambuf head;
+        asio::read_until(first, head, "\r\n\r\n", ignored);
+        asio::write(first, asio::buffer(refusal), ignored);
+        // Answers the second call on whichever connection it comes.
+        acceptor.non_blocking(true);
+        tcp::socket second{server_context};
+        first.non_blocking(true);
+        std::array<char, 512> bytes{};
+        std::size_t got = 0;
+        while (got == 0 && !second.is_open()) {
+            got = first.read_some(asio::buffer(bytes), ignored);
+            acceptor.accept(second, ignored);
+        }
+        first.non_blocking(false);
+        asio::write(first, asio::buffer(refusal), ignored);
+        auto& used = second.is_open() ? second : first;
+        asio::write(
+            used,
+            asio::buffer(std::string{"HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 0\r\n\r\n"}),
+            ignored);
+        std::this_thread::sleep_for(read_delay);
+    }};
+    for (const bool again : {false, true}) {
+        client_call request;
+        request.id = again ? 2 : 1;
+        request.address = address;
+        request.path = "/";
+        request.max_idle_time = std::chrono::seconds{1};
+        request.match_header = "Id";
+        request.match_value = "7";
+        request.new_connection = again;
+        handler.end.reset();
+        tested.start(std::move(request));
+        context.restart();
+        while (!handler.end && context.run_one_for(std::chrono::seconds{5}) > 0) {
+        }
+    }
+    server.join();
+    LONGS_EQUAL(2, handler.statuses.size());
+    LONGS_EQUAL(503, handler.statuses.front());
+    LONGS_EQUAL(200, handler.statuses.back());
+}
