Don't give orders to an engine that waits to unload an adapter

An engine that was told to unload an adapter in use refuses all orders until its requests have ended, and after each refusal the same adapter was chosen again, every half a second. Now such an engine gets no orders until a report shows the adapter gone (3 s at most), and after a refusal another adapter is chosen. Placer.EvictsAnotherAdapterAfterAnEngineRefusedToUnloadOne, Placer.GivesNoOrdersToAnEngineThatWaitsToUnloadAnAdapter.

--- a/include/siskindrift/adapters/placer.h
+++ b/include/siskindrift/adapters/placer.h
@@ -70,6 +70,8 @@
     core::duration max_poll_interval = core::milliseconds{480};
     /// Fraction of the time of a load from the store below which a load was one from the cache.
     double max_cached_load_ratio = 0.5;
+    /// Time after which an engine is given orders again although it hasn't unloaded an adapter.
+    core::duration max_unload_wait = core::milliseconds{3000};
     /// Delay until an engine that loads a base model is polled for a report.
     core::duration model_load_poll_delay = core::milliseconds{700};
     /// Time without use after which an adapter may be evicted. Later uses
@@ -229,6 +231,9 @@
         std::uint32_t waiting = 0;
         std::uint64_t pending_tokens = 0; ///< Prompt tokens that await prefill, of all gateways.
         std::map<adapter_name, std::uint32_t> using_gateways; ///< Gateways that use each one.
+        /// The engine unloads an adapter once its requests have ended, and refuses orders until then.
+        bool awaits_unload = false;
+        core::time_point unload_accepted_at{};
         std::size_t unreachable_from = 0; ///< Number of gateways that can't reach it.
         bool poll_failed = false;         ///< The last poll had no answer.
         /// It has answered a poll since gateways began to say that they can't reach it.
--- a/src/adapters/placer.cpp
+++ b/src/adapters/placer.cpp
@@ -179,6 +179,14 @@
     for (const auto& reported : report.copies) {
         take(reported, copy_state::loaded);
     }
+    const bool unloads = std::any_of(engine.copies.begin(), engine.copies.end(), [](auto& item) {
+        return item.second.state == copy_state::unloading;
+    });
+    engine.awaits_unload =
+        unloads && now - engine.unload_accepted_at < m_options.max_unload_wait;
+    if (engine.awaits_unload) {
+        engine.report_due = now + m_options.max_report_age;
+    }
 }
 
 void placer::on_gateway_report(const wire::gateway_report_t& report, core::time_point now)
@@ -359,6 +367,7 @@
 bool placer::can_take_order(const engine_state& engine) const
 {
     return is_usable(engine) && engine.state_known && !engine.pending_order &&
+           !engine.awaits_unload &&
            capacity_of(engine) != nullptr;
 }
 
@@ -411,6 +420,7 @@
     if (const auto held = engine->copies.find(name); held != engine->copies.end()) {
         if (given.unload) {
             held->second.state = copy_state::loaded;
+            held->second.last_used = now; // rather evicts another one next
         }
         else if (held->second.state == copy_state::loading && !given.repeated) {
             engine->copies.erase(held);
@@ -435,6 +445,11 @@
         if (held != engine.copies.end() && !accepted) {
             engine.copies.erase(held);
         }
+        if (accepted) {
+            engine.awaits_unload = true;
+            engine.unload_accepted_at = now;
+            engine.report_due = std::min(engine.report_due, now + m_options.max_report_age);
+        }
         return;
     }
     if (held == engine.copies.end()) {
--- a/src/adapters/placer_test.cpp
+++ b/src/adapters/placer_test.cpp
@@ -169,14 +169,16 @@
     engine("a");
     wish("x");
     finish(plan()[0], order_result::accepted);
-    adapter_placer.take_changed_views();
+    LONGS_EQUAL(1, adapter_placer.take_changed_views().at(0).copies.size()); // the base model
     clock.advance(core::milliseconds{300});
     const auto poll = plan();
     LONGS_EQUAL(1, static_cast<long>(poll.size()));
     LONGS_EQUAL(1, static_cast<long>(poll[0].orders_accepted));
     finish(poll[0], order_result::holds);
     const auto views = adapter_placer.take_changed_views();
-    LONGS_EQUAL(2, static_cast<long>(views.at(0).copies.size()));
+    LONGS_EQUAL(1, views.at(0).copies.size());
+    STRCMP_EQUAL("x", views.at(0).copies.front()->adapter.c_str());
+    LONGS_EQUAL(2, adapter_placer.all_views().at(0).copies.size());
 }
 
 TEST(Placer, CountsARepeatedLoadOnce)
@@ -694,3 +696,36 @@
     adapter_placer.on_report("a", std::nullopt, clock.now());
     STRCMP_EQUAL("b", plan().at(0).upstream.c_str());
 }
+
+TEST(Placer, EvictsAnotherAdapterAfterAnEngineRefusedToUnloadOne)
+{
+    engine("a", {"x", "y"});
+    clock.advance(core::milliseconds{1000});
+    wish("z");
+    const auto first = plan().at(0);
+    CHECK_TRUE(first.unload);
+    finish(first, order_result::conflict);
+    report("a", 0, {"x", "y"});
+    wish("z");
+    const auto second = plan().at(0);
+    CHECK_TRUE(second.unload);
+    CHECK_TRUE(second.adapter != first.adapter);
+}
+
+TEST(Placer, GivesNoOrdersToAnEngineThatWaitsToUnloadAnAdapter)
+{
+    engine("a", {"x", "y"});
+    clock.advance(core::milliseconds{1000});
+    wish("z");
+    const auto unload = plan().at(0);
+    finish(unload, order_result::accepted);
+    wish("z");
+    LONGS_EQUAL(0, plan().size());
+    report("a", 1, {"x", "y"}); // still there
+    wish("z");
+    LONGS_EQUAL(0, plan().size());
+    const std::string left = unload.adapter == "x" ? "y" : "x";
+    report("a", 1, {left});
+    wish("z");
+    STRCMP_EQUAL("z", plan().at(0).adapter.c_str());
+}
