Give an adapter more copies when its engines reject requests

Rejections are now part of the wish: from three in a second on an adapter gets further copies first. A gateway that is rejected sends fewer requests at a time to that engine, and the others wait here instead of using up retries.

--- a/include/siskindrift/adapters/placer.h
+++ b/include/siskindrift/adapters/placer.h
@@ -90,6 +90,11 @@
     core::duration additional_copy_interval = core::milliseconds{1500};
     /// The same while enough adapter slots are idle, so that a copy takes no adapter's slot.
     core::duration additional_copy_interval_idle = core::milliseconds{700};
+    /// Requests that the holders of an adapter rejected, from which on it gets a further copy even
+    /// if other adapters have none: the slot then serves more requests than with another adapter.
+    std::uint32_t rejections_for_copy = 3;
+    /// Factor by which copies whose holders reject requests may grow at once.
+    std::size_t rejected_copy_growth = 2;
     /// Fraction of all adapter slots that must be idle for `additional_copy_interval_idle`.
     double idle_slot_ratio = 0.33;
     /// Maximum wait for an engine that has held the adapter recently. Shorter than a load from
@@ -231,7 +236,8 @@
         std::uint32_t waiting = 0;
         std::uint64_t pending_tokens = 0; ///< Prompt tokens that await prefill, of all gateways.
         std::map<adapter_name, std::uint32_t> using_gateways; ///< Gateways that use each one.
-        /// The engine unloads an adapter once its requests have ended, and refuses orders until then.
+        /// The engine unloads an adapter once its requests have ended, and refuses orders until
+        /// then.
         bool awaits_unload = false;
         core::time_point unload_accepted_at{};
         std::size_t unreachable_from = 0; ///< Number of gateways that can't reach it.
@@ -246,6 +252,7 @@
     /// A gateway's request for a copy of an adapter.
     struct wish {
         std::uint32_t waiting = 0;       ///< Requests that wait for the adapter.
+        std::uint32_t rejected = 0;      ///< Requests that its holders rejected lately.
         core::duration time_left{};      ///< Time left until the earliest deadline.
         bool crowded = false;            ///< The copies are overloaded; another one would help.
         std::uint64_t prompt_tokens = 0; ///< Of the waiting requests.
@@ -267,6 +274,7 @@
         adapter_key key = 0;
         std::string software_version; ///< Of the engines that can serve it; empty for any.
         std::uint32_t waiting = 0;
+        std::uint32_t rejected = 0;
         core::duration time_left{};
         bool crowded = false;
         std::uint64_t prompt_tokens = 0;
@@ -282,7 +290,8 @@
         std::size_t fresh = 0; ///< Additional copies that haven't attracted requests yet.
 
         /// Returns whether another copy of an adapter that has copies may be loaded now.
-        [[nodiscard]] bool may_add_copy() const;
+        /// @param growth how many further copies each settled one allows.
+        [[nodiscard]] bool may_add_copy(std::size_t growth) const;
     };
     /// By adapter, over all engines, and by adapter and software version.
     struct copy_index {
--- a/include/siskindrift/gateway/upstream_pool.h
+++ b/include/siskindrift/gateway/upstream_pool.h
@@ -66,6 +66,12 @@
     double full_batch_delay_ms = 400;
     /// Delay that a failed request costs its caller, in ms; weighted by the failure rate.
     double failure_cost_ms = 1000;
+    /// Pause after a rejection by an engine. Its queue moves on in that time.
+    core::duration rejection_pause = core::milliseconds{50};
+    /// Share of its requests that a gateway leaves at an engine after a rejection.
+    double rejection_decrease = 0.7;
+    /// Time after the last rejection for which a gateway limits its requests at an engine.
+    core::duration window_lifetime = core::milliseconds{2000};
     /// Number of gateways from which on each compares two random engines instead of all: their
     /// views are then older than the prefill of a prompt takes.
     std::size_t two_choices_gateways = 20;
@@ -89,12 +95,12 @@
 /// What a request lacks that can't be sent now.
 enum class shortage : std::uint8_t {
     none,
-    upstream,        ///< The service has no usable upstream.
-    copy,            ///< No usable upstream holds the adapter.
-    reachable_copy,  ///< The upstreams that hold it refuse connections or are silent.
-    current_copy,    ///< They hold an old version only.
-    untried_copy,    ///< Each of them has rejected or failed the request.
-    room,            ///< They have used up their limits or want a pause.
+    upstream,       ///< The service has no usable upstream.
+    copy,           ///< No usable upstream holds the adapter.
+    reachable_copy, ///< The upstreams that hold it refuse connections or are silent.
+    current_copy,   ///< They hold an old version only.
+    untried_copy,   ///< Each of them has rejected or failed the request.
+    room,           ///< They have used up their limits or want a pause.
 };
 
 /// Returns the name of @p what as it appears in logs and metrics.
@@ -119,8 +125,8 @@
     bool unreachable = false;
     /// Those that hold the adapter and are not reachable, if `unreachable`.
     std::vector<std::string> unreached;
-    core::duration retry_after{}; ///< When a caller should return, if `limited`.
-    bool waits_for_place = false; ///< A place may be free at any moment, if `limited`.
+    core::duration retry_after{};    ///< When a caller should return, if `limited`.
+    bool waits_for_place = false;    ///< A place may be free at any moment, if `limited`.
     shortage lacks = shortage::none; ///< If there is no upstream to send to.
 };
 
@@ -200,6 +206,11 @@
     void record_outcome(const std::string& upstream, bool failed, core::time_point now);
     /// Records the load that the upstream reported in a response.
     void record_load(const std::string& upstream, const upstream_load& load);
+    /// Records that an engine rejected a request for lack of room. The gateway then sends it fewer
+    /// at a time: further ones would only be rejected too, and wait here for less.
+    void record_rejection(const std::string& upstream, core::time_point now);
+    /// Records that an engine admitted a request.
+    void record_admission(const std::string& upstream);
     /// Records that the upstream wants no requests from this gateway until @p until.
     void record_pause(const std::string& upstream, core::time_point until, core::time_point now);
     /// Records that the upstream reported not to hold the adapter.
@@ -230,6 +241,8 @@
         core::time_point unreached_elsewhere{}; ///< When another gateway last didn't reach it.
         core::time_point last_trial{}; ///< Last request sent although the upstream was failing.
         core::time_point last_probe{};
+        double window = 0; ///< Requests of this gateway that the engine takes at once.
+        core::time_point last_rejection{};
         core::time_point paused_until{}; ///< Until then the run wants no requests.
         core::time_point quiet_since{};  ///< Last byte, or the first request sent after a pause.
         std::uint64_t born_ms = 0;       ///< Run of the upstream that these fields are about.
@@ -242,6 +255,8 @@
 
     [[nodiscard]] bool refuses_connections(const fleet::roster_entry& entry,
                                            const upstream_stats& stats, core::time_point now) const;
+    [[nodiscard]] bool is_full(const fleet::roster_entry& entry, const upstream_stats& stats,
+                               core::time_point now) const;
     void reset_if_restarted(const std::string& upstream, upstream_stats& stats,
                             core::time_point now);
     [[nodiscard]] bool path_suspected(core::time_point now) const;
--- a/src/adapters/placer.cpp
+++ b/src/adapters/placer.cpp
@@ -182,8 +182,7 @@
     const bool unloads = std::any_of(engine.copies.begin(), engine.copies.end(), [](auto& item) {
         return item.second.state == copy_state::unloading;
     });
-    engine.awaits_unload =
-        unloads && now - engine.unload_accepted_at < m_options.max_unload_wait;
+    engine.awaits_unload = unloads && now - engine.unload_accepted_at < m_options.max_unload_wait;
     if (engine.awaits_unload) {
         engine.report_due = now + m_options.max_report_age;
     }
@@ -221,6 +220,7 @@
         wish.waiting = item->waiting;
         wish.time_left = core::milliseconds{item->left_ms};
         wish.crowded = item->crowded;
+        wish.rejected = item->rejected;
         wish.prompt_tokens = item->prompt_tokens;
         wish.first_reported = since;
         wish.last_reported = now;
@@ -354,8 +354,8 @@
 {
     const auto gateways = static_cast<double>(m_gateways.size());
     return engine.unreachable_from > 0 &&
-           (engine.poll_failed || static_cast<double>(engine.unreachable_from) >=
-                                      m_options.unreachable_ratio * gateways);
+           (engine.poll_failed ||
+            static_cast<double>(engine.unreachable_from) >= m_options.unreachable_ratio * gateways);
 }
 
 // Gateways reach an engine through others while any of them does, so one that answers is used.
@@ -367,8 +367,7 @@
 bool placer::can_take_order(const engine_state& engine) const
 {
     return is_usable(engine) && engine.state_known && !engine.pending_order &&
-           !engine.awaits_unload &&
-           capacity_of(engine) != nullptr;
+           !engine.awaits_unload && capacity_of(engine) != nullptr;
 }
 
 bool placer::in_use(const engine_state& engine, const adapter_name& name) const
@@ -601,8 +600,7 @@
     return view;
 }
 
-std::vector<wire::engine_view_t>
-placer::whole_views(const wire::engine_update_t& changes) const
+std::vector<wire::engine_view_t> placer::whole_views(const wire::engine_update_t& changes) const
 {
     std::vector<wire::engine_view_t> views;
     for (const auto& change : changes.engines) {
--- a/src/adapters/placer_plan.cpp
+++ b/src/adapters/placer_plan.cpp
@@ -12,6 +12,7 @@
 constexpr double full_batch_delay_ms = 400; // delay of a first token by a full batch
 // Cost of evicting an adapter that has just been used: it is likely to be requested again soon.
 constexpr double recent_victim_penalty_ms = 300;
+constexpr double rejected_wait_ms = 1e9;  // longer than any load
 constexpr double tie_break_range_ms = 20; // selects one engine among engines of equal cost
 
 // Returns a hash of an adapter and an engine, scaled to [0, 1].
@@ -44,6 +45,7 @@
             sum.waiting += wish.waiting;
             sum.prompt_tokens += wish.prompt_tokens;
             sum.crowded = sum.crowded || wish.crowded;
+            sum.rejected += wish.rejected;
         }
     }
     std::vector<demand> list;
@@ -53,8 +55,10 @@
     }
     // Streams that have begun first, then most waiting requests, then the earliest deadline.
     std::sort(list.begin(), list.end(), [](const demand& left, const demand& right) {
-        return std::tuple{left.software_version.empty(), right.waiting, left.time_left, left.key} <
-               std::tuple{right.software_version.empty(), left.waiting, right.time_left, right.key};
+        return std::tuple{left.software_version.empty(), right.waiting + right.rejected,
+                          left.time_left, left.key} < std::tuple{right.software_version.empty(),
+                                                                 left.waiting + left.rejected,
+                                                                 right.time_left, right.key};
     });
     return list;
 }
@@ -310,20 +314,23 @@
         }
         const auto* found = copies.find(wanted);
         const auto held = found == nullptr ? copy_summary{} : *found;
-        const bool place = held.min_wait_ms
-                               ? wanted.crowded && !no_additional && held.may_add_copy()
-                               : !held.loading;
-        if (place) {
-            place_adapter(wanted, held.min_wait_ms, offers, now, orders);
+        const bool rejected = wanted.rejected >= m_options.rejections_for_copy;
+        const bool crowded = wanted.crowded && (rejected || !no_additional) &&
+                             held.may_add_copy(rejected ? m_options.rejected_copy_growth : 1);
+        if (held.min_wait_ms ? crowded : !held.loading) {
+            // An engine that rejects requests serves no further one, however short its wait is.
+            const auto wait_ms =
+                rejected && held.min_wait_ms ? std::optional{rejected_wait_ms} : held.min_wait_ms;
+            place_adapter(wanted, wait_ms, offers, now, orders);
         }
     }
 }
 
-// Additional copies attract their share of the requests only after some time. Until then at most
-// as many are loaded as there are settled copies, so that the number of copies doubles.
-bool placer::copy_summary::may_add_copy() const
+// Additional copies attract their share of the requests only after some time. Until then their
+// number is limited by that of the settled copies.
+bool placer::copy_summary::may_add_copy(std::size_t growth) const
 {
-    return fresh < std::max<std::size_t>(settled, 1);
+    return fresh < growth * std::max<std::size_t>(settled, 1);
 }
 
 bool placer::is_missing(const copy_index& copies, const demand& wanted)
--- a/src/adapters/placer_test.cpp
+++ b/src/adapters/placer_test.cpp
@@ -697,6 +697,31 @@
     STRCMP_EQUAL("b", plan().at(0).upstream.c_str());
 }
 
+TEST(Placer, AddsACopyOfAnAdapterWhoseHolderRejectsRequestsAlthoughOthersHaveNone)
+{
+    engine("a", {"hot"});
+    engine("b");
+    wish("rare");
+    clock.advance(core::milliseconds{200}); // places are scarce
+    wire::gateway_report_t report;
+    report.vm = "h";
+    for (const auto& [name, rejected] : {std::pair{"hot", 20U}, std::pair{"rare", 0U}}) {
+        wire::adapter_wish_t item;
+        item.model = model;
+        item.adapter = name;
+        item.waiting = 1;
+        item.left_ms = 3000;
+        item.crowded = rejected > 0;
+        item.rejected = rejected;
+        wire::append(report.wishes, item);
+    }
+    adapter_placer.on_gateway_report(report, clock.now());
+    const auto orders = plan();
+    CHECK_TRUE(std::any_of(orders.begin(), orders.end(), [](const order& one) {
+        return one.adapter == "hot" && one.upstream == "b";
+    }));
+}
+
 TEST(Placer, EvictsAnotherAdapterAfterAnEngineRefusedToUnloadOne)
 {
     engine("a", {"x", "y"});
--- a/src/apps/coordinator_fleet.cpp
+++ b/src/apps/coordinator_fleet.cpp
@@ -667,11 +667,11 @@
     metrics.set(
         "siskindrift_limited_upstreams",
         static_cast<double>(m_core ? m_core->state().current_upstream_limits().entries.size() : 0));
-    metrics.set("siskindrift_popular_blocked_parts",
-                static_cast<double>(m_core ? m_prompt_judge.count_popular(
-                                                 m_core->state().current_blocked_parts(),
-                                                 m_clock.now())
-                                           : 0));
+    metrics.set(
+        "siskindrift_popular_blocked_parts",
+        static_cast<double>(m_core ? m_prompt_judge.count_popular(
+                                         m_core->state().current_blocked_parts(), m_clock.now())
+                                   : 0));
     metrics.set("siskindrift_placing_term", static_cast<double>(m_placement_term));
     metrics.set("siskindrift_open_engine_calls", static_cast<double>(m_calls.open_calls()));
 }
@@ -770,17 +770,16 @@
         call.connect_timeout = engine_connect_timeout;
         call.head_timeout = engine_response_timeout;
         call.progress_timeout = engine_response_timeout;
-        m_calls.start(
-            std::move(call), [this, id, now](std::optional<http::buffered_response> response) {
-                const bool succeeded = response && response->head.status == 200;
-                const auto report =
-                    succeeded ? platform::decode_report(response->body) : std::nullopt;
-                if (report) {
-                    m_prompt_judge.record_alive(id, report->born_ms, now);
-                }
-                m_placer.on_report(id, report, now);
-                schedule_cycle();
-            });
+        m_calls.start(std::move(call), [this, id,
+                                        now](std::optional<http::buffered_response> response) {
+            const bool succeeded = response && response->head.status == 200;
+            const auto report = succeeded ? platform::decode_report(response->body) : std::nullopt;
+            if (report) {
+                m_prompt_judge.record_alive(id, report->born_ms, now);
+            }
+            m_placer.on_report(id, report, now);
+            schedule_cycle();
+        });
     }
 }
 
--- a/src/apps/gateway_exchanges.cpp
+++ b/src/apps/gateway_exchanges.cpp
@@ -26,6 +26,8 @@
 constexpr double first_document_share = 0.5;
 constexpr double upstream_wait_share = 0.5;
 constexpr std::uint16_t first_redirect_status = 300;
+constexpr std::uint16_t service_unavailable = 503;
+constexpr std::size_t max_counted_rejections = 256;
 
 core::reason reason_for(http::call_result outcome)
 {
@@ -192,7 +194,7 @@
     m_awaiting_place.erase(item.id);
     item.lacks = choice.lacks;
     if (choice.crowded) {
-        m_overloaded_adapters[wish_of(item)] = now;
+        m_overloaded_adapters[wish_of(item)].since = now;
         schedule_report();
     }
     if (choice.unreachable) {
@@ -340,7 +342,7 @@
 void gateway_process::wait_for_upstream(exchange& item)
 {
     if (!item.tried_upstreams.empty() && !item.adapter.first.empty()) {
-        m_overloaded_adapters[wish_of(item)] = m_clock.now();
+        m_overloaded_adapters[wish_of(item)].since = m_clock.now();
         item.tried_upstreams.clear();
     }
     const auto total =
@@ -507,6 +509,9 @@
         m_pool.record_activity(item->upstream_id, m_clock.now(), item->opened_at);
         record_rejection_limit(*item);
         record_prompt_processed(*item);
+        if (head.status < first_redirect_status) {
+            m_pool.record_admission(item->upstream_id);
+        }
         if (item->response_metadata.load) {
             m_pool.record_load(item->upstream_id, *item->response_metadata.load);
         }
@@ -740,6 +745,9 @@
         schedule_report();
         schedule_path_check();
     }
+    if (end == gateway::attempt_outcome::not_executed && status == service_unavailable) {
+        record_rejection(item);
+    }
     if (end == gateway::attempt_outcome::not_executed && status == 421) {
         m_pool.record_missing_adapter(item.upstream_id, item.adapter);
     }
@@ -749,6 +757,24 @@
     m_pool.record_outcome(item.upstream_id, failed, now);
 }
 
+// Records that an engine has no room for a request, so that it gets fewer and its adapter more
+// copies.
+void gateway_process::record_rejection(const exchange& item)
+{
+    if (item.adapter.first.empty()) {
+        return;
+    }
+    const auto now = m_clock.now();
+    m_pool.record_rejection(item.upstream_id, now);
+    auto& overload = m_overloaded_adapters[wish_of(item)];
+    overload.since = now;
+    overload.rejections.push_back(now);
+    if (overload.rejections.size() > max_counted_rejections) {
+        overload.rejections.pop_front();
+    }
+    schedule_report();
+}
+
 // Returns whether the response that has ended is the upstream's whole response: by its framing, and
 // by its events where it consists of events.
 bool gateway_process::ended_complete(const exchange& item)
--- a/src/apps/gateway_process.cpp
+++ b/src/apps/gateway_process.cpp
@@ -19,6 +19,8 @@
 constexpr core::milliseconds wish_refresh_interval{1000};
 // The expected wait at an engine changes on this time scale.
 constexpr core::milliseconds overload_lifetime{300};
+// Rejections tell how many requests a further copy of an adapter would serve.
+constexpr core::milliseconds rejection_lifetime{1000};
 // Least time left that is reported for an adapter that needs a further copy.
 constexpr std::uint32_t overload_left_ms = 1000;
 // Waiting requests are tried again this often even if no engine has loaded their adapter, because
@@ -644,10 +646,18 @@
         ++wish.waiting;
         wish.prompt_tokens += item.metadata.prompt_tokens;
     }
-    std::erase_if(m_overloaded_adapters,
-                  [&](const auto& item) { return now - item.second > overload_lifetime; });
-    for (const auto& [name, since] : m_overloaded_adapters) {
+    for (auto& [name, overload] : m_overloaded_adapters) {
+        auto& rejections = overload.rejections;
+        while (!rejections.empty() && now - rejections.front() > rejection_lifetime) {
+            rejections.pop_front();
+        }
+    }
+    std::erase_if(m_overloaded_adapters, [&](const auto& item) {
+        return item.second.rejections.empty() && now - item.second.since > overload_lifetime;
+    });
+    for (const auto& [name, overload] : m_overloaded_adapters) {
         auto& wish = wishes[name];
+        wish.rejected = static_cast<std::uint32_t>(overload.rejections.size());
         wish.waiting = std::max(wish.waiting, 1U);
         wish.left_ms = std::max<std::uint32_t>(wish.left_ms, std::uint32_t{overload_left_ms});
         wish.crowded = true;
--- a/src/apps/gateway_process.h
+++ b/src/apps/gateway_process.h
@@ -111,10 +111,10 @@
         std::uint64_t timer_generation = 0; ///< Counts how often `timer` was set.
         std::set<std::string> tried_upstreams;
         unsigned attempts_sent = 0;
-        unsigned crashes = 0;        ///< Engines that ended as they began to answer it.
-        bool on_trial = false;       ///< Is sent although it has a blocked part.
-        unsigned may_have_run = 0;   ///< Attempts whose upstream may have run the request.
-        bool waiting = false;        ///< For an upstream or an adapter.
+        unsigned crashes = 0;      ///< Engines that ended as they began to answer it.
+        bool on_trial = false;     ///< Is sent although it has a blocked part.
+        unsigned may_have_run = 0; ///< Attempts whose upstream may have run the request.
+        bool waiting = false;      ///< For an upstream or an adapter.
         gateway::shortage lacks = gateway::shortage::none; ///< At the last choice of an upstream.
         std::string permit_upstream; ///< Upstream for which it waits for a permit; empty for none.
         std::uint64_t origin_query = 0; ///< Lookup of the stream's origin it waits for, or 0.
@@ -123,7 +123,7 @@
         unsigned sends = 0;   ///< Counts up with every send, also one that failed to connect.
         bool relayed = false; ///< Another gateway passed the request on to this one.
         unsigned may_have_run_before = 0;        ///< `may_have_run` when it was passed on.
-        std::vector<std::string> unreached; ///< Holders that this gateway doesn't reach.
+        std::vector<std::string> unreached;      ///< Holders that this gateway doesn't reach.
         std::set<std::string> tried_helpers;     ///< Gateways that it was passed on to.
         std::set<std::string> reached_upstreams; ///< Those of `tried_upstreams` it was sent to.
         core::reason failure_reason = core::reason::none;
@@ -218,6 +218,7 @@
     void forward_stream_data(exchange& item, const std::string& bytes);
     void handle_attempt_end(exchange& item, gateway::attempt_outcome end, core::reason reason);
     void record_attempt_outcome(const exchange& item, gateway::attempt_outcome end);
+    void record_rejection(const exchange& item);
     [[nodiscard]] static bool ended_complete(const exchange& item);
     void handle_stream_end(exchange& item);
     void forward_response(exchange& item);
@@ -367,7 +368,11 @@
         return {item.adapter, item.pin ? item.pin->version : std::string{}};
     }
     /// Adapters that need a further copy, and when the pool last said so.
-    std::map<wish_key, core::time_point> m_overloaded_adapters;
+    struct overload {
+        core::time_point since{};
+        std::deque<core::time_point> rejections; ///< Lately, by the engines that hold the adapter.
+    };
+    std::map<wish_key, overload> m_overloaded_adapters;
     /// Adapters that the last report to the leader asked for.
     std::set<wish_key> m_reported_wishes;
     std::size_t m_kept_bytes = 0; ///< Of responses that are kept until they are complete.
--- a/src/gateway/upstream_pool.cpp
+++ b/src/gateway/upstream_pool.cpp
@@ -131,6 +131,30 @@
     record_connect_failure(upstream, now);
 }
 
+void upstream_pool::record_rejection(const std::string& upstream, core::time_point now)
+{
+    auto& stats = m_stats[upstream];
+    reset_if_restarted(upstream, stats, now);
+    stats.window = std::max(1.0, stats.in_flight * m_options.rejection_decrease);
+    stats.last_rejection = now;
+}
+
+void upstream_pool::record_admission(const std::string& upstream)
+{
+    auto& stats = m_stats[upstream];
+    if (stats.window > 0) {
+        stats.window += 1 / stats.window;
+    }
+}
+
+bool upstream_pool::is_full(const fleet::roster_entry& entry, const upstream_stats& stats,
+                            core::time_point now) const
+{
+    const auto elapsed = now - stats.last_rejection;
+    return stats.born_ms == entry.info.born_ms && elapsed < m_options.window_lifetime &&
+           (elapsed < m_options.rejection_pause || stats.in_flight >= stats.window);
+}
+
 void upstream_pool::reset_if_restarted(const std::string& upstream, upstream_stats& stats,
                                        core::time_point now)
 {
@@ -141,6 +165,7 @@
         stats.quiet_since = now;
         stats.paused_until = {};
         stats.unreached_elsewhere = {};
+        stats.last_rejection = {};
     }
 }
 
@@ -284,6 +309,7 @@
     bool any_unlimited = false;
     bool waits_for_place = false;
     std::vector<candidate> candidates;
+    bool any_full = false;
     bool any_usable = false;
     shortage lacks = shortage::upstream; // of the upstream that comes nearest to being chosen
     bool any_reachable = false;
@@ -339,14 +365,19 @@
             continue;
         }
         current_exists = current_exists || (version && *version >= current_version);
+        if (version && is_full(entry, stats, now)) {
+            lacks = shortage::room;
+            any_full = true;
+            continue;
+        }
         candidates.push_back({&entry, version, load(entry, stats, !wanted.first.empty()),
                               unreachable || is_ejected(stats, now),
                               admission.result == send_admission::kind::needs_permit, refuses});
     }
     std::erase_if(candidates, [&](const candidate& one) {
         const bool was_tried = tried.contains(one.entry->info.id);
-        const bool old = one.version &&
-                         !accepts_version(wanted, *one.version, current_exists, one.load, now);
+        const bool old =
+            one.version && !accepts_version(wanted, *one.version, current_exists, one.load, now);
         if (was_tried || old) {
             lacks = std::max(lacks, old ? shortage::current_copy : shortage::untried_copy);
         }
@@ -363,7 +394,8 @@
             choice.waits_for_place = waits_for_place;
             return choice;
         }
-        choice.crowded = retry_after.has_value(); // an engine without a limit can load it
+        // An engine without a limit or with more room can load it.
+        choice.crowded = retry_after.has_value() || any_full;
         choice.result = any_usable && !wanted.first.empty() ? pool_choice::kind::adapter_not_loaded
                                                             : pool_choice::kind::none;
         return choice;
--- a/src/gateway/upstream_pool_test.cpp
+++ b/src/gateway/upstream_pool_test.cpp
@@ -530,3 +530,47 @@
     CHECK_TRUE(pool_choice::kind::adapter_not_loaded == choose(wanted).result);
     STRCMP_EQUAL("a", choose({wanted.first, "other"}).upstream.c_str());
 }
+
+TEST(UpstreamPool, KeepsRequestsHereWhileTheOnlyEngineRejectsThem)
+{
+    announce("a");
+    set_held_version("a", 1);
+    for (int i = 0; i < 10; ++i) {
+        pool.record_sent("a", wanted, clock.now());
+    }
+    pool.record_ended("a", wanted);
+    pool.record_rejection("a", clock.now());
+    const auto held = choose(wanted);
+    CHECK_TRUE(pool_choice::kind::adapter_not_loaded == held.result);
+    CHECK_TRUE(shortage::room == held.lacks);
+    CHECK_TRUE(held.crowded);
+    clock.advance(core::milliseconds{60});
+    CHECK_TRUE(shortage::room == choose(wanted).lacks); // 9 of 6.3
+    for (int i = 0; i < 4; ++i) {
+        pool.record_ended("a", wanted);
+    }
+    for (int i = 0; i < 2; ++i) {
+        STRCMP_EQUAL("a", choose(wanted).upstream.c_str());
+        pool.record_sent("a", wanted, clock.now());
+    }
+    CHECK_TRUE(shortage::room == choose(wanted).lacks); // 7 of 6.3
+    for (int i = 0; i < 7; ++i) {
+        pool.record_admission("a");
+    }
+    STRCMP_EQUAL("a", choose(wanted).upstream.c_str());
+    pool.record_sent("a", wanted, clock.now());
+    clock.advance(core::milliseconds{2000});
+    STRCMP_EQUAL("a", choose(wanted).upstream.c_str());
+}
+
+TEST(UpstreamPool, SendsElsewhereWhileAnEngineRejectsRequests)
+{
+    announce("a");
+    announce("b");
+    set_held_version("a", 1);
+    set_held_version("b", 1);
+    pool.record_rejection("a", clock.now());
+    for (int i = 0; i < 10; ++i) {
+        STRCMP_EQUAL("b", choose(wanted).upstream.c_str());
+    }
+}
