--- a/tests/platform_fixture.py
+++ b/tests/platform_fixture.py
@@ -498,7 +498,8 @@
         for sock in self.server.sockets:
             drop_packets_from(sock, self.blocked)
         for writer, peer in list(self.peers.items()):
-            if peer not in self.blocked or old == "live":
+            closed = writer.transport.is_closing()
+            if closed or peer not in self.blocked or old == "live":
                 continue
             if old == "reset":
                 reset_connection(writer)
