Tell the leader which waiting requests can still be in time

A wish names how many of its requests can hardly be answered within their objective any more, and when the first of the others will be late. Nothing decides by it yet. The gateway's rule is code of its own (gateway/adapter_wish), so that the models of the placement and of crowded engines use it too; the model of the placement gets kinds of requests, and the share of each that is in time. Builds that don't know the new fields read a wish as before.

--- a/src/apps/gateway_process.cpp
+++ b/src/apps/gateway_process.cpp
@@ -6,6 +6,7 @@
 #include "platform/deployment_codec.h"
 #include "siskindrift/core/random.h"
 #include "siskindrift/fleet/entry_check.h"
+#include "siskindrift/gateway/adapter_wish.h"
 #include "siskindrift/observe/log.h"
 
 namespace siskindrift::apps {
@@ -639,12 +640,10 @@
         if (item.adapter.first.empty()) {
             continue; // waits for an upstream, not for an adapter
         }
-        auto& wish = wishes[wish_of(item)];
-        const auto left =
-            static_cast<std::uint32_t>(std::max<std::int64_t>(core::to_ms(time_left(item)), 0));
-        wish.left_ms = wish.waiting == 0 ? left : std::min(wish.left_ms, left);
-        ++wish.waiting;
-        wish.prompt_tokens += item.metadata.prompt_tokens;
+        gateway::add_waiting(wishes[wish_of(item)],
+                             {item.arrived_at, item.deadline, item.route.latency_objective,
+                              item.metadata.prompt_tokens},
+                             now);
     }
     for (auto& [name, overload] : m_overloaded_adapters) {
         auto& rejections = overload.rejections;
--- a/tests/crowding_world.cpp
+++ b/tests/crowding_world.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "siskindrift/gateway/adapter_wish.h"
+
 namespace siskindrift::tests {
 namespace {
 
@@ -140,6 +142,8 @@
                 continue;
             }
             ++m_outcome[next.what.popular].started;
+            m_outcome[next.what.popular].timely +=
+                now - next.what.arrived <= m_scenario.objective ? 1 : 0;
             pool.record_admission(engine.id);
             next.ends = now + m_scenario.service_time;
             engine.running.push_back(next);
@@ -233,7 +237,7 @@
     if (now < from.report_due) {
         return;
     }
-    from.report_due = now + core::milliseconds{40};
+    from.report_due = now + m_scenario.report_interval;
     wire::gateway_report_t message;
     message.vm = "g" + std::to_string(number);
     std::map<std::string, wire::adapter_wish_t> wishes;
@@ -241,7 +245,9 @@
         wishes[name];
     }
     for (const auto& one : from.waiting) {
-        ++wishes[one.adapter.second].waiting;
+        gateway::add_waiting(
+            wishes[one.adapter.second],
+            {one.arrived, one.arrived + m_scenario.patience, m_scenario.objective, 0}, now);
     }
     for (auto& [name, times] : from.rejections) {
         while (!times.empty() && now - times.front() > rejection_lifetime) {
@@ -257,7 +263,6 @@
     for (auto& [name, wish] : wishes) {
         wish.model = base_model;
         wish.adapter = name;
-        wish.left_ms = 1000;
         if (wish.waiting > 0) {
             from.wished.insert(name);
         }
--- a/tests/crowding_world.h
+++ b/tests/crowding_world.h
@@ -32,6 +32,8 @@
     core::duration service_time = core::milliseconds{450};
     core::duration load_time = core::milliseconds{288};
     core::duration patience = core::milliseconds{2500}; ///< Until the first token.
+    core::duration objective = core::milliseconds{800};
+    core::duration report_interval = core::milliseconds{40}; ///< Of each gateway.
     std::uint64_t seed = 1;
 };
 
@@ -39,6 +41,7 @@
 struct crowding_outcome {
     std::size_t asked = 0;
     std::size_t started = 0;  ///< Within their patience.
+    std::size_t timely = 0;   ///< Within their objective.
     std::size_t rejected = 0; ///< Sends that an engine rejected.
 
     /// Returns the share of the requests that started in time.
--- a/tests/placement_world.cpp
+++ b/tests/placement_world.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "siskindrift/gateway/adapter_wish.h"
+
 namespace siskindrift::tests {
 namespace {
 
@@ -11,6 +13,7 @@
 constexpr core::milliseconds order_round_trip{3};
 constexpr core::milliseconds report_interval{40};
 constexpr double cached_load_speedup = 10;
+constexpr core::milliseconds first_token_time{100}; // once the adapter is loaded
 
 } // namespace
 
@@ -66,6 +69,8 @@
 placement_outcome placement_world::play(core::duration length)
 {
     m_outcome = {};
+    m_outcome.asked.resize(m_scenario.kinds.size());
+    m_outcome.timely.resize(m_scenario.kinds.size());
     const auto end = m_clock.now() + length;
     while (m_clock.now() < end) {
         step();
@@ -80,7 +85,8 @@
     m_arrivals_due +=
         m_scenario.requests_per_s * std::chrono::duration<double>(step_length).count();
     for (; m_arrivals_due >= 1; --m_arrivals_due) {
-        m_waiting.push_back({draw_adapter(), now});
+        m_waiting.push_back({draw_adapter(), now, draw_kind()});
+        ++m_outcome.asked[m_waiting.back().kind];
     }
     advance_loads();
     std::erase_if(m_runs, [&](const run& one) {
@@ -111,6 +117,20 @@
     return "a" + std::to_string(std::distance(m_cumulative_popularity.begin(), found));
 }
 
+std::size_t placement_world::draw_kind()
+{
+    std::uint64_t sum = 0;
+    for (const auto& kind : m_scenario.kinds) {
+        sum += kind.weight;
+    }
+    auto draw = core::uniform_below(m_random, sum);
+    std::size_t number = 0;
+    for (; draw >= m_scenario.kinds[number].weight; ++number) {
+        draw -= m_scenario.kinds[number].weight;
+    }
+    return number;
+}
+
 std::size_t placement_world::active_store_loads() const
 {
     std::size_t loads = 0;
@@ -199,8 +219,10 @@
             if (m_engines[index].loaded.contains(one.adapter)) {
                 ++m_engines[index].running[one.adapter];
                 m_runs.push_back({index, one.adapter, now + m_scenario.service_time});
-                m_outcome.waits_ms.push_back(
-                    static_cast<double>(core::to_ms(now - one.arrived_at)));
+                const auto waited = now - one.arrived_at;
+                m_outcome.waits_ms.push_back(static_cast<double>(core::to_ms(waited)));
+                m_outcome.timely[one.kind] +=
+                    waited + first_token_time <= m_scenario.kinds[one.kind].objective ? 1 : 0;
                 return true;
             }
         }
@@ -220,13 +242,15 @@
     }
     m_reported_wishes.clear();
     for (const auto& one : m_waiting) {
-        ++wishes[one.adapter].waiting;
+        const auto& kind = m_scenario.kinds[one.kind];
+        gateway::add_waiting(wishes[one.adapter],
+                             {one.arrived_at, one.arrived_at + kind.deadline, kind.objective, 0},
+                             m_clock.now());
         m_reported_wishes.insert(one.adapter);
     }
     for (auto& [name, wish] : wishes) {
         wish.model = base_model;
         wish.adapter = name;
-        wish.left_ms = 1000;
         wire::append(report.wishes, wish);
     }
     for (const auto& engine : m_engines) {
--- a/tests/placement_world.h
+++ b/tests/placement_world.h
@@ -14,6 +14,13 @@
 
 namespace siskindrift::tests {
 
+/// A kind of request. Callers of all kinds ask for the same adapters.
+struct request_kind {
+    std::uint32_t weight = 1; ///< Relative number of requests.
+    core::duration objective = core::milliseconds{1000};
+    core::duration deadline = core::milliseconds{5000};
+};
+
 /// What is simulated.
 struct placement_scenario {
     std::size_t engines = 12;
@@ -26,6 +33,7 @@
     double requests_per_s = 100;
     core::duration service_time = core::milliseconds{500};
     core::duration patience = core::milliseconds{3000}; ///< Longest wait for an adapter.
+    std::vector<request_kind> kinds{{}};
     std::uint64_t seed = 1;
 };
 
@@ -35,7 +43,14 @@
     std::size_t given_up = 0;     ///< Requests whose adapter was not loaded in time.
     std::size_t store_loads = 0;
     std::size_t cached_loads = 0;
+    std::vector<std::size_t> asked;  ///< Requests by kind.
+    std::vector<std::size_t> timely; ///< Of these, those that got their adapter in time.
 
+    /// Returns the share of the requests of a kind that got their adapter in time.
+    [[nodiscard]] double share_timely(std::size_t kind) const
+    {
+        return static_cast<double>(timely.at(kind)) / static_cast<double>(asked.at(kind));
+    }
     /// Returns the share of all requests that waited at most @p ms.
     [[nodiscard]] double share_within(double ms) const;
 };
@@ -65,6 +80,7 @@
     struct request {
         std::string adapter;
         core::time_point arrived_at{};
+        std::size_t kind = 0;
     };
     struct run {
         std::size_t engine;
@@ -83,6 +99,7 @@
     void report_to_placer();
     adapters::order_result execute(engine_model& engine, const adapters::order& given);
     [[nodiscard]] std::string draw_adapter();
+    [[nodiscard]] std::size_t draw_kind();
     [[nodiscard]] std::size_t active_store_loads() const;
 
     placement_scenario m_scenario;
