Tell a new leader what its predecessor has learnt of the weight store

What callers saw: after each change of leader adapters were loaded eight at a time for more than a second, on deployments whose store bears 32 to 104 at once, while hundreds of requests waited.

Cause: the limit on loads is learnt by the leader, and a leader that has never led begins with eight. Now gateways keep the last limit that a leader has told them, with the duration of a load that isn't slowed, and tell it to the next leader. The duration shows an overload at once if the store has become slower.

Evidence: LoadLimiter.BeginsAtWhatAFormerLeaderHasLearnt; two more tests show that what a leader has learnt itself counts, and that a limit that is too high for the store falls as before.

--- a/include/siskindrift/adapters/load_limiter.h
+++ b/include/siskindrift/adapters/load_limiter.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstddef>
+#include <optional>
 #include <vector>
 
 #include "siskindrift/core/clock.h"
@@ -38,6 +39,13 @@
     std::size_t min_sample = 4;
 };
 
+/// What is known of a weight store.
+struct store_capacity {
+    std::size_t loads = 0;      ///< Loads at once that hardly slow each other down.
+    core::duration load_time{}; ///< Of loads that don't.
+    bool saturated = false;     ///< More loads have slowed each other down.
+};
+
 /// Learns how many adapters the weight store loads at once without slowing down.
 ///
 /// The store is shared by all engines. Up to its capacity each load takes the same time; beyond it,
@@ -56,6 +64,10 @@
     /// Returns the number of loads that may be in progress at once.
     [[nodiscard]] std::size_t limit() const { return static_cast<std::size_t>(m_limit); }
 
+    /// Begins at what was learnt elsewhere, unless something has been learnt here.
+    void begin_at(const store_capacity& learnt);
+    /// Returns what has been learnt, or none if there were too few loads.
+    [[nodiscard]] std::optional<store_capacity> learnt() const;
     /// Records the number of loads in progress from @p now on.
     void set_in_progress(std::size_t loads, core::time_point now);
     /// Returns the number of loads in progress, summed over time, in seconds. A load notes it when
--- a/include/siskindrift/adapters/placer.h
+++ b/include/siskindrift/adapters/placer.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -203,6 +204,8 @@
     std::vector<wire::engine_view_t> take_load_views();
     /// Returns the views of all engines whose state is known.
     [[nodiscard]] std::vector<wire::engine_view_t> all_views() const;
+    /// Returns what has been learnt of the weight store, or null if there were too few loads.
+    [[nodiscard]] std::unique_ptr<wire::store_capacity_t> known_store() const;
     /// Returns the usage of the adapter slots and of the weight store.
     [[nodiscard]] placement_summary summary(core::time_point now) const;
     /// Returns the time at which `plan` or `take_engines_to_poll` has to be called next.
--- a/src/adapters/load_limiter.cpp
+++ b/src/adapters/load_limiter.cpp
@@ -4,6 +4,26 @@
 
 namespace siskindrift::adapters {
 
+void load_limiter::begin_at(const store_capacity& learnt)
+{
+    if (m_unslowed_s == 0 && learnt.loads > 0 && learnt.load_time > core::duration::zero()) {
+        m_limit =
+            std::clamp(static_cast<double>(learnt.loads), m_options.min_limit, m_options.max_limit);
+        m_unslowed_s = std::chrono::duration<double>(learnt.load_time).count();
+        m_overload_seen = learnt.saturated;
+    }
+}
+
+std::optional<store_capacity> load_limiter::learnt() const
+{
+    if (m_unslowed_s == 0) {
+        return std::nullopt;
+    }
+    const std::chrono::duration<double> load_time{m_unslowed_s};
+    return store_capacity{limit(), std::chrono::duration_cast<core::duration>(load_time),
+                          m_overload_seen};
+}
+
 void load_limiter::set_in_progress(std::size_t loads, core::time_point now)
 {
     const auto passed = std::chrono::duration<double>(now - m_summed_until);
--- a/src/adapters/load_limiter_test.cpp
+++ b/src/adapters/load_limiter_test.cpp
@@ -144,3 +144,38 @@
     }
     LONGS_EQUAL(static_cast<long>(before), static_cast<long>(limiter.limit()));
 }
+
+TEST(LoadLimiter, BeginsAtWhatAFormerLeaderHasLearnt)
+{
+    saturated_store former;
+    former.capacity = 64;
+    former.play(4000);
+    const auto learnt = former.limiter.learnt();
+    CHECK_TRUE(learnt.has_value());
+    saturated_store store;
+    store.capacity = 64;
+    store.limiter.begin_at(*learnt);
+    CHECK_TRUE(store.limiter.limit() >= 0.8 * 64);
+    const double concurrent = store.play(2000);
+    CHECK_TRUE_TEXT(concurrent < 1.3 * 64 && concurrent > 0.8 * 64,
+                    std::to_string(concurrent).c_str());
+}
+
+TEST(LoadLimiter, KeepsWhatItHasLearntItself)
+{
+    saturated_store store;
+    store.capacity = 8;
+    store.play(4000);
+    const auto before = store.limiter.limit();
+    store.limiter.begin_at({512, core::milliseconds{250}, true});
+    LONGS_EQUAL(static_cast<long>(before), static_cast<long>(store.limiter.limit()));
+}
+
+TEST(LoadLimiter, LeavesALimitThatIsTooHighForTheStore)
+{
+    saturated_store store;
+    store.capacity = 8;
+    store.limiter.begin_at({32, core::milliseconds{250}, true});
+    const double concurrent = store.play(6000);
+    CHECK_TRUE_TEXT(concurrent < 1.3 * 8, std::to_string(concurrent).c_str());
+}
--- a/src/adapters/placer.cpp
+++ b/src/adapters/placer.cpp
@@ -201,6 +201,10 @@
             doubted.insert(id);
         }
     }
+    if (report.store) {
+        m_store_limiter.begin_at({report.store->loads, core::milliseconds{report.store->load_ms},
+                                  report.store->saturated});
+    }
     const auto used_before = state.uses;
     remove_usage(state);
     add_usage(state, report);
--- a/src/adapters/placer_plan.cpp
+++ b/src/adapters/placer_plan.cpp
@@ -298,6 +298,19 @@
     return sum;
 }
 
+std::unique_ptr<wire::store_capacity_t> placer::known_store() const
+{
+    const auto learnt = m_store_limiter.learnt();
+    if (!learnt) {
+        return nullptr;
+    }
+    auto told = std::make_unique<wire::store_capacity_t>();
+    told->loads = static_cast<std::uint32_t>(learnt->loads);
+    told->load_ms = static_cast<std::uint32_t>(core::to_ms(learnt->load_time));
+    told->saturated = learnt->saturated;
+    return told;
+}
+
 order& placer::create_order(engine_state& engine, const adapter_name& name, std::uint64_t version,
                             bool unload)
 {
--- a/src/apps/coordinator_fleet.cpp
+++ b/src/apps/coordinator_fleet.cpp
@@ -211,6 +211,7 @@
     wire::engine_update_t engines;
     engines.full = true;
     engines.term = m_placement_term;
+    engines.store = m_placer.known_store();
     for (auto& view : m_placer.all_views()) {
         wire::append(engines.engines, std::move(view));
     }
@@ -362,6 +363,7 @@
         m_load_update_due =
             now + std::max<core::duration>(min_load_update_interval,
                                            load_update_interval_per_gateway * m_gateways.size());
+        update.store = m_placer.known_store();
         for (auto& view : m_placer.take_load_views()) {
             wire::append(update.engines, std::move(view));
         }
@@ -398,6 +400,9 @@
     if (!without_deltas.empty()) {
         wire::engine_update_t whole;
         whole.term = changes.term;
+        if (changes.store) {
+            whole.store = std::make_unique<wire::store_capacity_t>(*changes.store);
+        }
         for (auto& view : m_placer.whole_views(changes)) {
             wire::append(whole.engines, std::move(view));
         }
@@ -490,7 +495,7 @@
     if (item == nullptr) {
         return;
     }
-    auto call = platform::make_report_call(item->info.address, crash.upstream);
+    auto call = platform::make_report_call(item->info.address, crash.upstream, {});
     call.repeatable = false; // on a new connection: idle ones may have been closed
     call.max_idle_time = {};
     call.connect_timeout = engine_connect_timeout;
--- a/src/apps/gateway_process.cpp
+++ b/src/apps/gateway_process.cpp
@@ -471,6 +471,9 @@
         return;
     }
     m_engine_term = update.term;
+    if (update.store) { // a new leader has learnt nothing at first
+        m_store = *update.store;
+    }
     for (const auto& view : update.engines) {
         m_pool.update_engine(*view);
     }
@@ -634,6 +637,9 @@
     wire::gateway_report_t report;
     report.vm = m_settings.vm;
     report.incarnation = m_incarnation;
+    if (m_store.loads > 0) {
+        report.store = std::make_unique<wire::store_capacity_t>(m_store);
+    }
     std::map<wish_key, wire::adapter_wish_t> wishes;
     for (const auto id : m_waiting) {
         const auto& item = *m_exchanges.at(id);
--- a/src/apps/gateway_process.h
+++ b/src/apps/gateway_process.h
@@ -352,6 +352,7 @@
     std::optional<core::time_point> m_evidence_due;
     core::time_point m_evidence_sent_at{};
     std::uint64_t m_engine_term = 0; ///< Highest leader term among the engine updates.
+    wire::store_capacity_t m_store;  ///< As the last leader has learnt it, for the next one.
 
     std::map<std::uint64_t, std::unique_ptr<exchange>> m_exchanges;
     std::map<std::uint64_t, std::uint64_t> m_exchange_by_call; ///< Exchange id by call id.
