Let engines admit short prompts first, as far as that costs others little

Now a gateway asks the engine to admit a kind of request before others if its prompts, and all shorter ones, make up at most a quarter of the prompt tokens (gateway/prompt_mix). Streams that go on after a break come first too.

--- a/src/apps/gateway_exchanges.cpp
+++ b/src/apps/gateway_exchanges.cpp
@@ -152,6 +152,10 @@
         return;
     }
     m_retry_budgets[item.service].record_request(item.arrived_at);
+    if (!item.adapter.first.empty()) {
+        m_prompt_mixes[item.service].record(item.route.name, item.metadata.prompt_tokens,
+                                            item.arrived_at);
+    }
     if (takes_up_stream(item)) {
         find_stream_origin(item);
         return;
@@ -273,6 +277,10 @@
     if (item.last_event_id != item.metadata.last_event_id) {
         added.last_event_id = item.last_event_id;
     }
+    if (!item.adapter.first.empty()) {
+        added.before_others =
+            item.pin.has_value() || m_prompt_mixes[item.service].comes_first(item.route.name);
+    }
     item.unprocessed_prompt_tokens = item.adapter.first.empty() ? 0 : item.metadata.prompt_tokens;
     m_limits.places().begin(choice.upstream);
     m_pool.record_sent(choice.upstream, item.adapter, now, item.unprocessed_prompt_tokens);
--- a/src/apps/gateway_process.h
+++ b/src/apps/gateway_process.h
@@ -26,6 +26,7 @@
 #include "siskindrift/gateway/helper_pool.h"
 #include "siskindrift/gateway/origin_lookup.h"
 #include "siskindrift/gateway/prompt_guard.h"
+#include "siskindrift/gateway/prompt_mix.h"
 #include "siskindrift/gateway/relay_codec.h"
 #include "siskindrift/gateway/retry_budget.h"
 #include "siskindrift/gateway/retry_share.h"
@@ -345,6 +346,7 @@
     bool m_upstreams_lost = false; ///< No upstream is reachable from here.
     bool m_path_check_scheduled = false;
     std::map<std::string, gateway::retry_budget> m_retry_budgets;
+    std::map<std::string, gateway::prompt_mix> m_prompt_mixes; ///< By service.
     gateway::retry_share m_retry_share;
     gateway::prompt_guard m_prompt_guard;
     core::time_point m_fleet_heard_at{};   ///< Last news of upstreams and documents.
