Go on with streams at upstreams that have just begun to drain

What callers saw: a stream that broke off was refused with software_version_gone when the last upstreams of its version had just begun to drain, although these serve for 2 s more.

Now such an upstream may go on with a stream for a second after the first news that it drains, if no other has its version. The news carries the time since it was first heard; where that isn't known, as after a restart of everything, the upstream isn't used.

Evidence: UpstreamPool.GoesOnWithAStreamAtADrainingUpstreamOnlyIfNoOtherHasItsVersion, Roster.LetsAnUpstreamGoOnWithStreamsOnlyJust... and Roster.DoesNotTakeTheFirstNews...; none of them can be built on the code before, which has no such rule.

--- a/include/siskindrift/fleet/roster.h
+++ b/include/siskindrift/fleet/roster.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -20,12 +21,17 @@
     /// Time without an announcement after which an upstream is removed. Longer than any
     /// announcement of an earlier run can be delayed.
     core::duration retention = core::milliseconds{60'000};
+    /// Time since an upstream began to drain for which it may still go on with streams. The
+    /// platform allows twice that until the last request arrives.
+    core::duration drain_use_time = core::milliseconds{1000};
 };
 
 /// An upstream and the time of its last announcement.
 struct roster_entry {
     wire::fleet_upstream_t info;
     core::time_point last_heard{};
+    /// When it was first heard that the upstream drains, if that is known.
+    std::optional<core::time_point> draining_since;
 };
 
 /// Effect of an announcement.
@@ -49,7 +55,7 @@
 
     /// Marks the run of upstream @p id that began at @p born_ms as draining.
     /// @return false if it is unknown, another run, or not ready.
-    bool mark_draining(const std::string& id, std::uint64_t born_ms);
+    bool mark_draining(const std::string& id, std::uint64_t born_ms, core::time_point now);
 
     /// Marks upstream @p id as gone.
     /// @return false if it is unknown or already gone.
@@ -71,6 +77,10 @@
     /// Returns whether an upstream may get new work: it is ready and not silent.
     [[nodiscard]] bool usable(const roster_entry& entry, core::time_point now) const;
 
+    /// Returns whether an upstream may go on with a stream that no other can go on with: it has
+    /// just begun to drain.
+    [[nodiscard]] bool may_go_on(const roster_entry& entry, core::time_point now) const;
+
     [[nodiscard]] const std::map<std::string, roster_entry>& entries() const { return m_entries; }
     /// Returns the entry of upstream @p id, or null.
     [[nodiscard]] const roster_entry* find(const std::string& id) const;
--- a/src/apps/gateway_guards.cpp
+++ b/src/apps/gateway_guards.cpp
@@ -265,7 +265,7 @@
     const auto& answer = item.response_metadata;
     const auto now = m_clock.now();
     const auto& upstream = item.helper.empty() ? item.upstream_id : item.relay_upstream;
-    if (answer.leaving && m_roster.mark_draining(upstream, item.upstream_born_ms)) {
+    if (answer.leaving && m_roster.mark_draining(upstream, item.upstream_born_ms, m_clock.now())) {
         observe::info("upstream_leaving",
                       {{"request", item.metadata.request_id}, {"upstream", upstream}});
     }
--- a/src/fleet/roster.cpp
+++ b/src/fleet/roster.cpp
@@ -1,6 +1,7 @@
 #include "siskindrift/fleet/roster.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace siskindrift::fleet {
@@ -22,6 +23,18 @@
            left.slots == right.slots && left.software_version == right.software_version;
 }
 
+constexpr auto unknown_drain_time = std::numeric_limits<std::uint32_t>::max();
+
+std::optional<core::time_point> draining_since(const wire::fleet_upstream_t& upstream,
+                                               core::time_point now)
+{
+    if (upstream.state != wire::fleet_state::draining ||
+        upstream.draining_ms == unknown_drain_time) {
+        return std::nullopt;
+    }
+    return now - core::milliseconds{upstream.draining_ms};
+}
+
 } // namespace
 
 roster_change roster::update(wire::fleet_upstream_t announcement, core::time_point now,
@@ -30,9 +43,11 @@
     const auto id = announcement.id;
     const auto found = m_entries.find(id);
     announcement.age_ms = 0;
+    const auto told_since = draining_since(announcement, now);
+    announcement.draining_ms = unknown_drain_time;
     if (found == m_entries.end()) {
         retire_address(announcement);
-        m_entries[id] = {std::move(announcement), now - age};
+        m_entries[id] = {std::move(announcement), now - age, told_since};
         m_changed.insert(id);
         return roster_change::changed;
     }
@@ -52,6 +67,19 @@
             announcement.state = wire::fleet_state::draining;
         }
     }
+    const bool begins_to_drain = entry.info.state == wire::fleet_state::ready &&
+                                 entry.info.born_ms == announcement.born_ms &&
+                                 announcement.state == wire::fleet_state::draining;
+    if (entry.info.born_ms != announcement.born_ms) {
+        entry.draining_since.reset();
+    }
+    // What others have heard earlier counts: the earliest acknowledgement does.
+    const auto heard_since = begins_to_drain ? std::optional{now - age} : std::nullopt;
+    for (const auto& since : {told_since, heard_since}) {
+        if (since) {
+            entry.draining_since = std::min(entry.draining_since.value_or(*since), *since);
+        }
+    }
     const bool changed = !same_attributes(entry.info, announcement);
     const bool other_copies = !same_copies(entry.info, announcement);
     if (entry.info.address != announcement.address) {
@@ -83,7 +111,7 @@
     }
 }
 
-bool roster::mark_draining(const std::string& id, std::uint64_t born_ms)
+bool roster::mark_draining(const std::string& id, std::uint64_t born_ms, core::time_point now)
 {
     const auto found = m_entries.find(id);
     if (found == m_entries.end() || found->second.info.born_ms != born_ms ||
@@ -91,6 +119,7 @@
         return false;
     }
     found->second.info.state = wire::fleet_state::draining;
+    found->second.draining_since = now;
     m_changed.insert(id);
     return true;
 }
@@ -119,6 +148,10 @@
     auto info = entry.info;
     const auto age = std::max(core::to_ms(now - entry.last_heard), std::int64_t{0});
     info.age_ms = static_cast<std::uint32_t>(age);
+    if (entry.draining_since) {
+        const auto drained = std::max(core::to_ms(now - *entry.draining_since), std::int64_t{0});
+        info.draining_ms = static_cast<std::uint32_t>(drained);
+    }
     return info;
 }
 
@@ -161,6 +194,13 @@
            now - entry.last_heard <= m_options.silence_timeout;
 }
 
+bool roster::may_go_on(const roster_entry& entry, core::time_point now) const
+{
+    return entry.info.state == wire::fleet_state::draining && entry.draining_since &&
+           now - *entry.draining_since <= m_options.drain_use_time &&
+           now - entry.last_heard <= m_options.silence_timeout;
+}
+
 const roster_entry* roster::find(const std::string& id) const
 {
     const auto found = m_entries.find(id);
--- a/src/fleet/roster_test.cpp
+++ b/src/fleet/roster_test.cpp
@@ -51,6 +51,35 @@
     CHECK_FALSE(usable("a"));
 }
 
+TEST(Roster, LetsAnUpstreamGoOnWithStreamsOnlyJustAfterItBeganToDrain)
+{
+    const auto may_go_on = [&] { return upstreams.may_go_on(*upstreams.find("a"), clock.now()); };
+    update(announcement("a", 1));
+    CHECK_FALSE(may_go_on());
+    update(announcement("a", 2, 100, wire::fleet_state::draining), core::milliseconds{400});
+    CHECK_TRUE(may_go_on());
+    clock.advance(core::milliseconds{500});
+    update(announcement("a", 3, 100, wire::fleet_state::draining));
+    CHECK_TRUE(may_go_on());
+    const auto told = upstreams.snapshot(clock.now());
+    LONGS_EQUAL(900, told.front().draining_ms);
+    clock.advance(core::milliseconds{200});
+    CHECK_FALSE(may_go_on());
+    update(announcement("a", 1, 200));
+    update(announcement("a", 2, 200, wire::fleet_state::draining));
+    CHECK_TRUE(may_go_on());
+}
+
+TEST(Roster, DoesNotTakeTheFirstNewsOfADrainingUpstreamForItsBeginning)
+{
+    update(announcement("a", 5, 100, wire::fleet_state::draining));
+    CHECK_FALSE(upstreams.may_go_on(*upstreams.find("a"), clock.now()));
+    auto told = announcement("b", 5, 100, wire::fleet_state::draining);
+    told.draining_ms = 300;
+    update(told);
+    CHECK_TRUE(upstreams.may_go_on(*upstreams.find("b"), clock.now()));
+}
+
 TEST(Roster, KeepsADrainingUpstreamUnusable)
 {
     update(announcement("a", 5, 100, wire::fleet_state::draining));
@@ -119,10 +148,10 @@
 TEST(Roster, SendsNothingToARunThatSaysInAnAnswerThatItLeaves)
 {
     update(announcement("a", 1));
-    CHECK_FALSE(upstreams.mark_draining("a", 99));
+    CHECK_FALSE(upstreams.mark_draining("a", 99, clock.now()));
     CHECK_TRUE(usable("a"));
-    CHECK_TRUE(upstreams.mark_draining("a", 100));
-    CHECK_FALSE(upstreams.mark_draining("a", 100));
+    CHECK_TRUE(upstreams.mark_draining("a", 100, clock.now()));
+    CHECK_FALSE(upstreams.mark_draining("a", 100, clock.now()));
     update(announcement("a", 2)); // late: it still says that it is ready
     CHECK_FALSE(usable("a"));
     update(announcement("a", 1, 200));
--- a/src/gateway/upstream_pool.cpp
+++ b/src/gateway/upstream_pool.cpp
@@ -318,13 +318,14 @@
     const auto current_version = current == m_current_versions.end() ? 0 : current->second.first;
     bool current_exists = false;
     for (const auto& [id, entry] : m_roster.entries()) {
-        if (entry.info.service != service || !m_roster.usable(entry, now)) {
+        if (entry.info.service != service || (pin && !pin->allows(entry.info))) {
             continue;
         }
-        if (pin && !pin->allows(entry.info)) {
+        const bool usable = m_roster.usable(entry, now);
+        if (!usable && !(pin && m_roster.may_go_on(entry, now))) {
             continue;
         }
-        any_usable = true;
+        any_usable = any_usable || usable;
         lacks = std::max(lacks, shortage::copy);
         auto& stats = m_stats[id];
         const bool paused = now < stats.paused_until && stats.born_ms == entry.info.born_ms;
@@ -371,7 +372,7 @@
             continue;
         }
         candidates.push_back({&entry, version, load(entry, stats, !wanted.first.empty()),
-                              unreachable || is_ejected(stats, now),
+                              unreachable || !usable || is_ejected(stats, now),
                               admission.result == send_admission::kind::needs_permit, refuses});
     }
     std::erase_if(candidates, [&](const candidate& one) {
--- a/src/gateway/upstream_pool_test.cpp
+++ b/src/gateway/upstream_pool_test.cpp
@@ -79,6 +79,24 @@
     }
 };
 
+TEST(UpstreamPool, GoesOnWithAStreamAtADrainingUpstreamOnlyIfNoOtherHasItsVersion)
+{
+    const software_pin pin{"v1", {}, 0};
+    announce("a");
+    announce("b");
+    CHECK_TRUE(roster.mark_draining("a", 100, clock.now()));
+    for (int i = 0; i < 5; ++i) {
+        STRCMP_EQUAL("b", pool.choose("llm", none, {}, clock.now(), {}, pin).upstream.c_str());
+    }
+    CHECK_TRUE(roster.mark_draining("b", 100, clock.now()));
+    CHECK_TRUE(pool_choice::kind::send ==
+               pool.choose("llm", none, {}, clock.now(), {}, pin).result);
+    CHECK_TRUE(pool_choice::kind::none == pool.choose("llm", none, {}, clock.now()).result);
+    clock.advance(core::milliseconds{1100});
+    CHECK_TRUE(pool_choice::kind::none ==
+               pool.choose("llm", none, {}, clock.now(), {}, pin).result);
+}
+
 TEST(UpstreamPool, ChoosesTheLeastLoaded)
 {
     announce("a");
