Test streams that are taken up after all gateways were killed at once

Reported: streams joined from two versions after a kill of all gateways; and half of the tries to take a stream up refused.

--- a/tests/software_version_test.py
+++ b/tests/software_version_test.py
@@ -31,6 +31,8 @@
     attempts: int = 0
     resumed: int = 0      # attempts that named the stream to resume
     went_on: int = 0      # of these, those that brought an event
+    take_ups: int = 0     # times that the caller had to take it up
+    taken_up: int = 0     # of these, those in which one of its attempts brought an event
     complete: bool = False
     statuses: list = dataclasses.field(default_factory=list)
 
@@ -109,6 +111,7 @@
         adapter = f"a{self.random.randrange(ADAPTERS) + 1}"
         base_model = self.random.random() < 0.5
         first = ""
+        broken = False
         breaks = list(breaks)
         while not stream.complete and time.monotonic() < end and stream.attempts < 12:
             request_id = self.new_id()
@@ -121,11 +124,15 @@
                 headers["Last-Event-Id"] = str(had)
                 headers["Resumes"] = self.new_id() if unknown_origin else first
                 stream.resumed += 1
+                stream.take_ups += 0 if broken else 1
+                broken = True
             stream.attempts += 1
             await self.attempt(stream, gateway, headers, breaks.pop(0) if breaks else 0)
             if len(stream.versions) > had:
                 first = first or request_id
                 stream.went_on += 1 if had else 0
+                stream.taken_up += 1 if had else 0
+                broken = False
             elif had and stream.statuses[-1] in (502, 504):
                 break
             else:
@@ -163,6 +170,26 @@
                                 f"{went_on} of {resumed} went on, "
                                 f"{begun} of {len(self.streams)} began")
 
+    def check_share_taken_up(self):
+        begun = sum(1 for s in self.streams if s.versions)
+        take_ups = sum(s.take_ups for s in self.streams)
+        taken_up = sum(s.taken_up for s in self.streams)
+        self.assertGreaterEqual(take_ups, MIN_RESUMED)
+        statuses = collections.Counter(status for s in self.streams if s.taken_up < s.take_ups
+                                       for status in s.statuses)
+        self.assertGreaterEqual(taken_up / take_ups,
+                                MIN_RESUMED_SHARE * begun / len(self.streams),
+                                f"{taken_up} of {take_ups} went on, {begun} of "
+                                f"{len(self.streams)} began; {statuses}")
+
+    async def kill_at_once(self, names):
+        for name in names:
+            self.platform.signal(name, signal.SIGKILL)
+        for name in names:
+            await self.platform.wait_for_exit(name, 5)
+        for name in names:
+            self.platform.start(name)
+
     async def install_and_settle(self, versions):
         self.install(versions)
         await asyncio.sleep(SETTLE_S)
@@ -204,6 +231,39 @@
         self.check_one_version()
         self.check_share_resumed()
 
+    async def test_streams_go_on_after_all_gateways_were_killed_at_once(self):
+        async def kill_all():
+            for _ in range(3):
+                await asyncio.sleep(2.5)
+                await self.kill_at_once(self.platform.gateways)
+            await asyncio.sleep(2.0)
+        await self.install_and_settle(["v1"] * 3 + ["v2"] * 3)
+        await self.run_callers(0, kill_all)
+        self.check_one_version()
+        self.check_share_taken_up()
+
+    async def test_streams_go_on_after_all_gateways_and_coordinators_were_killed_at_once(self):
+        async def kill_all():
+            for _ in range(2):
+                await asyncio.sleep(3.0)
+                await self.kill_at_once(self.platform.gateways + self.platform.coordinators)
+            await asyncio.sleep(4.0)
+        await self.install_and_settle(["v1"] * 3 + ["v2"] * 3)
+        await self.run_callers(0, kill_all)
+        self.check_one_version()
+
+    async def test_streams_hold_one_version_when_gateways_are_killed_as_a_version_leaves(self):
+        async def change_and_kill():
+            for versions in (["v2"] * 2 + ["v1"] * 4, ["v2"] * 4 + ["v1"] * 2, ["v2"] * 6):
+                await asyncio.sleep(1.5)
+                self.install(versions)
+                await asyncio.sleep(0.5)
+                await self.kill_at_once(self.platform.gateways)
+            await asyncio.sleep(2.0)
+        await self.install_and_settle(["v1"] * 6)
+        await self.run_callers(0, change_and_kill)
+        self.check_one_version()
+
     async def test_streams_go_on_at_their_software_version_without_coordinators(self):
         async def stop_coordinators():
             await asyncio.sleep(2.0)
