--- a/include/siskindrift/http/client.h
+++ b/include/siskindrift/http/client.h
@@ -71,6 +71,8 @@
     /// and are skipped; empty disables the check.
     std::string match_header;
     std::string match_value;
+    /// Also take responses without that header: not every server repeats it.
+    bool match_if_present = false;
     /// Limit for establishing the connection.
     core::duration connect_timeout = core::milliseconds{1000};
     /// Limit for sending the request and receiving the head of the response.
--- a/src/apps/coordinator_fleet.cpp
+++ b/src/apps/coordinator_fleet.cpp
@@ -763,6 +763,11 @@
     }
 }
 
+std::string coordinator_process::next_call_id()
+{
+    return m_settings.vm + "-report-" + std::to_string(m_next_report++);
+}
+
 void coordinator_process::request_reports()
 {
     const auto now = m_clock.now();
@@ -771,7 +776,7 @@
         if (item == nullptr) {
             continue;
         }
-        auto call = platform::make_report_call(item->info.address, id);
+        auto call = platform::make_report_call(item->info.address, id, next_call_id());
         call.connect_timeout = engine_connect_timeout;
         call.head_timeout = engine_response_timeout;
         call.progress_timeout = engine_response_timeout;
--- a/src/apps/coordinator_process.h
+++ b/src/apps/coordinator_process.h
@@ -126,6 +126,7 @@
     void update_gauges(observe::metrics& metrics) const;
     [[nodiscard]] std::vector<net::connection_id> gateway_connections() const;
     void place_adapters();
+    [[nodiscard]] std::string next_call_id();
     void request_reports();
     void log_placement();
     void log_sent_bytes();
@@ -159,6 +160,7 @@
     /// Responders of proposed commands, keyed by client id.
     std::map<std::uint64_t, std::shared_ptr<http::responder>> m_pending_responders;
     std::uint64_t m_next_client = 1;
+    std::uint64_t m_next_report = 1;
     bool m_cycle_scheduled = false; ///< A cycle is posted to `m_context`.
     bool m_stopping = false;
     int m_exit_status = 0;
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -351,8 +351,7 @@
         for (const auto& field : m_parser->get()) {
             head.headers.emplace_back(field.name_string(), field.value());
         }
-        m_mismatched =
-            !m_call.match_header.empty() && head.header(m_call.match_header) != m_call.match_value;
+        m_mismatched = !m_call.match_header.empty() && !matches(head);
         if (!m_cancelled && !m_mismatched) {
             m_owner->handler().on_head(m_call.id, head);
         }
@@ -360,6 +359,12 @@
         read_body();
     }
 
+    [[nodiscard]] bool matches(const client_head& head) const
+    {
+        const auto value = head.header(m_call.match_header);
+        return value == m_call.match_value || (value.empty() && m_call.match_if_present);
+    }
+
     void read_body()
     {
         if (m_parser->is_done()) {
--- a/src/http/client_test.cpp
+++ b/src/http/client_test.cpp
@@ -235,6 +235,51 @@
     expect_end(call_result::timed_out, body_framing::until_close);
 }
 
+TEST(Client, SkipsALateCopyOfAnEarlierAnswerOnlyIfItNamesAnotherCall)
+{
+    asio::io_context server_context;
+    tcp::acceptor acceptor{server_context, *net::parse_address(address)};
+    std::thread server{[&] {
+        boost::system::error_code ignored;
+        auto connection = acceptor.accept();
+        const std::string earlier = "HTTP/1.1 409 Conflict\r\nId: 1\r\nContent-Length: 0\r\n\r\n";
+        const std::vector<std::string> answers{
+            earlier, earlier + "HTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: 0\r\n\r\n",
+            "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n"};
+        for (const auto& answer : answers) {
+            asio::streambuf head;
+            asio::read_until(connection, head, "\r\n\r\n", ignored);
+            if (ignored) { // the client doesn't reuse a connection with extra answers
+                ignored.clear();
+                connection = acceptor.accept();
+                asio::read_until(connection, head, "\r\n\r\n", ignored);
+            }
+            asio::write(connection, asio::buffer(answer), ignored);
+        }
+        std::this_thread::sleep_for(read_delay);
+    }};
+    for (const auto* name : {"1", "2", "3"}) {
+        client_call request;
+        request.id = static_cast<std::uint64_t>(*name - '0');
+        request.address = address;
+        request.path = "/";
+        request.repeatable = true;
+        request.match_header = "Id";
+        request.match_value = name;
+        request.match_if_present = true;
+        handler.end.reset();
+        tested.start(std::move(request));
+        context.restart();
+        while (!handler.end && context.run_one_for(std::chrono::seconds{5}) > 0) {
+        }
+    }
+    server.join();
+    LONGS_EQUAL(3, handler.statuses.size());
+    LONGS_EQUAL(409, handler.statuses[0]);
+    LONGS_EQUAL(200, handler.statuses[1]);
+    LONGS_EQUAL(202, handler.statuses[2]);
+}
+
 TEST(Client, DoesNotTakeALateCopyOfAnAnswerForTheAnswerToTheSameRequest)
 {
     asio::io_context server_context;
