Let tests of real processes run two builds side by side

With SISKINDRIFT_FORMER_BIN half of the processes run the programs in that folder, and each process changes its build at every start, so that signals and restarts of a test replace machine after machine, and back again.

--- a/tests/platform_fixture.py
+++ b/tests/platform_fixture.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import collections
 import ctypes
 import dataclasses
 import hashlib
@@ -28,6 +29,8 @@
 from loopback import free_port_block  # noqa: E402, needs the sys.path entry above
 
 BIN = pathlib.Path(os.environ.get("SISKINDRIFT_BIN", ROOT / "build" / "bin"))
+# The programs of another build, to run beside the others.
+FORMER_BIN = os.environ.get("SISKINDRIFT_FORMER_BIN")
 
 HOST = "calls.example"
 MODEL = "base"
@@ -571,6 +574,7 @@
         self.gateway_settings = gateway_settings or {}  # replace those of settings_for
         self.processes = {}
         self.started = set()
+        self.starts = collections.Counter()  # by process name
         self.file_limits = {}  # RLIMIT_FSIZE in bytes, by process name; also applied at a restart
         self.tasks = []
         self.executions = {}
@@ -630,6 +634,13 @@
                 "source_address": self.source_address(i),
                 "announcement_ms": int(ANNOUNCE_S * 1000), **self.gateway_settings}
 
+    def program_folder(self, name):
+        """With two builds half of the processes run each, and a process changes its build at each
+        start."""
+        self.starts[name] += 1
+        number = int(name.rpartition("-")[2]) + self.starts[name]
+        return pathlib.Path(FORMER_BIN) if FORMER_BIN and number % 2 else BIN
+
     def start(self, name):
         folder = self.folder / name
         folder.mkdir(parents=True, exist_ok=True)
@@ -638,7 +649,7 @@
         self.started.add(name)
         program = "siskindrift-" + name.rpartition("-")[0]
         process = subprocess.Popen(
-            [str(BIN / program), "--settings", str(settings)], stdin=subprocess.DEVNULL,
+            [str(self.program_folder(name) / program), "--settings", str(settings)], stdin=subprocess.DEVNULL,
             stdout=subprocess.PIPE, stderr=subprocess.STDOUT,
             preexec_fn=lambda: limit_file_size(self.file_limits.get(name)))
         self.processes[name] = process
