Run the fixture of process tests without the debug mode of its event loop

Cause: unittest runs the event loop in debug mode, which records a traceback for each callback. The check and its bound stay.

--- a/tests/platform_fixture.py
+++ b/tests/platform_fixture.py
@@ -694,6 +694,9 @@
         return None
 
     async def start_all(self):
+        # unittest turns it on; it makes each callback so slow that upstreams answer tens of
+        # milliseconds late.
+        asyncio.get_running_loop().set_debug(False)
         if self.folder.exists():
             shutil.rmtree(self.folder)
         for name in self.coordinators + self.gateways:
