Let upstreams announce themselves after the callers of partition_test have stopped

In those that were looked at the request of the test ended with load_failed and lacks upstream.

Cause: the flag that stops the callers also stopped the announcements of the upstreams. If the last caller took more than a second to end, no upstream was usable any more. Which of the two came first depended on the speed of the fixture, whose event loop runs without its debug mode now. The callers have a flag of their own; the checks stay.

--- a/tests/partition_test.py
+++ b/tests/partition_test.py
@@ -66,7 +66,7 @@
         kept = Connection(self.platform.caller_address(gateway))
         kept_call = None
         pending = []
-        while not self.platform.finished:
+        while self.calling:
             path = self.random.choice(PATHS)
             if self.random.random() < 0.5 and (kept_call is None or kept_call.done()):
                 kept_call = asyncio.create_task(self.send(gateway, path, kept))
@@ -78,10 +78,12 @@
         await asyncio.gather(*pending)
 
     def start_callers(self):
+        self.calling = True
         self.callers = [asyncio.create_task(self.call(i)) for i in range(GATEWAYS)]
 
     async def stop_callers(self):
-        self.platform.finished = True
+        # Upstreams go on to announce themselves.
+        self.calling = False
         await asyncio.gather(*self.callers)
 
     def block(self, gateways, old, upstreams=None):
