--- a/tests/entry_answer_end_test.py
+++ b/tests/entry_answer_end_test.py
@@ -240,9 +240,10 @@
     async def stream_model(self, key, prompt):
         """Returns the text, the verdict, whether the stream was framed as complete and whether it
         held its end marker."""
-        _, _, body, whole = await self.call("/v1/completions", {
+        _, status, body, whole = await self.call("/v1/completions", {
             "model": "adapter-00000@1", "prompt": prompt, "max_tokens": 8, "stream": True}, key)
         events = [json.loads(data) for data in re.findall(r"^data: (\{.*)$", body.decode(), re.M)]
+        self.assertTrue(events, f"no event in the answer: {status} {body!r}")
         text = "".join(event["choices"][0]["text"] for event in events if "choices" in event)
         return text, events[-1].get("verdict"), whole, b"data: [DONE]" in body
 
