Log why adapters wait to be placed

The line adapters_wanted said how many adapters wait, but not why: it adds the engines that have not answered their last order, whose state is unknown, or that wait to unload an adapter, the longest wait, whether the leader is fenced, and the time after which loads are looked at beside the one that unslowed loads take. It is written while loads are in progress as well.

--- a/include/siskindrift/adapters/placer.h
+++ b/include/siskindrift/adapters/placer.h
@@ -138,6 +138,13 @@
     std::size_t in_use = 0;        ///< Adapter slots whose adapter has running requests.
     std::size_t loading = 0;       ///< Adapter slots whose adapter is being loaded.
     std::size_t just_used = 0;     ///< Adapter slots whose adapter is idle but not evictable yet.
+    std::size_t unanswered = 0;    ///< Engines that have not answered their last order yet.
+    std::size_t unknown = 0;       ///< Usable engines whose state is not known: no orders for them.
+    std::size_t unloading = 0;     ///< Engines that refuse orders until an adapter is unloaded.
+    bool fenced = false;           ///< An engine has seen orders of a later leader.
+    core::duration longest_wait{}; ///< Of the `wanted` adapters.
+    core::duration load_time{};    ///< Time after which a load from the store is looked at.
+    core::duration unslowed_load_time{}; ///< As learnt by the limit; 0: unknown.
 };
 
 /// Assigns adapters to engines. Performs no I/O: reports and order results are passed in, orders
--- a/src/adapters/placer_plan.cpp
+++ b/src/adapters/placer_plan.cpp
@@ -272,13 +272,27 @@
     const auto copies = index_copies(now);
     std::unordered_set<adapter_key> wished;
     for (const auto& wanted : collect_demands(now)) {
-        sum.wanted += is_missing(copies, wanted) ? 1 : 0;
+        if (is_missing(copies, wanted)) {
+            ++sum.wanted;
+            sum.longest_wait = std::max(sum.longest_wait, now - wanted.since);
+        }
         wished.insert(wanted.key);
     }
+    sum.fenced = m_fenced;
+    sum.load_time = m_store_load_time;
+    if (const auto learnt = m_store_limiter.learnt()) {
+        sum.unslowed_load_time = learnt->load_time;
+    }
     sum.store_loads = store_loads();
     sum.store_limit = m_store_limiter.limit();
     for (const auto& [id, engine] : m_engines) {
-        if (!is_usable(engine) || !engine.state_known || capacity_of(engine) == nullptr) {
+        if (!is_usable(engine) || capacity_of(engine) == nullptr) {
+            continue;
+        }
+        sum.unanswered += engine.pending_order ? 1 : 0;
+        sum.unknown += engine.state_known ? 0 : 1;
+        sum.unloading += engine.awaits_unload ? 1 : 0;
+        if (!engine.state_known) {
             continue;
         }
         ++sum.engines;
--- a/src/apps/coordinator_fleet.cpp
+++ b/src/apps/coordinator_fleet.cpp
@@ -717,7 +717,7 @@
     }
     m_summary_due = now + summary_interval;
     const auto summary = m_placer.summary(now);
-    if (summary.wanted == 0) {
+    if (summary.wanted == 0 && summary.loading == 0) {
         return;
     }
     observe::info("adapters_wanted", {{"wanted", summary.wanted},
@@ -727,7 +727,14 @@
                                       {"places", summary.adapter_slots},
                                       {"in_use", summary.in_use},
                                       {"loading", summary.loading},
-                                      {"just_used", summary.just_used}});
+                                      {"just_used", summary.just_used},
+                                      {"unanswered", summary.unanswered},
+                                      {"unknown", summary.unknown},
+                                      {"unloading", summary.unloading},
+                                      {"fenced", summary.fenced},
+                                      {"longest_wait_ms", core::to_ms(summary.longest_wait)},
+                                      {"load_ms", core::to_ms(summary.load_time)},
+                                      {"unslowed_ms", core::to_ms(summary.unslowed_load_time)}});
 }
 
 void coordinator_process::on_queued(std::string_view kind, std::size_t bytes)
