Add failing tests of adapters that are not placed: unanswered orders, stragglers, rare adapters

The model of the placement now has orders that get no answer and are carried out 2 to 12 s later with their order count checked, polls of engines, and a record of each adapter.

--- a/src/adapters/placer_test.cpp
+++ b/src/adapters/placer_test.cpp
@@ -754,3 +754,41 @@
     wish("z");
     STRCMP_EQUAL("z", plan().at(0).adapter.c_str());
 }
+
+IGNORE_TEST(Placer, LooksAtLoadsInTimeAfterOneThatTookLong)
+{
+    engine("a");
+    // Returns how long a load that takes @p load_time seems to take.
+    const auto load = [&](const std::string& name, core::duration load_time) {
+        wish(name);
+        finish(plan().at(0), order_result::accepted);
+        const auto accepted_at = clock.now();
+        for (;;) {
+            clock.advance(core::milliseconds{10});
+            for (const auto& poll : plan()) {
+                const auto elapsed = clock.now() - accepted_at;
+                finish(poll,
+                       elapsed >= load_time ? order_result::holds : order_result::accepted);
+                if (elapsed >= load_time) {
+                    return elapsed;
+                }
+            }
+        }
+    };
+    CHECK_TRUE(load("x", core::milliseconds{3000}) >= core::milliseconds{3000});
+    const auto next = load("y", core::milliseconds{300});
+    CHECK_TRUE_TEXT(next <= core::milliseconds{400}, std::to_string(core::to_ms(next)).c_str());
+}
+
+IGNORE_TEST(Placer, GivesAnEngineOtherOrdersWhileOneIsNotAnswered)
+{
+    engine("a", {"p"});
+    wish("x");
+    const auto unanswered = plan().at(0);
+    clock.advance(core::milliseconds{300});
+    wish("x");
+    const auto again = plan();
+    LONGS_EQUAL(1, static_cast<long>(again.size()));
+    LONGS_EQUAL(static_cast<long>(unanswered.orders_accepted),
+                static_cast<long>(again.at(0).orders_accepted));
+}
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -1,6 +1,7 @@
 #include "placement_world.h"
 
 #include <CppUTest/TestHarness.h>
+#include <algorithm>
 #include <cstdio>
 
 using namespace siskindrift;
@@ -84,3 +85,63 @@
         CHECK_TRUE_TEXT(share >= 0.8 * servable, what.c_str());
     }
 }
+
+IGNORE_TEST(Placement, LoadsAdaptersAlthoughHalfOfTheOrdersAreAnsweredLateOrNever)
+{
+    scenario.engines = 40;
+    scenario.adapter_slots = 6;
+    scenario.full_speed_loads = 16;
+    scenario.adapters = 3000;
+    scenario.zipf_exponent = 1.3;
+    scenario.requests_per_s = 130;
+    for (const std::uint64_t seed : {1, 2, 3}) {
+        scenario.seed = seed;
+        scenario.unanswered_orders = 0;
+        placement_world calm{scenario};
+        calm.play(core::milliseconds{3000});
+        const auto all_answered = calm.play(core::milliseconds{10'000});
+        scenario.unanswered_orders = 0.5;
+        placement_world world{scenario};
+        world.play(core::milliseconds{3000});
+        const auto outcome = world.play(core::milliseconds{10'000});
+        const auto what = "all answered: " + text(all_answered) + "; half: " + text(outcome);
+        std::printf("%s\n", what.c_str());
+        CHECK_TRUE_TEXT(outcome.share_within(500) >= 0.9 * all_answered.share_within(500),
+                        what.c_str());
+        LONGS_EQUAL(0, static_cast<long>(outcome.overfilled));
+    }
+}
+
+IGNORE_TEST(Placement, ServesEachAdapterThatIsAskedForAgainAndAgainWithinABoundedTime)
+{
+    scenario.engines = 40;
+    scenario.adapter_slots = 6;
+    scenario.full_speed_loads = 3;
+    scenario.store_load_time = core::milliseconds{288};
+    scenario.adapters = 3000;
+    scenario.zipf_exponent = 1.0;
+    scenario.requests_per_s = 120;
+    scenario.patience = core::milliseconds{2500};
+    adapters::placer_options options;
+    options.store_loads.max_limit = scenario.full_speed_loads;
+    const double loads_per_s =
+        scenario.full_speed_loads / std::chrono::duration<double>(scenario.store_load_time).count();
+    for (const std::uint64_t seed : {1, 2, 3}) {
+        scenario.seed = seed;
+        placement_world world{scenario, options};
+        const auto outcome = world.play(core::milliseconds{40'000});
+        const auto often = outcome.often_asked(4, core::milliseconds{8000});
+        const auto unserved = std::count_if(often.begin(), often.end(),
+                                            [](const auto& one) { return !one.served; });
+        core::duration longest{};
+        for (const auto& one : often) {
+            longest = std::max(longest, one.longest_unserved);
+        }
+        const auto what = std::to_string(unserved) + " of " + std::to_string(often.size()) +
+                          " adapters never served, longest wait " +
+                          std::to_string(core::to_ms(longest)) + " ms, " +
+                          std::to_string(loads_per_s) + " loads/s, " + text(outcome);
+        std::printf("%s\n", what.c_str());
+        CHECK_TRUE_TEXT(unserved == 0, what.c_str());
+    }
+}
--- a/tests/placement_world.cpp
+++ b/tests/placement_world.cpp
@@ -14,6 +14,9 @@
 constexpr core::milliseconds report_interval{40};
 constexpr double cached_load_speedup = 10;
 constexpr core::milliseconds first_token_time{100}; // once the adapter is loaded
+constexpr core::milliseconds call_timeout{1000};
+constexpr core::milliseconds min_order_delay{2000};
+constexpr std::uint64_t order_delay_range_ms = 10'000;
 
 } // namespace
 
@@ -25,34 +28,34 @@
     return all == 0 ? 1 : static_cast<double>(timely) / static_cast<double>(all);
 }
 
+std::vector<adapter_record> placement_outcome::often_asked(std::size_t times,
+                                                           core::duration span) const
+{
+    std::vector<adapter_record> found;
+    for (const auto& [name, record] : adapters) {
+        if (record.asked >= times && record.last_asked - record.first_asked >= span) {
+            found.push_back(record);
+        }
+    }
+    return found;
+}
+
 placement_world::placement_world(placement_scenario scenario, adapters::placer_options options)
-    : m_scenario(scenario), m_random(scenario.seed), m_placer(options)
+    : m_scenario(scenario), m_options(options), m_random(scenario.seed), m_placer(options)
 {
-    gateway::deployment document;
     gateway::service service;
     service.name = "llm";
     service.engine.emplace();
     service.engine->slots = 64;
     service.engine->adapter_slots = scenario.adapter_slots;
     service.engine->models.push_back({base_model, 100, scenario.adapters, 1});
-    document.services[service.name] = service;
-    m_placer.set_deployment(document);
-    m_placer.begin_leadership(m_clock.now());
-    m_clock.advance(core::milliseconds{1000});
+    m_document.services[service.name] = service;
     for (std::size_t i = 0; i < scenario.engines; ++i) {
         m_engines.push_back({"e" + std::to_string(i), 0, {}, {}, {}, {}, {}});
-        wire::fleet_upstream_t announcement;
-        announcement.id = m_engines.back().id;
-        announcement.service = service.name;
-        announcement.address = announcement.id + ":1";
-        announcement.born_ms = 100;
-        m_placer.on_announcement(announcement, true);
-        adapters::engine_report report;
-        wire::adapter_copy_t copy;
-        copy.model = base_model;
-        report.copies.push_back(copy);
-        m_placer.on_report(announcement.id, report, m_clock.now());
     }
+    announce_engines();
+    m_clock.advance(core::milliseconds{1000});
+    answer_polls();
     double sum = 0;
     for (std::uint32_t rank = 1; rank <= scenario.adapters; ++rank) {
         sum += std::pow(rank, -scenario.zipf_exponent);
@@ -60,6 +63,53 @@
     }
 }
 
+void placement_world::announce_engines()
+{
+    m_placer.set_deployment(m_document);
+    m_placer.begin_leadership(m_clock.now());
+    for (const auto& engine : m_engines) {
+        wire::fleet_upstream_t announcement;
+        announcement.id = engine.id;
+        announcement.service = m_document.services.begin()->first;
+        announcement.address = announcement.id + ":1";
+        announcement.born_ms = 100;
+        m_placer.on_announcement(announcement, true);
+    }
+}
+
+void placement_world::change_leader()
+{
+    m_placer = adapters::placer{m_options};
+    m_orders.clear();
+    m_timeouts.clear();
+    announce_engines();
+}
+
+void placement_world::answer_polls()
+{
+    for (const auto& id : m_placer.take_engines_to_poll(m_clock.now())) {
+        const auto engine = std::find_if(m_engines.begin(), m_engines.end(),
+                                         [&](const auto& one) { return one.id == id; });
+        const auto make_copy = [](const std::string& adapter) {
+            wire::adapter_copy_t copy;
+            copy.model = base_model;
+            copy.adapter = adapter;
+            return copy;
+        };
+        adapters::engine_report report;
+        report.born_ms = 100;
+        report.orders_accepted = engine->orders_accepted;
+        report.copies.push_back(make_copy(""));
+        for (const auto& name : engine->loaded) {
+            report.copies.push_back(make_copy(name));
+        }
+        for (const auto& [name, left] : engine->loading_ms_left) {
+            report.loading.push_back(make_copy(name));
+        }
+        m_placer.on_report(id, report, m_clock.now());
+    }
+}
+
 void placement_world::set_store(double full_speed_loads, core::duration load_time)
 {
     m_scenario.full_speed_loads = full_speed_loads;
@@ -75,6 +125,12 @@
     while (m_clock.now() < end) {
         step();
     }
+    for (auto& [name, record] : m_outcome.adapters) {
+        if (record.unserved_since) {
+            record.longest_unserved =
+                std::max(record.longest_unserved, record.last_asked - *record.unserved_since);
+        }
+    }
     return m_outcome;
 }
 
@@ -87,6 +143,10 @@
     for (; m_arrivals_due >= 1; --m_arrivals_due) {
         m_waiting.push_back({draw_adapter(), now, draw_kind()});
         ++m_outcome.asked[m_waiting.back().kind];
+        auto& record = m_outcome.adapters[m_waiting.back().adapter];
+        record.first_asked = record.asked++ == 0 ? now : record.first_asked;
+        record.last_asked = now;
+        record.unserved_since = record.unserved_since.value_or(now);
     }
     advance_loads();
     std::erase_if(m_runs, [&](const run& one) {
@@ -97,6 +157,8 @@
         return true;
     });
     deliver_orders();
+    deliver_late_orders();
+    answer_polls();
     start_requests();
     if (now >= m_report_due) {
         m_report_due = now + report_interval;
@@ -168,6 +230,15 @@
 adapters::order_result placement_world::execute(engine_model& engine, const adapters::order& given)
 {
     const auto& name = given.adapter;
+    if (!given.unload && engine.loaded.contains(name)) {
+        return adapters::order_result::holds;
+    }
+    if (!given.unload && engine.loading_ms_left.contains(name)) {
+        return adapters::order_result::accepted;
+    }
+    if (given.orders_accepted != engine.orders_accepted) {
+        return adapters::order_result::conflict;
+    }
     if (given.unload) {
         if (engine.running[name] == 0 && engine.loaded.erase(name) > 0) {
             ++engine.orders_accepted;
@@ -175,30 +246,72 @@
         }
         return adapters::order_result::conflict;
     }
-    if (engine.loaded.contains(name)) {
-        return adapters::order_result::holds;
-    }
-    if (!engine.loading_ms_left.contains(name)) {
-        const bool cached =
-            std::find(engine.cache.begin(), engine.cache.end(), name) != engine.cache.end();
-        const auto full = static_cast<double>(core::to_ms(m_scenario.store_load_time));
-        engine.loading_ms_left[name] = cached ? full / cached_load_speedup : full;
-        if (!cached) {
-            engine.from_store.insert(name);
-        }
-        ++engine.orders_accepted;
+    const bool full =
+        engine.loaded.size() + engine.loading_ms_left.size() >= m_scenario.adapter_slots;
+    m_outcome.overfilled += full ? 1 : 0;
+    const bool cached =
+        std::find(engine.cache.begin(), engine.cache.end(), name) != engine.cache.end();
+    const auto duration = static_cast<double>(core::to_ms(m_scenario.store_load_time));
+    engine.loading_ms_left[name] = cached ? duration / cached_load_speedup : duration;
+    if (!cached) {
+        engine.from_store.insert(name);
     }
+    ++engine.orders_accepted;
     return adapters::order_result::accepted;
 }
 
+placement_world::engine_model& placement_world::engine_of(const adapters::order& given)
+{
+    return *std::find_if(m_engines.begin(), m_engines.end(),
+                         [&](const auto& one) { return one.id == given.upstream; });
+}
+
+bool placement_world::draw(double share)
+{
+    constexpr std::uint64_t range = 1'000'000;
+    return static_cast<double>(core::uniform_below(m_random, range)) < share * range;
+}
+
 void placement_world::deliver_orders()
 {
-    while (!m_orders.empty() && m_orders.front().arrives_at <= m_clock.now()) {
+    const auto now = m_clock.now();
+    while (!m_orders.empty() && m_orders.front().arrives_at <= now) {
         const auto given = m_orders.front().given;
         m_orders.pop_front();
-        const auto engine = std::find_if(m_engines.begin(), m_engines.end(),
-                                         [&](const auto& one) { return one.id == given.upstream; });
-        m_placer.on_order_result(given.id, execute(*engine, given), m_clock.now());
+        if (m_scenario.unanswered_orders > 0 && draw(m_scenario.unanswered_orders)) {
+            const core::milliseconds delay{core::uniform_below(m_random, order_delay_range_ms)};
+            m_late_orders.push_back({given, now + min_order_delay + delay});
+            m_timeouts.push_back({given, now + call_timeout});
+            continue;
+        }
+        m_placer.on_order_result(given.id, execute(engine_of(given), given), now);
+    }
+    while (!m_timeouts.empty() && m_timeouts.front().arrives_at <= now) {
+        const auto id = m_timeouts.front().given.id;
+        m_timeouts.pop_front();
+        m_placer.on_order_result(id, adapters::order_result::unknown, now);
+    }
+}
+
+void placement_world::deliver_late_orders()
+{
+    std::erase_if(m_late_orders, [&](const order_in_transit& late) {
+        const bool due = late.arrives_at <= m_clock.now();
+        if (due) {
+            execute(engine_of(late.given), late.given);
+        }
+        return due;
+    });
+}
+
+void placement_world::record_served(const request& one)
+{
+    auto& record = m_outcome.adapters[one.adapter];
+    record.served = true;
+    if (record.unserved_since) {
+        record.longest_unserved =
+            std::max(record.longest_unserved, m_clock.now() - *record.unserved_since);
+        record.unserved_since.reset();
     }
 }
 
@@ -223,6 +336,7 @@
                 m_outcome.waits_ms.push_back(static_cast<double>(core::to_ms(waited)));
                 m_outcome.timely[one.kind] +=
                     waited + first_token_time <= m_scenario.kinds[one.kind].objective ? 1 : 0;
+                record_served(one);
                 return true;
             }
         }
--- a/tests/placement_world.h
+++ b/tests/placement_world.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -34,9 +35,22 @@
     core::duration service_time = core::milliseconds{500};
     core::duration patience = core::milliseconds{3000}; ///< Longest wait for an adapter.
     std::vector<request_kind> kinds{{}};
+    /// Share of the orders that get no answer, and are carried out seconds later if at all.
+    double unanswered_orders = 0;
     std::uint64_t seed = 1;
 };
 
+/// What happened to the requests for one adapter.
+struct adapter_record {
+    std::size_t asked = 0;
+    bool served = false;
+    core::time_point first_asked{};
+    core::time_point last_asked{};
+    /// Arrival of the first request since the adapter was last served; none if that one is.
+    std::optional<core::time_point> unserved_since;
+    core::duration longest_unserved{};
+};
+
 /// What the callers and the store have seen.
 struct placement_outcome {
     std::vector<double> waits_ms; ///< Of the requests whose adapter was loaded in time.
@@ -45,6 +59,12 @@
     std::size_t cached_loads = 0;
     std::vector<std::size_t> asked;  ///< Requests by kind.
     std::vector<std::size_t> timely; ///< Of these, those that got their adapter in time.
+    std::size_t overfilled = 0;      ///< Loads for which an engine had no adapter slot left.
+    std::map<std::string, adapter_record> adapters;
+
+    /// Returns the adapters that were asked for @p times or more, over @p span or more.
+    [[nodiscard]] std::vector<adapter_record> often_asked(std::size_t times,
+                                                          core::duration span) const;
 
     /// Returns the share of the requests of a kind that got their adapter in time.
     [[nodiscard]] double share_timely(std::size_t kind) const
@@ -66,6 +86,8 @@
     /// Changes the store from now on.
     void set_store(double full_speed_loads, core::duration load_time);
     [[nodiscard]] const adapters::placer& placer() const { return m_placer; }
+    /// Replaces the placer by one that knows nothing but the announcements.
+    void change_leader();
 
 private:
     struct engine_model {
@@ -92,17 +114,25 @@
         core::time_point arrives_at{};
     };
 
+    void announce_engines();
+    void answer_polls();
+    void deliver_late_orders();
     void step();
     void start_requests();
     void advance_loads();
     void deliver_orders();
     void report_to_placer();
     adapters::order_result execute(engine_model& engine, const adapters::order& given);
+    engine_model& engine_of(const adapters::order& given);
+    [[nodiscard]] bool draw(double share);
+    void record_served(const request& one);
     [[nodiscard]] std::string draw_adapter();
     [[nodiscard]] std::size_t draw_kind();
     [[nodiscard]] std::size_t active_store_loads() const;
 
     placement_scenario m_scenario;
+    adapters::placer_options m_options;
+    gateway::deployment m_document;
     core::manual_clock m_clock;
     core::random_source m_random;
     adapters::placer m_placer;
@@ -111,6 +141,8 @@
     std::deque<request> m_waiting;
     std::vector<run> m_runs;
     std::deque<order_in_transit> m_orders;
+    std::vector<order_in_transit> m_late_orders; ///< Carried out without an answer.
+    std::deque<order_in_transit> m_timeouts;     ///< Calls without an answer, until they end.
     std::set<std::string> m_reported_wishes;
     core::time_point m_report_due{};
     double m_arrivals_due = 0;
