Bound the wait of adapters that are requested again and again

Cause: adapters that wait were ordered by the requests that can still be in time. A rare adapter has one request, falls behind every popular one once it is late, and starts from nothing with its next request: nothing remembered that it was asked for in vain. A copy that came too late for its request was the first one to be evicted.

A quarter of the loads now goes by wait instead: to the adapters that have waited for longer than the store needs for all that wait, those first that were requested most often in vain, then the oldest. The memory outlasts the requests and the leader: gateways keep theirs and tell a new leader. While such an adapter finds no engine, no further copies of others are loaded. Copies that came too late are evicted last.

--- a/include/siskindrift/adapters/placer.h
+++ b/include/siskindrift/adapters/placer.h
@@ -17,6 +17,7 @@
 #include "siskindrift/adapters/answer_time.h"
 #include "siskindrift/adapters/engine_report.h"
 #include "siskindrift/adapters/load_limiter.h"
+#include "siskindrift/adapters/unserved_adapters.h"
 #include "siskindrift/adapters/use_rate.h"
 #include "siskindrift/core/clock.h"
 #include "siskindrift/gateway/deployment.h"
@@ -127,6 +128,13 @@
     /// What a load is worth to a request that can't be in time any more, in relation to one that
     /// can.
     double late_request_weight = 0.3;
+    /// Lower bound of the time after which an unserved adapter is overdue. The time itself is how
+    /// long the store needs for all adapters that are requested and have no copy.
+    core::duration min_overdue_wait = core::milliseconds{1000};
+    /// Fraction of the loads from the store that overdue adapters get before all others.
+    double overdue_load_share = 0.25;
+    /// Adapters that were requested without being served.
+    unserved_adapters_options unserved{};
     /// Prefill speed of an engine of the deployed size, in prompt tokens per millisecond.
     double prefill_tokens_per_ms = 38;
     /// Limit on concurrent loads from the weight store, adapted to its observed capacity.
@@ -142,6 +150,7 @@
 /// Usage of the adapter slots and of the weight store.
 struct placement_summary {
     std::size_t wanted = 0;        ///< Requested adapters that no engine holds or is loading.
+    std::size_t overdue = 0;       ///< Of these, those that go before others.
     std::size_t store_loads = 0;   ///< Loads from the weight store that are in progress.
     std::size_t store_limit = 0;   ///< Limit on `store_loads`.
     std::size_t engines = 0;       ///< Engines that take orders.
@@ -153,7 +162,7 @@
     std::size_t unknown = 0;       ///< Usable engines whose state is not known: no orders for them.
     std::size_t unloading = 0;     ///< Engines that refuse orders until an adapter is unloaded.
     bool fenced = false;           ///< An engine has seen orders of a later leader.
-    core::duration longest_wait{}; ///< Of the `wanted` adapters.
+    core::duration longest_wait{}; ///< Of the `wanted` adapters, since they were last served.
     core::duration load_time{};    ///< Time after which a load from the store is looked at.
     core::duration unslowed_load_time{}; ///< As learnt by the limit; 0: unknown.
 };
@@ -169,7 +178,8 @@
     explicit placer(placer_options options = {})
         : m_options(options), m_store_load_time(options.min_store_load_time),
           m_store_limiter(options.store_loads), m_cache_size(options.engine_cache),
-          m_use_rates(options.use_rates), m_answer_time(options.order_answers)
+          m_use_rates(options.use_rates), m_answer_time(options.order_answers),
+          m_unserved(options.unserved)
     {
     }
 
@@ -231,6 +241,7 @@
 
 private:
     enum class copy_state : std::uint8_t { loaded, loading, unloading };
+    enum class placement : std::uint8_t { ordered, no_engine, waits };
     /// A copy of an adapter or a base model on one engine.
     struct adapter_copy {
         std::uint64_t version = 0;
@@ -248,6 +259,7 @@
         std::uint64_t waiting_prompt_tokens = 0; ///< Of the requests that waited for the load.
         core::time_point loaded_at{};
         bool additional = false; ///< Another engine held the adapter when the load began.
+        bool overdue = false;    ///< Loads before others because it has waited for long.
     };
     /// An order whose answer may still come.
     struct overdue_order {
@@ -264,7 +276,7 @@
         bool usable = false;
         bool state_known = false; ///< Whether `orders_accepted` and `copies` are up to date.
         std::uint64_t orders_accepted = 0;
-        std::optional<order> pending_order; ///< Sent, not answered yet.
+        std::optional<order> pending_order;     ///< Sent, not answered yet.
         std::optional<order> unconfirmed_order; ///< Its call failed; may still be carried out.
         /// Sent and not answered in time. At most one of these and of the later orders with the
         /// same order count is carried out.
@@ -329,6 +341,8 @@
         bool crowded = false;
         std::uint64_t prompt_tokens = 0;
         core::time_point since{}; ///< First report of the oldest wish.
+        /// Requests since it was last served, if it has no copy.
+        unserved_adapters::unserved_requests unserved;
     };
 
     /// The copies of one adapter on usable engines.
@@ -413,9 +427,21 @@
     /// Orders a copy of an adapter, or the eviction that makes room for it.
     /// @param wait_ms wait in ms at the least busy copy, or none if there is no copy.
     /// @param offers loses the engine that takes the order.
-    void place_adapter(const demand& wanted, std::optional<double> wait_ms,
-                       std::vector<load_offer>& offers, core::time_point now,
-                       std::vector<order>& orders);
+    /// @return what came of it.
+    placement place_adapter(const demand& wanted, std::optional<double> wait_ms,
+                            std::vector<load_offer>& offers, core::time_point now,
+                            std::vector<order>& orders);
+    /// Returns the adapters of @p list that have no copy and are overdue: those first that were
+    /// requested most often in vain, then those that have waited longest.
+    std::vector<const demand*> find_overdue(std::vector<demand>& list, const copy_index& copies,
+                                            core::time_point now);
+    /// Orders copies of overdue adapters, up to their share of the loads.
+    /// @param placed gets the adapters for which an order was given.
+    /// @return whether one of them found no engine.
+    bool place_overdue(const std::vector<const demand*>& overdue, std::vector<load_offer>& offers,
+                       core::time_point now, std::vector<order>& orders,
+                       std::unordered_set<adapter_key>& placed);
+    [[nodiscard]] core::duration overdue_wait(std::size_t missing) const;
     void poll_loads(core::time_point now, std::vector<order>& orders);
     void load_base_models(core::time_point now, std::vector<order>& orders);
     order& create_order(engine_state& engine, const adapter_name& name, std::uint64_t version,
@@ -459,6 +485,7 @@
     cache_size_estimate m_cache_size;
     use_rate_estimate m_use_rates;
     answer_time_estimate m_answer_time;
+    unserved_adapters m_unserved;
     std::uint64_t m_next_order_id = 1;
     core::time_point m_next_model_load_at{}; ///< Limits the rate of base model loads.
     core::time_point m_next_check_at{};
--- a/src/adapters/answer_time.cpp
+++ b/src/adapters/answer_time.cpp
@@ -24,8 +24,8 @@
     if (!m_known) {
         return m_options.initial_wait;
     }
-    const auto longest = std::chrono::duration_cast<core::duration>(
-        m_mean + m_deviation * m_options.max_deviations);
+    const auto longest =
+        std::chrono::duration_cast<core::duration>(m_mean + m_deviation * m_options.max_deviations);
     return std::clamp(longest, m_options.min_wait, m_options.max_wait);
 }
 
--- a/src/adapters/answer_time_test.cpp
+++ b/src/adapters/answer_time_test.cpp
@@ -15,7 +15,10 @@
             estimate.on_answer(core::milliseconds{ms});
         }
     }
-    long wait_ms() const { return static_cast<long>(core::to_ms(estimate.wait())); }
+    long wait_ms() const
+    {
+        return static_cast<long>(core::to_ms(estimate.wait()));
+    }
 };
 
 TEST(AnswerTime, WaitsLongerThanUsualAnswersTake)
--- a/src/adapters/placer.cpp
+++ b/src/adapters/placer.cpp
@@ -235,9 +235,16 @@
             engine->second.report_due = std::min(engine->second.report_due, now);
         }
     }
+    for (const auto& item : report.unserved) {
+        m_unserved.record_requests({item->model, item->adapter},
+                                   now - core::milliseconds{item->age_ms}, now, item->requests);
+    }
     for (const auto& item : report.wishes) {
         auto& wish = state.wishes[{{item->model, item->adapter}, item->software_version}];
         const auto since = wish.waiting > 0 ? wish.first_reported : now;
+        if (wish.waiting == 0 && item->waiting > 0) {
+            m_unserved.record_requests({item->model, item->adapter}, now, now);
+        }
         wish.waiting = item->waiting;
         wish.late = std::min(item->late, item->waiting);
         wish.timely_left = core::milliseconds{item->timely_ms};
@@ -250,6 +257,7 @@
     }
     for (const auto& item : report.uses) {
         const adapter_name name{item->model, item->adapter};
+        m_unserved.record_served(name);
         const auto engine = m_engines.find(item->upstream);
         if (engine == m_engines.end()) {
             continue;
@@ -398,8 +406,7 @@
 bool placer::can_take_order(const engine_state& engine, core::time_point now) const
 {
     return is_usable(engine) && engine.state_known && !engine.pending_order &&
-           now >= engine.next_order_at &&
-           !engine.awaits_unload && capacity_of(engine) != nullptr;
+           now >= engine.next_order_at && !engine.awaits_unload && capacity_of(engine) != nullptr;
 }
 
 bool placer::in_use(const engine_state& engine, const adapter_name& name) const
--- a/src/adapters/placer_plan.cpp
+++ b/src/adapters/placer_plan.cpp
@@ -1,5 +1,6 @@
 // Planning of the placer: which adapters to load on which engines, and which to evict.
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 #include <unordered_map>
 #include <xxhash.h>
@@ -179,12 +180,14 @@
                                                   core::time_point now) const
 {
     std::optional<adapter_name> oldest;
-    core::time_point oldest_use{};
+    std::pair<bool, core::time_point> oldest_use;
     for (const auto& [name, held] : engine.copies) {
-        if (may_evict(engine, name, held, wished, now) &&
-            (!oldest || held.last_used < oldest_use)) {
+        // A copy that came too late for its requests should serve the next one.
+        const bool unserved = !held.used && m_unserved.find(name) != nullptr;
+        const std::pair use{unserved, held.last_used};
+        if (may_evict(engine, name, held, wished, now) && (!oldest || use < oldest_use)) {
             oldest = name;
-            oldest_use = held.last_used;
+            oldest_use = use;
         }
     }
     return oldest;
@@ -239,8 +242,8 @@
         const double prefill = static_cast<double>(pending_prefill_tokens(engine, now)) /
                                m_options.prefill_tokens_per_ms;
         // An engine that hasn't answered its last orders may not answer the next one either.
-        const auto unanswered = static_cast<double>(
-            core::to_ms(m_answer_time.wait() * engine.unanswered_in_row));
+        const auto unanswered =
+            static_cast<double>(core::to_ms(m_answer_time.wait() * engine.unanswered_in_row));
         offer.wait_ms = prefill + full_batch_delay_ms * busy + unanswered;
         offers.push_back(std::move(offer));
     }
@@ -274,13 +277,20 @@
     placement_summary sum;
     const auto copies = index_copies(now);
     std::unordered_set<adapter_key> wished;
+    std::vector<core::duration> waits;
     for (const auto& wanted : collect_demands(now)) {
         if (is_missing(copies, wanted)) {
-            ++sum.wanted;
-            sum.longest_wait = std::max(sum.longest_wait, now - wanted.since);
+            const auto* unserved = m_unserved.find(*wanted.name);
+            waits.push_back(now - (unserved != nullptr ? unserved->since : wanted.since));
+            sum.longest_wait = std::max(sum.longest_wait, waits.back());
         }
         wished.insert(wanted.key);
     }
+    sum.wanted = waits.size();
+    sum.overdue = static_cast<std::size_t>(
+        std::count_if(waits.begin(), waits.end(), [&](const core::duration& wait) {
+            return wait > overdue_wait(waits.size());
+        }));
     sum.fenced = m_fenced;
     sum.load_time = m_store_load_time;
     if (const auto learnt = m_store_limiter.learnt()) {
@@ -366,7 +376,7 @@
 
 void placer::place_adapters(core::time_point now, std::vector<order>& orders)
 {
-    const auto list = collect_demands(now);
+    auto list = collect_demands(now);
     if (list.empty()) {
         return;
     }
@@ -378,15 +388,22 @@
     const auto copies = index_copies(now);
     const bool any_crowded =
         std::any_of(list.begin(), list.end(), [](const demand& wanted) { return wanted.crowded; });
+    const auto overdue = find_overdue(list, copies, now);
+    std::unordered_set<adapter_key> placed;
+    const bool overdue_lacks_place = place_overdue(overdue, offers, now, orders, placed);
     const bool no_additional = any_crowded && slots_scarce(list, copies, now);
     for (const auto& wanted : list) {
         if (offers.empty()) {
             return;
         }
+        if (placed.contains(wanted.key)) {
+            continue;
+        }
         const auto* found = copies.find(wanted);
         const auto held = found == nullptr ? copy_summary{} : *found;
         const bool rejected = wanted.rejected >= m_options.rejections_for_copy;
-        const bool crowded = wanted.crowded && (rejected || !no_additional) &&
+        const bool crowded = wanted.crowded && !overdue_lacks_place &&
+                             (rejected || !no_additional) &&
                              held.may_add_copy(rejected ? m_options.rejected_copy_growth : 1);
         if (held.min_wait_ms ? crowded : !held.loading) {
             // An engine that rejects requests serves no further one, however short its wait is.
@@ -397,6 +414,69 @@
     }
 }
 
+core::duration placer::overdue_wait(std::size_t missing) const
+{
+    const auto rounds = static_cast<double>(missing) /
+                        static_cast<double>(std::max<std::size_t>(m_store_limiter.limit(), 1));
+    return std::max(m_options.min_overdue_wait,
+                    std::chrono::duration_cast<core::duration>(m_store_load_time * rounds));
+}
+
+std::vector<const placer::demand*>
+placer::find_overdue(std::vector<demand>& list, const copy_index& copies, core::time_point now)
+{
+    std::vector<const demand*> missing;
+    for (auto& wanted : list) {
+        const auto* unserved = m_unserved.find(*wanted.name);
+        if (unserved != nullptr && is_missing(copies, wanted)) {
+            wanted.unserved = *unserved;
+            missing.push_back(&wanted);
+        }
+    }
+    const auto limit = overdue_wait(missing.size());
+    std::erase_if(missing,
+                  [&](const demand* wanted) { return now - wanted->unserved.since <= limit; });
+    std::sort(missing.begin(), missing.end(), [](const demand* left, const demand* right) {
+        return std::tie(right->unserved.count, left->unserved.since, left->key) <
+               std::tie(left->unserved.count, right->unserved.since, right->key);
+    });
+    return missing;
+}
+
+// What serves most requests bounds no adapter's wait: rare adapters would wait for all popular
+// ones. So a share of the loads goes by waiting time alone.
+bool placer::place_overdue(const std::vector<const demand*>& overdue,
+                           std::vector<load_offer>& offers, core::time_point now,
+                           std::vector<order>& orders, std::unordered_set<adapter_key>& placed)
+{
+    const auto share =
+        std::ceil(static_cast<double>(m_store_limiter.limit()) * m_options.overdue_load_share);
+    std::size_t loads = 0;
+    for (const auto& [id, engine] : m_engines) {
+        for (const auto& [name, held] : engine.copies) {
+            loads += held.state == copy_state::loading && held.overdue ? 1 : 0;
+        }
+    }
+    bool any_without_engine = false;
+    for (const auto* wanted : overdue) {
+        if (static_cast<double>(loads) >= share) {
+            break;
+        }
+        switch (place_adapter(*wanted, std::nullopt, offers, now, orders)) {
+        case placement::ordered:
+            ++loads;
+            placed.insert(wanted->key);
+            break;
+        case placement::no_engine:
+            any_without_engine = true;
+            break;
+        case placement::waits:
+            break;
+        }
+    }
+    return any_without_engine;
+}
+
 // Additional copies attract their share of the requests only after some time. Until then their
 // number is limited by that of the settled copies.
 bool placer::copy_summary::may_add_copy(std::size_t growth) const
@@ -435,13 +515,13 @@
     });
 }
 
-void placer::place_adapter(const demand& wanted, std::optional<double> wait_ms,
-                           std::vector<load_offer>& offers, core::time_point now,
-                           std::vector<order>& orders)
+placer::placement placer::place_adapter(const demand& wanted, std::optional<double> wait_ms,
+                                        std::vector<load_offer>& offers, core::time_point now,
+                                        std::vector<order>& orders)
 {
     const auto& name = *wanted.name;
     if (name.second.empty()) {
-        return;
+        return placement::waits;
     }
     auto best = offers.end();
     double best_cost = 0;
@@ -452,14 +532,17 @@
             best_cost = *ms;
         }
     }
-    if (best == offers.end() || (wait_ms && best_cost >= *wait_ms)) {
-        return;
+    if (best == offers.end()) {
+        return placement::no_engine;
+    }
+    if (wait_ms && best_cost >= *wait_ms) {
+        return placement::waits;
     }
     auto& engine = *best->engine;
     const bool recent = held_recently(engine, wanted.key);
-    if (!recent &&
-        (store_loads(now) >= m_store_limiter.limit() || should_wait_for_recent_engine(wanted, now))) {
-        return;
+    if (!recent && (store_loads(now) >= m_store_limiter.limit() ||
+                    should_wait_for_recent_engine(wanted, now))) {
+        return placement::waits;
     }
     const auto victim = best->victim;
     const bool full = best->full;
@@ -469,10 +552,12 @@
     if (!replaces && full) {
         engine.copies[*victim].state = copy_state::unloading;
         orders.push_back(create_order(engine, *victim, 0, true, now));
-        return;
+        return placement::ordered;
     }
     auto& held = engine.copies[name];
     held.additional = wait_ms.has_value();
+    held.overdue =
+        wanted.unserved.count > 0 && now - wanted.unserved.since > m_options.min_overdue_wait;
     held.poll_interval = {};
     held.accepted_at = {};
     held.waiting_prompt_tokens = wanted.prompt_tokens;
@@ -484,6 +569,7 @@
     held.last_used = now;
     held.next_poll_at = core::time_point::max(); // set when the engine accepts the order
     orders.push_back(create_order(engine, name, held.version, false, now));
+    return placement::ordered;
 }
 
 // Repeats the order of each load that should be complete: the engine answers that it holds.
--- a/src/adapters/placer_test.cpp
+++ b/src/adapters/placer_test.cpp
@@ -767,8 +767,7 @@
             clock.advance(core::milliseconds{10});
             for (const auto& poll : plan()) {
                 const auto elapsed = clock.now() - accepted_at;
-                finish(poll,
-                       elapsed >= load_time ? order_result::holds : order_result::accepted);
+                finish(poll, elapsed >= load_time ? order_result::holds : order_result::accepted);
                 if (elapsed >= load_time) {
                     return elapsed;
                 }
@@ -838,3 +837,41 @@
     }
     CHECK_TRUE_TEXT(orders >= 8 && orders <= 14, std::to_string(orders).c_str());
 }
+
+TEST(Placer, LoadsFirstWhatANewLeaderIsToldToBeRequestedInVainForLong)
+{
+    engine("a", {"p"}); // one free slot
+    wire::gateway_report_t told;
+    told.vm = "told";
+    wire::unserved_adapter_t unserved;
+    unserved.model = model;
+    unserved.adapter = "rare";
+    unserved.age_ms = 20'000;
+    unserved.requests = 3;
+    wire::append(told.unserved, unserved);
+    adapter_placer.on_gateway_report(told, clock.now());
+    wish_at("popular", "", 5);
+    wish("rare");
+    const auto orders = plan();
+    LONGS_EQUAL(1, static_cast<long>(orders.size()));
+    STRCMP_EQUAL("rare", orders.at(0).adapter.c_str());
+}
+
+TEST(Placer, KeepsACopyThatCameTooLateForItsRequests)
+{
+    engine("a", {"p"});
+    wish("x");
+    finish(plan().at(0), order_result::accepted);
+    cancel_wish("x");
+    clock.advance(core::milliseconds{300});
+    finish(plan().at(0), order_result::holds);
+    clock.advance(core::milliseconds{2000});
+    wish("q", false, "a", "p"); // p is used later than x
+    clock.advance(core::milliseconds{10});
+    wish("q");
+    clock.advance(core::milliseconds{2000});
+    wish("q");
+    const auto orders = plan();
+    CHECK_TRUE(orders.at(0).unload);
+    STRCMP_EQUAL("p", orders.at(0).adapter.c_str());
+}
--- a/src/apps/coordinator_fleet.cpp
+++ b/src/apps/coordinator_fleet.cpp
@@ -721,6 +721,7 @@
         return;
     }
     observe::info("adapters_wanted", {{"wanted", summary.wanted},
+                                      {"overdue", summary.overdue},
                                       {"store_loads", summary.store_loads},
                                       {"store_limit", summary.store_limit},
                                       {"engines", summary.engines},
--- a/src/apps/gateway_exchanges.cpp
+++ b/src/apps/gateway_exchanges.cpp
@@ -358,6 +358,9 @@
     const auto max_wait = std::chrono::duration_cast<core::duration>(total * upstream_wait_share) -
                           (m_clock.now() - item.arrived_at);
     if (!item.waiting) {
+        if (!item.adapter.second.empty()) {
+            m_unserved.record_requests(item.adapter, item.arrived_at, m_clock.now());
+        }
         item.waiting = true;
         m_waiting.insert(item.id);
         arm_timer(item, std::max(max_wait, core::duration::zero()));
@@ -519,6 +522,7 @@
         record_prompt_processed(*item);
         if (head.status < first_redirect_status) {
             m_pool.record_admission(item->upstream_id);
+            m_unserved.record_served(item->adapter);
         }
         if (item->response_metadata.load) {
             m_pool.record_load(item->upstream_id, *item->response_metadata.load);
--- a/src/apps/gateway_process.cpp
+++ b/src/apps/gateway_process.cpp
@@ -358,6 +358,7 @@
     if (update.leader_term != sender.leader_term) {
         sender.leader_term = update.leader_term;
         m_reported_wishes.clear();
+        m_tell_unserved = true;
         schedule_report();
         send_share_query();
         m_prompt_guard.begin_leader();
@@ -691,6 +692,16 @@
     }
     const auto leader = leader_address();
     if (!leader.empty()) {
+        if (std::exchange(m_tell_unserved, false)) {
+            for (const auto& [name, unserved] : m_unserved.all()) {
+                wire::unserved_adapter_t item;
+                item.model = name.first;
+                item.adapter = name.second;
+                item.age_ms = static_cast<std::uint32_t>(core::to_ms(now - unserved.since));
+                item.requests = unserved.count;
+                wire::append(report.unserved, std::move(item));
+            }
+        }
         m_mesh->send(leader, wire::make_envelope(std::move(report)));
     }
     if (!m_reported_wishes.empty()) {
--- a/src/apps/gateway_process.h
+++ b/src/apps/gateway_process.h
@@ -14,6 +14,7 @@
 
 #include "metrics_endpoint.h"
 #include "platform/exchange_codec.h"
+#include "siskindrift/adapters/unserved_adapters.h"
 #include "siskindrift/config/settings.h"
 #include "siskindrift/core/verdict.h"
 #include "siskindrift/fleet/roster.h"
@@ -378,6 +379,9 @@
     std::map<wish_key, overload> m_overloaded_adapters;
     /// Adapters that the last report to the leader asked for.
     std::set<wish_key> m_reported_wishes;
+    /// Adapters that were requested here without being served, for a new leader.
+    adapters::unserved_adapters m_unserved;
+    bool m_tell_unserved = false; ///< The leader hasn't been told of them.
     std::size_t m_kept_bytes = 0; ///< Of responses that are kept until they are complete.
     std::uint64_t m_next_call = 1;
     std::optional<core::time_point> m_report_due;
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -112,7 +112,7 @@
     }
 }
 
-IGNORE_TEST(Placement, ServesEachAdapterThatIsAskedForAgainAndAgainWithinABoundedTime)
+TEST(Placement, ServesEachAdapterThatIsAskedForAgainAndAgainWithinABoundedTime)
 {
     scenario.engines = 40;
     scenario.adapter_slots = 6;
@@ -131,8 +131,8 @@
         placement_world world{scenario, options};
         const auto outcome = world.play(core::milliseconds{40'000});
         const auto often = outcome.often_asked(4, core::milliseconds{8000});
-        const auto unserved = std::count_if(often.begin(), often.end(),
-                                            [](const auto& one) { return !one.served; });
+        const auto unserved =
+            std::count_if(often.begin(), often.end(), [](const auto& one) { return !one.served; });
         core::duration longest{};
         for (const auto& one : often) {
             longest = std::max(longest, one.longest_unserved);
