Let a stream's only version be known by most coordinators that are in step, not by one answer

Cause: when a gateway doesn't know where a stream began, one coordinator's answer that the service has one version decided, after 100 ms at the latest. A coordinator took its view for current as long as it ran, also after it stood still or while it was cut off from the others; a standing connection says nothing of either. So a gateway and a coordinator that were both behind agreed on the old version.

Now more than half of the coordinators of the deployment have to say so, asked after the stream was taken up, and a coordinator says so only while it leads under its lease or hears the leader, and hasn't stood still lately. It notices by its clock, which runs on in a pause. Two of three can't have missed what the third announced to its gateways for longer than messages take, unless they are cut off from it. Answers of gateways don't count as those of coordinators. What isn't known is asked again, as before, for up to 2 s.

The lookup's former test took one answer for enough: it now needs two of three.

--- a/include/siskindrift/gateway/origin_lookup.h
+++ b/include/siskindrift/gateway/origin_lookup.h
@@ -35,13 +35,17 @@
 public:
     /// @param exchange id of the exchange that waits.
     /// @param asked number of processes that were asked.
-    origin_lookup(std::uint64_t exchange, std::size_t asked) : m_exchange(exchange), m_asked(asked)
+    /// @param coordinators number of coordinators of the deployment, asked or not.
+    origin_lookup(std::uint64_t exchange, std::size_t asked, std::size_t coordinators)
+        : m_exchange(exchange), m_asked(asked), m_coordinators(coordinators)
     {
     }
 
     [[nodiscard]] std::uint64_t exchange() const { return m_exchange; }
-    /// Adds an answer. @return whether all processes have answered.
-    bool add_answer(const wire::stream_origin_answer_t& answer);
+    /// Adds an answer.
+    /// @param from_coordinator whether a coordinator sent it; else a gateway did.
+    /// @return whether all processes have answered.
+    bool add_answer(const wire::stream_origin_answer_t& answer, bool from_coordinator);
 
     /// Decides by the answers that have arrived.
     /// @param own what this gateway knows of the versions of the service.
@@ -50,6 +54,8 @@
 private:
     std::uint64_t m_exchange;
     std::size_t m_asked;
+    std::size_t m_coordinators;
+    std::size_t m_sure_coordinators = 0; ///< Those that know of one version only.
     std::vector<wire::stream_origin_answer_t> m_answers;
 };
 
--- a/src/apps/coordinator_fleet.cpp
+++ b/src/apps/coordinator_fleet.cpp
@@ -135,6 +135,10 @@
     if (holds_lease()) {
         control::complete_origin_answer(answer, query.service, m_core->state().software_versions());
     }
+    if (answer.count == wire::version_count::one && !is_current()) {
+        answer.count = wire::version_count::unsure;
+        answer.only_version.clear();
+    }
     m_mesh->reply(from, wire::make_envelope(std::move(answer)));
 }
 
@@ -415,6 +419,16 @@
     return m_placement_term != 0 && m_clock.now() < m_core->raft().lease_end(lease_margin);
 }
 
+// Returns whether this replica is in step with most others: it leads them or hears their leader,
+// and didn't stand still a moment ago.
+bool coordinator_process::is_current()
+{
+    const auto now = m_clock.now();
+    m_pauses.observe(now);
+    const auto& raft = m_core->raft();
+    return m_pauses.settled(now) && (raft.is_leader() ? holds_lease() : raft.leader() != 0);
+}
+
 // Only a leader that no other leader can have replaced knows the latest shares.
 void coordinator_process::handle_retry_share_query(net::connection_id from,
                                                    const wire::retry_share_query_t& query)
--- a/src/apps/coordinator_process.cpp
+++ b/src/apps/coordinator_process.cpp
@@ -216,6 +216,9 @@
 void coordinator_process::run_cycle()
 {
     m_cycle_scheduled = false;
+    if (m_pauses.observe(m_clock.now())) {
+        observe::warn("stood_still", {});
+    }
     if (!run_replica()) {
         m_exit_status = 1;
         m_context.stop();
--- a/src/apps/coordinator_process.h
+++ b/src/apps/coordinator_process.h
@@ -23,6 +23,7 @@
 #include "siskindrift/control/retry_share_manager.h"
 #include "siskindrift/control/software_version_manager.h"
 #include "siskindrift/control/upstream_limit_manager.h"
+#include "siskindrift/core/pause_monitor.h"
 #include "siskindrift/fleet/roster.h"
 #include "siskindrift/fleet/software_history.h"
 #include "siskindrift/fleet/stream_origins.h"
@@ -123,6 +124,7 @@
     void append_upstream_limits(wire::fleet_update_t& update) const;
     void append_divided(wire::fleet_update_t& update) const;
     [[nodiscard]] bool holds_lease() const;
+    [[nodiscard]] bool is_current();
     void update_gauges(observe::metrics& metrics) const;
     [[nodiscard]] std::vector<net::connection_id> gateway_connections() const;
     void place_adapters();
@@ -172,6 +174,7 @@
 
     fleet::roster m_roster;
     fleet::software_history m_software;
+    core::pause_monitor m_pauses;
     fleet::stream_origins m_origins;
     fleet::update_pacer m_pacer{max_queued_bytes};
     std::set<std::string> m_local_upstreams; ///< Announced or withdrawn here since the last flush.
--- a/src/apps/gateway_process.cpp
+++ b/src/apps/gateway_process.cpp
@@ -377,6 +377,9 @@
         m_pool.set_gateway_count(gateway_count());
         m_helpers.set_gateways(m_last_known_gateways);
     }
+    if (!update.control.empty()) {
+        m_control_members = update.control.size();
+    }
     for (const auto& coordinator : update.control) {
         if (!m_coordinators.contains(coordinator)) {
             m_coordinators[coordinator];
--- a/src/apps/gateway_process.h
+++ b/src/apps/gateway_process.h
@@ -266,6 +266,9 @@
     [[nodiscard]] bool coordinator_connected() const;
     [[nodiscard]] core::duration stream_span(const std::string& service) const;
     [[nodiscard]] std::vector<std::string> origin_holders(const std::string& service) const;
+    [[nodiscard]] std::vector<std::string> connected_coordinators() const;
+    [[nodiscard]] std::size_t coordinator_count() const;
+    [[nodiscard]] std::vector<std::string> used_registrars(const std::string& service) const;
     [[nodiscard]] std::vector<std::string> choose_registrars() const;
 
     // Retry budget and prompt guard (gateway_guards.cpp).
@@ -326,6 +329,7 @@
     std::map<std::string, coordinator_state> m_coordinators; ///< Keyed by inner address.
     /// Latest list from any coordinator, kept for when none is connected.
     std::vector<wire::gateway_info_t> m_last_known_gateways;
+    std::size_t m_control_members = 0; ///< Coordinators, as last told; 0: unknown.
     /// Those known when the last coordinator was lost.
     std::vector<wire::gateway_info_t> m_gateways_at_loss;
     core::time_point m_contact_regained_at{};
@@ -333,7 +337,8 @@
     fleet::software_history m_software;
     fleet::stream_origins m_origins;
     std::map<std::uint64_t, gateway::origin_lookup> m_origin_lookups; ///< By query id.
-    std::uint64_t m_next_origin_query = 1;
+    /// Even; the odd number after it is that of the query to gateways.
+    std::uint64_t m_next_origin_query = 2;
     /// Exchanges whose stream nobody knows yet, and that ask again shortly.
     std::set<std::uint64_t> m_unsure_origins;
     /// Gateways that keep stream origins beside the coordinators; connected while they are needed.
--- a/src/apps/gateway_streams.cpp
+++ b/src/apps/gateway_streams.cpp
@@ -59,12 +59,14 @@
         apply_origin(item, {gateway::origin_source::own, origin->software_version});
         return;
     }
-    const auto holders = request.size() > max_request_id_bytes ? std::vector<std::string>{}
-                                                               : origin_holders(item.service);
-    const auto id = m_next_origin_query++;
+    const bool too_long = request.size() > max_request_id_bytes;
+    const auto coordinators = too_long ? std::vector<std::string>{} : connected_coordinators();
+    const auto registrars = too_long ? std::vector<std::string>{} : used_registrars(item.service);
+    const auto id = std::exchange(m_next_origin_query, m_next_origin_query + 2);
     item.origin_query = id;
-    m_origin_lookups.emplace(id, gateway::origin_lookup{item.id, holders.size()});
-    if (holders.empty()) {
+    const auto asked = coordinators.size() + registrars.size();
+    m_origin_lookups.emplace(id, gateway::origin_lookup{item.id, asked, coordinator_count()});
+    if (asked == 0) {
         finish_origin_lookup(item);
         return;
     }
@@ -73,17 +75,21 @@
     query.request = request;
     query.service = item.service;
     query.span_ms = static_cast<std::uint32_t>(core::to_ms(stream_span(item.service)));
-    const auto message = wire::make_envelope(std::move(query));
-    for (const auto& address : holders) {
-        m_mesh->send(address, message);
+    for (const auto& address : coordinators) {
+        m_mesh->send(address, wire::make_envelope(query));
+    }
+    query.id = id + 1;
+    for (const auto& address : registrars) {
+        m_mesh->send(address, wire::make_envelope(query));
     }
     arm_timer(item, std::min<core::duration>(origin_answer_timeout, time_left(item)));
 }
 
 void gateway_process::apply_origin_answer(const wire::stream_origin_answer_t& answer)
 {
-    const auto lookup = m_origin_lookups.find(answer.id);
-    if (lookup != m_origin_lookups.end() && lookup->second.add_answer(answer)) {
+    const bool from_coordinator = answer.id % 2 == 0;
+    const auto lookup = m_origin_lookups.find(from_coordinator ? answer.id : answer.id - 1);
+    if (lookup != m_origin_lookups.end() && lookup->second.add_answer(answer, from_coordinator)) {
         finish_origin_lookup(*m_exchanges.at(lookup->second.exchange()));
     }
 }
@@ -253,18 +259,34 @@
 // Returns the processes that are told of the streams of a service, and asked for them.
 std::vector<std::string> gateway_process::origin_holders(const std::string& service) const
 {
-    std::vector<std::string> holders;
+    auto holders = connected_coordinators();
+    const auto registrars = used_registrars(service);
+    holders.insert(holders.end(), registrars.begin(), registrars.end());
+    return holders;
+}
+
+std::vector<std::string> gateway_process::connected_coordinators() const
+{
+    std::vector<std::string> connected;
     for (const auto& [address, state] : m_coordinators) {
         if (state.connected) {
-            holders.push_back(address);
+            connected.push_back(address);
         }
     }
+    return connected;
+}
+
+// Returns the number of coordinators of the deployment, connected or not.
+std::size_t gateway_process::coordinator_count() const
+{
+    return m_control_members > 0 ? m_control_members : m_coordinators.size();
+}
+
+std::vector<std::string> gateway_process::used_registrars(const std::string& service) const
+{
     const auto versions = m_software.versions(service, stream_span(service), m_clock.now());
-    if (versions.count != wire::version_count::one) {
-        const auto registrars = choose_registrars();
-        holders.insert(holders.end(), registrars.begin(), registrars.end());
-    }
-    return holders;
+    return versions.count == wire::version_count::one ? std::vector<std::string>{}
+                                                      : choose_registrars();
 }
 
 // Chooses gateways that all others choose too: one in each of several failure domains.
--- a/src/gateway/origin_lookup.cpp
+++ b/src/gateway/origin_lookup.cpp
@@ -19,9 +19,11 @@
     return "unknown";
 }
 
-bool origin_lookup::add_answer(const wire::stream_origin_answer_t& answer)
+bool origin_lookup::add_answer(const wire::stream_origin_answer_t& answer, bool from_coordinator)
 {
     m_answers.push_back(answer);
+    const bool sure = answer.count == wire::version_count::one;
+    m_sure_coordinators += from_coordinator && sure ? 1 : 0;
     return m_answers.size() >= m_asked;
 }
 
@@ -50,8 +52,9 @@
     if (several || only.size() > 1) {
         return {};
     }
-    // An answer shows that this gateway isn't cut off, so that it would know of other versions.
-    if (m_answers.empty() || only.empty()) {
+    // A gateway that is out of step may be beside a coordinator that is, too.
+    const bool most_are_sure = m_sure_coordinators * 2 > m_coordinators;
+    if (only.empty() || !most_are_sure) {
         origin_decision unsure;
         unsure.may_become_known = true;
         return unsure;
--- a/src/gateway/origin_lookup_test.cpp
+++ b/src/gateway/origin_lookup_test.cpp
@@ -32,7 +32,12 @@
 
 TEST_GROUP(OriginLookup)
 {
-    origin_lookup lookup{7, 3};
+    origin_lookup lookup{7, 3, 3};
+
+    bool add(const wire::stream_origin_answer_t& made, bool from_coordinator = true)
+    {
+        return lookup.add_answer(made, from_coordinator);
+    }
 
     // Returns whether asking again may help.
     bool check(origin_source source, const std::string& version,
@@ -47,22 +52,23 @@
 
 TEST(OriginLookup, IsCompleteOnceAllHaveAnswered)
 {
-    CHECK_FALSE(lookup.add_answer(answer(wire::version_count::one, "v1")));
-    CHECK_FALSE(lookup.add_answer(answer(wire::version_count::one, "v1")));
-    CHECK_TRUE(lookup.add_answer(answer(wire::version_count::one, "v1")));
+    CHECK_FALSE(add(answer(wire::version_count::one, "v1")));
+    CHECK_FALSE(add(answer(wire::version_count::one, "v1")));
+    CHECK_TRUE(add(answer(wire::version_count::one, "v1")));
 }
 
 TEST(OriginLookup, TakesTheVersionOfTheLatestAttemptThatAnybodyKnows)
 {
-    lookup.add_answer(known("v2", 2));
-    lookup.add_answer(known("v1", 1));
-    lookup.add_answer(answer(wire::version_count::one, "v1"));
+    add(known("v2", 2));
+    add(known("v1", 1));
+    add(answer(wire::version_count::one, "v1"));
     check(origin_source::told, "v2", one);
 }
 
 TEST(OriginLookup, TakesTheOnlyVersionThatHasServed)
 {
-    lookup.add_answer(answer(wire::version_count::one, "v1"));
+    add(answer(wire::version_count::one, "v1"));
+    add(answer(wire::version_count::one, "v1"));
     check(origin_source::only_version, "v1", unsure);
     check(origin_source::only_version, "v1", one);
 }
@@ -70,9 +76,9 @@
 TEST(OriginLookup, DoesNotGuessWhereAnybodyHasSeenAnotherVersion)
 {
     CHECK_FALSE(check(origin_source::unknown, "", several));
-    lookup.add_answer(answer(wire::version_count::one, "v2"));
+    add(answer(wire::version_count::one, "v2"));
     CHECK_FALSE(check(origin_source::unknown, "", one));
-    lookup.add_answer(answer(wire::version_count::several));
+    add(answer(wire::version_count::several));
     CHECK_FALSE(check(origin_source::unknown, "", unsure));
 }
 
@@ -83,12 +89,29 @@
 
 TEST(OriginLookup, DoesNotGuessWhereNobodyIsSure)
 {
-    lookup.add_answer(answer(wire::version_count::unsure));
+    add(answer(wire::version_count::unsure));
     CHECK_TRUE(check(origin_source::unknown, "", unsure));
 }
 
-IGNORE_TEST(OriginLookup, DoesNotTakeOneCoordinatorThatMayBeOutOfStepForMostOfThem)
+TEST(OriginLookup, DoesNotTakeOneCoordinatorThatMayBeOutOfStepForMostOfThem)
+{
+    add(answer(wire::version_count::one, "v1"));
+    CHECK_TRUE(check(origin_source::unknown, "", one));
+}
+
+TEST(OriginLookup, DoesNotTakeGatewaysForCoordinators)
+{
+    add(answer(wire::version_count::one, "v1"));
+    add(answer(wire::version_count::one, "v1"), false);
+    add(answer(wire::version_count::one, "v1"), false);
+    CHECK_TRUE(check(origin_source::unknown, "", one));
+}
+
+TEST(OriginLookup, GoesOnOnceMostCoordinatorsAreSure)
 {
-    lookup.add_answer(answer(wire::version_count::one, "v1"));
+    add(answer(wire::version_count::one, "v1"));
+    add(answer(wire::version_count::unsure));
     CHECK_TRUE(check(origin_source::unknown, "", one));
+    add(answer(wire::version_count::one, "v1"));
+    check(origin_source::only_version, "v1", one);
 }
