Test streams that are taken up beside a gateway and a coordinator that stood still

Five seconds of a release with one gateway and each coordinator in turn stopped (SIGSTOP), streams begun elsewhere meanwhile and taken up at that gateway as it goes on.

--- a/tests/software_version_test.py
+++ b/tests/software_version_test.py
@@ -277,6 +277,23 @@
         self.check_one_version()
         self.check_share_resumed()
 
+    async def test_streams_taken_up_beside_a_coordinator_that_stood_still_hold_one_version(self):
+        stopped = self.platform.gateways[0]
+        await self.install_and_settle(["v1"] * 6)
+        for number, coordinator in enumerate(self.platform.coordinators):
+            for name in (stopped, coordinator):
+                self.platform.signal(name, signal.SIGSTOP)
+            self.install(["v2"] * 3 + ["v1"] * 3 if number % 2 == 0 else ["v1"] * 6)
+            await asyncio.sleep(3.0)
+            streams = [asyncio.create_task(self.run_stream(1 + i % 3, [2], next_gateway=0))
+                       for i in range(30)]
+            await asyncio.sleep(1.0)
+            for name in (stopped, coordinator):
+                self.platform.signal(name, signal.SIGCONT)
+            await asyncio.gather(*streams)
+        self.check_one_version()
+        self.check_share_taken_up()
+
     async def test_streams_of_unknown_origin_go_on_only_if_one_version_has_served(self):
         alone = [await self.run_stream(0, [2], unknown_origin=True) for _ in range(4)]
         self.assertTrue(all(s.complete for s in alone), [s.statuses for s in alone])
