Keep the former version in mind while its replacement isn't answered, and count a load once

Cause: the copy of an unanswered load was dropped from the view of its engine, also where it replaced another version, which the engine still holds: one slot too many. By reading, a second one: of two orders for the same load the first may be answered late, and the engine accepts the second without counting it.

Now a replaced copy stays as one of an unknown version, and where an earlier order was answered meanwhile, a report decides. Placer.CountsTheFormerVersionWhileItsReplacementIsNotAnswered and Placer.CountsALoadOnceThatWasOrderedTwiceAndAnsweredLate failed before.

--- a/src/adapters/placer.cpp
+++ b/src/adapters/placer.cpp
@@ -443,6 +443,14 @@
         engine->unanswered_in_row = 0;
         m_answer_time.on_answer(now - given.sent_at);
     }
+    const bool success = result == order_result::accepted || result == order_result::holds;
+    if (success && !given.repeated && given.orders_accepted != engine->orders_accepted) {
+        // An earlier order was answered meanwhile, so the engine may not have counted this one.
+        m_changed_engines.insert(engine->id);
+        engine->state_known = false;
+        engine->report_due = now + m_options.max_report_age;
+        return;
+    }
     apply_result(*engine, given, result, now);
 }
 
@@ -505,7 +513,14 @@
             }
             else if (held->second.state == copy_state::loading) {
                 overdue.copy = held->second;
-                engine.copies.erase(held);
+                if (held->second.replaces) {
+                    // The engine still holds the former version, whichever that is.
+                    held->second.state = copy_state::loaded;
+                    held->second.version = 0;
+                }
+                else {
+                    engine.copies.erase(held);
+                }
             }
         }
         engine.last_order_at = now;
--- a/src/adapters/placer_test.cpp
+++ b/src/adapters/placer_test.cpp
@@ -875,3 +875,37 @@
     CHECK_TRUE(orders.at(0).unload);
     STRCMP_EQUAL("p", orders.at(0).adapter.c_str());
 }
+
+TEST(Placer, CountsTheFormerVersionWhileItsReplacementIsNotAnswered)
+{
+    adapter_placer.set_version({model, "x"}, 1);
+    engine("a", {"p", "x"}); // full
+    adapter_placer.set_version({model, "x"}, 2);
+    wish("x");
+    const auto replacement = plan().at(0);
+    STRCMP_EQUAL("x", replacement.adapter.c_str());
+    CHECK_FALSE(replacement.unload);
+    clock.advance(core::milliseconds{300});
+    cancel_wish("x");
+    wish("y");
+    const auto orders = plan();
+    LONGS_EQUAL(1, static_cast<long>(orders.size()));
+    CHECK_TRUE(orders.at(0).unload);
+}
+
+TEST(Placer, CountsALoadOnceThatWasOrderedTwiceAndAnsweredLate)
+{
+    engine("a");
+    wish("x");
+    const auto first = plan().at(0);
+    clock.advance(core::milliseconds{300});
+    wish("x");
+    const auto second = plan().at(0);
+    finish(first, order_result::accepted);
+    finish(second, order_result::accepted); // the engine is loading it already
+    wish("y");
+    LONGS_EQUAL(0, static_cast<long>(plan().size())); // not before a report
+    report("a", 1, {"x"});
+    wish("y");
+    LONGS_EQUAL(1, static_cast<long>(plan().at(0).orders_accepted));
+}
