--- a/include/siskindrift/adapters/placer.h
+++ b/include/siskindrift/adapters/placer.h
@@ -131,6 +131,8 @@
     /// Lower bound of the time after which an unserved adapter is overdue. The time itself is how
     /// long the store needs for all adapters that are requested and have no copy.
     core::duration min_overdue_wait = core::milliseconds{1000};
+    /// Requests since it was last served from which on an adapter may be overdue.
+    std::uint32_t min_overdue_requests = 2;
     /// Fraction of the loads from the store that overdue adapters get before all others.
     double overdue_load_share = 0.25;
     /// Adapters that were requested without being served.
--- a/src/adapters/placer_plan.cpp
+++ b/src/adapters/placer_plan.cpp
@@ -281,16 +281,18 @@
     for (const auto& wanted : collect_demands(now)) {
         if (is_missing(copies, wanted)) {
             const auto* unserved = m_unserved.find(*wanted.name);
-            waits.push_back(now - (unserved != nullptr ? unserved->since : wanted.since));
-            sum.longest_wait = std::max(sum.longest_wait, waits.back());
+            const auto wait = now - (unserved != nullptr ? unserved->since : wanted.since);
+            sum.longest_wait = std::max(sum.longest_wait, wait);
+            ++sum.wanted;
+            if (unserved != nullptr && unserved->count >= m_options.min_overdue_requests) {
+                waits.push_back(wait);
+            }
         }
         wished.insert(wanted.key);
     }
-    sum.wanted = waits.size();
     sum.overdue = static_cast<std::size_t>(
-        std::count_if(waits.begin(), waits.end(), [&](const core::duration& wait) {
-            return wait > overdue_wait(waits.size());
-        }));
+        std::count_if(waits.begin(), waits.end(),
+                      [&](const core::duration& wait) { return wait > overdue_wait(sum.wanted); }));
     sum.fenced = m_fenced;
     sum.load_time = m_store_load_time;
     if (const auto learnt = m_store_limiter.learnt()) {
@@ -428,14 +430,17 @@
     std::vector<const demand*> missing;
     for (auto& wanted : list) {
         const auto* unserved = m_unserved.find(*wanted.name);
-        if (unserved != nullptr && is_missing(copies, wanted)) {
-            wanted.unserved = *unserved;
+        if (is_missing(copies, wanted)) {
+            wanted.unserved =
+                unserved != nullptr ? *unserved : unserved_adapters::unserved_requests{now, 0};
             missing.push_back(&wanted);
         }
     }
     const auto limit = overdue_wait(missing.size());
-    std::erase_if(missing,
-                  [&](const demand* wanted) { return now - wanted->unserved.since <= limit; });
+    std::erase_if(missing, [&](const demand* wanted) {
+        return wanted->unserved.count < m_options.min_overdue_requests ||
+               now - wanted->unserved.since <= limit;
+    });
     std::sort(missing.begin(), missing.end(), [](const demand* left, const demand* right) {
         return std::tie(right->unserved.count, left->unserved.since, left->key) <
                std::tie(left->unserved.count, right->unserved.since, right->key);
@@ -556,8 +561,8 @@
     }
     auto& held = engine.copies[name];
     held.additional = wait_ms.has_value();
-    held.overdue =
-        wanted.unserved.count > 0 && now - wanted.unserved.since > m_options.min_overdue_wait;
+    held.overdue = wanted.unserved.count >= m_options.min_overdue_requests &&
+                   now - wanted.unserved.since > m_options.min_overdue_wait;
     held.poll_interval = {};
     held.accepted_at = {};
     held.waiting_prompt_tokens = wanted.prompt_tokens;
