Go on with a stream only by an answer like the one that began it

Cause: any sealed success without a media type, or with that of events, was taken for more events: 200 without a type, 201, 204, 205, 206. A 204 has no events, so the stream ended as whole with half of its events.

Evidence: AnswerEndTest.test_a_begun_stream_holds_no_text_of_an_error_and_does_not_end_as_whole, 38 kinds of answers after a break: 9 failed before (200, 201, 205 and 206 with the text 'went wrong' in a stream framed as whole, 204 without it), none now. Failures (3xx, 4xx, 5xx) and plain text never got through.

The answer that goes on must have the status and the kind of media type of the one that began the stream, else the caller's stream is broken off. Open: where upstreams name no media type at all, text and events of a 200 can't be told apart by the head.

--- a/src/apps/gateway_exchanges.cpp
+++ b/src/apps/gateway_exchanges.cpp
@@ -536,14 +536,25 @@
     item->event_stream =
         http::is_event_stream(media_type) || (streaming && success && media_type.empty());
     const bool answered = classify(*item) == gateway::attempt_outcome::answered;
-    // Only events continue a stream: any other response would start again at its beginning.
-    item->forwarding =
-        streaming && success && answered && (!item->stream_begun || item->event_stream);
+    item->forwarding = streaming && success && answered && may_go_on_with(*item, head);
     if (item->forwarding) {
         begin_stream(*item);
     }
 }
 
+// Returns whether a response may be passed on as part of the stream: as its beginning, or as more
+// of what began it. The text of an error may come with any status and without a media type.
+bool gateway_process::may_go_on_with(const exchange& item, const http::client_head& head)
+{
+    if (!item.stream_begun) {
+        return true;
+    }
+    const auto media_type = head.header("Content-Type");
+    const bool same_type = item.begun_as_events ? http::is_event_stream(media_type)
+                                                : item.event_stream && media_type.empty();
+    return head.status == item.begun_status && same_type;
+}
+
 // Classifies the response of the current attempt by its head.
 gateway::attempt_outcome gateway_process::classify(const exchange& item)
 {
@@ -560,6 +571,8 @@
         return; // continues the response that another upstream began
     }
     item.first_byte_at = m_clock.now();
+    item.begun_status = item.response_head->status;
+    item.begun_as_events = http::is_event_stream(item.response_head->header("Content-Type"));
     auto headers = platform::caller_response_headers(*item.response_head);
     for (auto& header : relay_headers(item, std::nullopt)) {
         headers.push_back(std::move(header));
--- a/src/apps/gateway_process.h
+++ b/src/apps/gateway_process.h
@@ -154,8 +154,10 @@
         http::call_end call_end; ///< Of the last attempt that has ended.
         // Streaming response.
         bool stream_begun = false;
-        bool event_stream = false; ///< The current response consists of server-sent events.
-        bool forwarding = false;   ///< The current response is forwarded as it arrives.
+        std::uint16_t begun_status = 0; ///< Of the answer that began the stream.
+        bool begun_as_events = false;   ///< That answer named the media type of events.
+        bool event_stream = false;      ///< The current response consists of server-sent events.
+        bool forwarding = false;        ///< The current response is forwarded as it arrives.
         gateway::event_splitter events;
         /// Last event that the caller has received, also in an earlier request; empty if none.
         std::string last_event_id;
@@ -215,6 +217,7 @@
     void on_data(std::uint64_t call, const std::string& bytes) override;
     void on_end(std::uint64_t call, const http::call_end& call_end) override;
     void end_call(exchange& item, http::call_result result, std::string error);
+    [[nodiscard]] static bool may_go_on_with(const exchange& item, const http::client_head& head);
     [[nodiscard]] static gateway::attempt_outcome classify(const exchange& item);
     void begin_stream(exchange& item);
     void forward_stream_data(exchange& item, const std::string& bytes);
--- a/tests/answer_end_test.py
+++ b/tests/answer_end_test.py
@@ -70,6 +70,8 @@
                 "X-Siskindrift-Response-Seal": seal}
         if len(attempts) > 1 and self.platform.continue_without_seal:
             del head["X-Siskindrift-Response-Seal"]
+        if len(attempts) > 1 and self.platform.continue_with:
+            return await self.answer_otherwise(writer, head, *self.platform.continue_with)
         whole_length = sum(map(len, parts))
         if case.end != "whole":
             half = parts[EVENTS_BEFORE_BREAK][:9] if case.inside_event else b""
@@ -91,6 +93,17 @@
         await writer.drain()
         return await self.end(writer, case)
 
+    async def answer_otherwise(self, writer, head, status, media_type, body):
+        """Answers with something that doesn't go on with the stream."""
+        del head["Content-Type"]
+        if media_type:
+            head["Content-Type"] = media_type
+        if status not in (204, 304):
+            head["Content-Length"] = str(len(body))
+        writer.write(render(f"HTTP/1.1 {status} X", head, b"" if status in (204, 304) else body))
+        await writer.drain()
+        return True
+
     async def end(self, writer, case):
         """Ends the answer; returns whether the connection can be used again."""
         await asyncio.sleep(0.02)
@@ -111,6 +124,7 @@
         super().__init__(folder, coordinators=1, gateways=1, plain=0, engines=0)
         self.cases = {}
         self.continue_without_seal = False  # for every attempt after the first of a request
+        self.continue_with = None  # status, media type and body of every attempt after the first
         self.silence_s = []
         self.upstreams = [BreakingUpstream(self, f"plain-{i}", "desk", i) for i in (1, 2)]
         self.upstreams += [BreakingUpstream(self, f"engine-{i}", "models", 100 + i, adapter_slots=4)
@@ -214,6 +228,22 @@
         self.platform.continue_without_seal = True
         await self.expect("/stream/x", Case("chunked", "close"), False)
 
+    async def test_a_begun_stream_holds_no_text_of_an_error_and_does_not_end_as_whole(self):
+        await self.allow_retries()
+        for status, media_type in itertools.product(
+                (200, 201, 204, 205, 206, 302, 304, 400, 404, 409, 500, 502, 504),
+                ("text/plain", "text/event-stream", "")):
+            if (status, media_type) == (200, "text/event-stream"):
+                continue
+            with self.subTest(status=status, media_type=media_type):
+                self.platform.continue_with = (status, media_type, b"went wrong\n\n")
+                _, answer = await self.send("/stream/x", Case("chunked", "close"))
+                self.assertEqual(200, answer.status)
+                self.assertFalse(answer.whole, answer)
+                self.assertEqual(list(range(1, EVENTS_BEFORE_BREAK + 1)),
+                                 event_numbers(answer.body))
+                self.assertNotIn(b"wrong", answer.body)
+
     async def test_an_answer_that_is_no_event_stream_is_not_continued_by_another(self):
         await self.allow_retries()
         await self.expect("/stream/x", Case("chunked", "close", events=False), False)
