Test answers that stop in their head

The test stays. Not tested: siskindrift-entry, HTTP/1.0, interim answers before the cut, kept connections.

--- a/tests/answer_end_test.py
+++ b/tests/answer_end_test.py
@@ -36,6 +36,7 @@
     inside_event: bool = False
     inside_chunk: bool = False
     events: bool = True   # a stream's media type is that of events
+    head_bytes: int = 0   # the head ends after so many bytes, unless 0
 
 
 WHOLE = Case("chunked", "whole")
@@ -72,6 +73,11 @@
             del head["X-Siskindrift-Response-Seal"]
         if len(attempts) > 1 and self.platform.continue_with:
             return await self.answer_otherwise(writer, head, *self.platform.continue_with)
+        if case.head_bytes:
+            writer.write(render("HTTP/1.1 200 OK", {**head, "Content-Length": "400"})
+                         [:case.head_bytes])
+            await writer.drain()
+            return await self.end(writer, case)
         whole_length = sum(map(len, parts))
         if case.end != "whole":
             half = parts[EVENTS_BEFORE_BREAK][:9] if case.inside_event else b""
@@ -244,6 +250,12 @@
                                  event_numbers(answer.body))
                 self.assertNotIn(b"wrong", answer.body)
 
+    async def test_an_answer_that_stops_in_its_head_is_not_framed_as_complete(self):
+        for head_bytes, end in itertools.product((1, 8, 15, 16, 17, 18, 30, 60, 120),
+                                                 ("close", "reset")):
+            case = Case("length", end, head_bytes=head_bytes)
+            await self.expect_all(["/unsafe/x", "/once/x"], [case], False)
+
     async def test_an_answer_that_is_no_event_stream_is_not_continued_by_another(self):
         await self.allow_retries()
         await self.expect("/stream/x", Case("chunked", "close", events=False), False)
