Believe the leader under its lease that a service has one software version

The leader answers from the replicated state, and only under its lease, which it loses in a pause. So its answer alone is enough, as is that of most coordinators; anybody who has seen another version still prevents both. OriginLookup.GoesOnOnceTheLeaderIsSureAlthoughMostCoordinatorsHaveJustStarted can't be built on the code before.

--- a/include/siskindrift/gateway/origin_lookup.h
+++ b/include/siskindrift/gateway/origin_lookup.h
@@ -56,6 +56,7 @@
     std::size_t m_asked;
     std::size_t m_coordinators;
     std::size_t m_sure_coordinators = 0; ///< Those that know of one version only.
+    bool m_leader_is_sure = false;
     std::vector<wire::stream_origin_answer_t> m_answers;
 };
 
--- a/src/apps/coordinator_fleet.cpp
+++ b/src/apps/coordinator_fleet.cpp
@@ -135,6 +135,7 @@
     if (holds_lease()) {
         control::complete_origin_answer(answer, query.service, m_core->state().software_versions());
     }
+    answer.leads = holds_lease();
     if (answer.count == wire::version_count::one && !is_current()) {
         answer.count = wire::version_count::unsure;
         answer.only_version.clear();
--- a/src/gateway/origin_lookup.cpp
+++ b/src/gateway/origin_lookup.cpp
@@ -24,6 +24,7 @@
     m_answers.push_back(answer);
     const bool sure = answer.count == wire::version_count::one;
     m_sure_coordinators += from_coordinator && sure ? 1 : 0;
+    m_leader_is_sure = m_leader_is_sure || (from_coordinator && sure && answer.leads);
     return m_answers.size() >= m_asked;
 }
 
@@ -54,7 +55,7 @@
     }
     // A gateway that is out of step may be beside a coordinator that is, too.
     const bool most_are_sure = m_sure_coordinators * 2 > m_coordinators;
-    if (only.empty() || !most_are_sure) {
+    if (only.empty() || !(most_are_sure || m_leader_is_sure)) {
         origin_decision unsure;
         unsure.may_become_known = true;
         return unsure;
--- a/src/gateway/origin_lookup_test.cpp
+++ b/src/gateway/origin_lookup_test.cpp
@@ -115,3 +115,22 @@
     add(answer(wire::version_count::one, "v1"));
     check(origin_source::only_version, "v1", one);
 }
+
+TEST(OriginLookup, GoesOnOnceTheLeaderIsSureAlthoughMostCoordinatorsHaveJustStarted)
+{
+    auto from_leader = answer(wire::version_count::one, "v1");
+    from_leader.leads = true;
+    add(answer(wire::version_count::unsure));
+    add(answer(wire::version_count::unsure));
+    add(from_leader);
+    check(origin_source::only_version, "v1", unsure);
+}
+
+TEST(OriginLookup, DoesNotBelieveTheLeaderWhereAnybodyHasSeenAnotherVersion)
+{
+    auto from_leader = answer(wire::version_count::one, "v1");
+    from_leader.leads = true;
+    add(from_leader);
+    add(answer(wire::version_count::several));
+    CHECK_FALSE(check(origin_source::unknown, "", unsure));
+}
