Drop the copy of an unanswered load only where that load began it

Of two loads of one adapter with the same order count the first was answered late and accepted. The second, unanswered or refused, then dropped the copy that the first one had begun: the engine seemed to have one more free slot than it had, and was ordered to load beyond its slots.

A copy now names the order that began its load, and only that order's failure drops it. Placer.CountsALoadThatAnEarlierOrderBeganWhileALaterOneIsNotAnswered fails before.

--- a/include/siskindrift/adapters/placer.h
+++ b/include/siskindrift/adapters/placer.h
@@ -248,7 +248,8 @@
     struct adapter_copy {
         std::uint64_t version = 0;
         copy_state state = copy_state::loaded;
-        bool from_store = false; ///< The load reads from the weight store, not from a cache.
+        std::uint64_t load_order = 0; ///< ID of the order that began the load.
+        bool from_store = false;      ///< The load reads from the weight store, not from a cache.
         /// Age in the engine's history when the load began, or none if it isn't recorded there.
         std::optional<std::size_t> history_age;
         double load_seconds = 0; ///< Of the store limiter when the load began.
--- a/src/adapters/placer.cpp
+++ b/src/adapters/placer.cpp
@@ -479,7 +479,7 @@
             held->second.state = copy_state::loaded;
             held->second.last_used = now; // rather evicts another one next
         }
-        else if (held->second.state == copy_state::loading && !given.repeated) {
+        else if (held->second.state == copy_state::loading && held->second.load_order == given.id) {
             engine.copies.erase(held);
         }
     }
@@ -511,7 +511,8 @@
                 held->second.state = copy_state::loaded;
                 held->second.last_used = now; // rather evicts another one next
             }
-            else if (held->second.state == copy_state::loading) {
+            else if (held->second.state == copy_state::loading &&
+                     held->second.load_order == given.id) {
                 overdue.copy = held->second;
                 if (held->second.replaces) {
                     // The engine still holds the former version, whichever that is.
--- a/src/adapters/placer_plan.cpp
+++ b/src/adapters/placer_plan.cpp
@@ -574,6 +574,7 @@
     held.last_used = now;
     held.next_poll_at = core::time_point::max(); // set when the engine accepts the order
     orders.push_back(create_order(engine, name, held.version, false, now));
+    held.load_order = orders.back().id;
     return placement::ordered;
 }
 
@@ -615,6 +616,7 @@
             now + std::chrono::duration_cast<core::duration>(
                       std::chrono::duration<double>{1.0 / capacity->loads_per_second});
         orders.push_back(create_order(engine, name, 0, false, now));
+        held.load_order = orders.back().id;
     }
 }
 
--- a/src/adapters/placer_test.cpp
+++ b/src/adapters/placer_test.cpp
@@ -893,6 +893,25 @@
     CHECK_TRUE(orders.at(0).unload);
 }
 
+TEST(Placer, CountsALoadThatAnEarlierOrderBeganWhileALaterOneIsNotAnswered)
+{
+    engine("a", {"p"}); // one free slot
+    wish("x");
+    const auto first = plan().at(0);
+    clock.advance(core::milliseconds{300});
+    wish("x");
+    plan();
+    finish(first, order_result::accepted);
+    cancel_wish("x");
+    clock.advance(core::milliseconds{300});
+    plan(); // the second order is overdue
+    clock.advance(core::milliseconds{300});
+    wish("y");
+    for (const auto& given : plan()) {
+        CHECK_FALSE(given.adapter == "y");
+    }
+}
+
 TEST(Placer, CountsALoadOnceThatWasOrderedTwiceAndAnsweredLate)
 {
     engine("a");
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -150,7 +150,7 @@
     }
 }
 
-IGNORE_TEST(Placement, OrdersNoLoadBeyondTheSlotsOfEnginesThatAnswerLate)
+TEST(Placement, OrdersNoLoadBeyondTheSlotsOfEnginesThatAnswerLate)
 {
     scenario.engines = 20;
     scenario.adapter_slots = 6;
