--- a/src/adapters/placer_plan.cpp
+++ b/src/adapters/placer_plan.cpp
@@ -340,23 +340,6 @@
     return told;
 }
 
-order& placer::create_order(engine_state& engine, const adapter_name& name, std::uint64_t version,
-                            bool unload, core::time_point now)
-{
-    order given;
-    given.id = m_next_order_id++;
-    given.upstream = engine.id;
-    given.address = engine.address;
-    given.model = name.first;
-    given.adapter = name.second;
-    given.version = version;
-    given.orders_accepted = engine.orders_accepted;
-    given.unload = unload;
-    given.sent_at = now;
-    engine.pending_order = given;
-    return *engine.pending_order;
-}
-
 std::vector<order> placer::plan(core::time_point now)
 {
     std::vector<order> orders;
@@ -578,46 +561,4 @@
     return placement::ordered;
 }
 
-// Repeats the order of each load that should be complete: the engine answers that it holds.
-void placer::poll_loads(core::time_point now, std::vector<order>& orders)
-{
-    for (auto& [id, engine] : m_engines) {
-        for (auto& [name, held] : engine.copies) {
-            if (held.state != copy_state::loading || !can_take_order(engine, now)) {
-                continue;
-            }
-            if (held.next_poll_at <= now && !name.second.empty()) {
-                auto& given = create_order(engine, name, held.version, false, now);
-                given.repeated = true;
-                orders.push_back(given);
-                break;
-            }
-            m_next_check_at = std::min(m_next_check_at, held.next_poll_at);
-        }
-    }
-}
-
-// Loads the base model of engines that hold nothing, such as after a restart.
-void placer::load_base_models(core::time_point now, std::vector<order>& orders)
-{
-    for (auto& [id, engine] : m_engines) {
-        if (!can_take_order(engine, now) || now < m_next_model_load_at || !engine.copies.empty()) {
-            continue;
-        }
-        const auto* capacity = capacity_of(engine);
-        if (capacity->models.empty() || capacity->loads_per_second <= 0) {
-            continue;
-        }
-        const adapter_name name{capacity->models.front().name, ""};
-        auto& held = engine.copies[name];
-        held.state = copy_state::loading;
-        held.next_poll_at = core::time_point::max();
-        m_next_model_load_at =
-            now + std::chrono::duration_cast<core::duration>(
-                      std::chrono::duration<double>{1.0 / capacity->loads_per_second});
-        orders.push_back(create_order(engine, name, 0, false, now));
-        held.load_order = orders.back().id;
-    }
-}
-
 } // namespace siskindrift::adapters
