--- a/tests/answer_end_test.py
+++ b/tests/answer_end_test.py
@@ -37,6 +37,9 @@
     inside_chunk: bool = False
     events: bool = True   # a stream's media type is that of events
     head_bytes: int = 0   # the head ends after so many bytes, unless 0
+    http: str = "1.1"
+    before: bytes = b""   # sent before the answer
+    after: bytes = b""    # sent behind a whole answer
 
 
 WHOLE = Case("chunked", "whole")
@@ -73,9 +76,10 @@
             del head["X-Siskindrift-Response-Seal"]
         if len(attempts) > 1 and self.platform.continue_with:
             return await self.answer_otherwise(writer, head, *self.platform.continue_with)
+        status_line = f"HTTP/{case.http} 200 OK"
+        writer.write(case.before)
         if case.head_bytes:
-            writer.write(render("HTTP/1.1 200 OK", {**head, "Content-Length": "400"})
-                         [:case.head_bytes])
+            writer.write(render(status_line, {**head, "Content-Length": "400"})[:case.head_bytes])
             await writer.drain()
             return await self.end(writer, case)
         whole_length = sum(map(len, parts))
@@ -87,7 +91,7 @@
             head["Content-Length"] = str(early if case.end == "framed" else whole_length)
         elif case.framing == "chunked":
             head["Transfer-Encoding"] = "chunked"
-        writer.write(render("HTTP/1.1 200 OK", head))
+        writer.write(render(status_line, head))
         for part in parts:
             writer.write(b"%x\r\n%s\r\n" % (len(part), part) if case.framing == "chunked" else part)
             await writer.drain()
@@ -96,6 +100,7 @@
             writer.write(b"40\r\nid: ")
         if case.framing == "chunked" and case.end in ("whole", "framed"):
             writer.write(b"0\r\n\r\n")
+        writer.write(case.after)
         await writer.drain()
         return await self.end(writer, case)
 
@@ -256,6 +261,40 @@
             case = Case("length", end, head_bytes=head_bytes)
             await self.expect_all(["/unsafe/x", "/once/x"], [case], False)
 
+    async def test_an_answer_that_stops_in_its_head_on_a_kept_connection_is_not_framed_as_complete(
+            self):
+        for head_bytes, end, path in itertools.product((1, 12, 17, 60), ("close", "reset"),
+                                                       ("/unsafe/x", "/once/x")):
+            for _ in self.platform.upstreams:
+                await self.expect(path, Case("length", "whole"), True)
+            await self.expect(path, Case("length", end, head_bytes=head_bytes), False)
+
+    async def test_an_answer_that_stops_after_an_interim_one_is_not_framed_as_complete(self):
+        for interim, end in itertools.product((b"HTTP/1.1 100 Continue\r\n\r\n",
+                                               b"HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n"),
+                                              ("close", "reset")):
+            await self.expect_all(["/unsafe/x", "/once/x"],
+                                  [Case("length", "whole", before=interim)], True)
+            cases = [Case("length", end, head_bytes=head_bytes, before=interim)
+                     for head_bytes in (1, 17, 60)]
+            await self.expect_all(["/unsafe/x", "/once/x"], cases, False)
+
+    async def test_answers_of_http_1_0_that_break_off_are_not_framed_as_complete(self):
+        await self.expect_all(PLAIN_PATHS + STREAM_PATHS,
+                              [Case(framing, "whole", http="1.0")
+                               for framing in ("length", "until_close")], True)
+        cases = [Case("length", end, http="1.0") for end in ("close", "reset")]
+        cases += [Case("until_close", "reset", http="1.0"),
+                  Case("length", "close", head_bytes=17, http="1.0")]
+        await self.expect_all(["/unsafe/x", "/once/x"], cases, False)
+
+    async def test_what_follows_an_answer_is_not_the_answer_to_the_next_request(self):
+        other = render("HTTP/1.1 200 OK", {"Content-Type": "text/plain", "Content-Length": "5"},
+                       b"other")
+        for path in ("/unsafe/x", "/once/x"):
+            for _ in range(4):
+                await self.expect(path, Case("length", "whole", after=other), True)
+
     async def test_an_answer_that_is_no_event_stream_is_not_continued_by_another(self):
         await self.allow_retries()
         await self.expect("/stream/x", Case("chunked", "close", events=False), False)
