--- a/tests/entry_answer_end_test.py
+++ b/tests/entry_answer_end_test.py
@@ -38,6 +38,7 @@
         self.calls = 0
         self.server = None
         self.announcing = None
+        self.head_bytes = 0   # the answer ends after so many bytes of its head, unless 0
         self.endless = None  # (first bytes, bytes that are repeated, pause in seconds)
         self.open_answers = 0
         self.answer_with("length", "whole", "text/plain", b"")
@@ -89,7 +90,8 @@
             head["Transfer-Encoding"] = "chunked"
             body = b"%x\r\n%s\r\n" % (len(body), body) if body else b""
             body += b"0\r\n\r\n" if self.end == "whole" else b""
-        writer.write(render("HTTP/1.1 200 OK", head, body))
+        answer = render("HTTP/1.1 200 OK", head, body)
+        writer.write(answer[:self.head_bytes] if self.head_bytes else answer)
         await writer.drain()
         await asyncio.sleep(0.05)
         if self.end == "reset":
@@ -216,6 +218,17 @@
                 _, status, verdict, _ = await self.call_service(key)
                 self.assertEqual((409, "may_have_run"), (status, verdict))
 
+    async def test_a_service_answer_that_stops_in_its_head_is_neither_passed_on_nor_replayed(self):
+        await self.take_other_instances_out()
+        for head_bytes, end in itertools.product((1, 12, 17, 30, 60), ("close", "reset")):
+            with self.subTest(head_bytes=head_bytes, end=end):
+                self.service.head_bytes = head_bytes
+                self.service.answer_with("length", end, "text/plain", b"answer")
+                key, status, verdict, _ = await self.call_service()
+                self.assertEqual((502, "may_have_run"), (status, verdict))
+                _, status, verdict, _ = await self.call_service(key)
+                self.assertEqual((409, "may_have_run"), (status, verdict))
+
     async def test_a_whole_service_answer_is_passed_on_and_replayed_whole(self):
         await self.take_other_instances_out()
         for framing, (media_type, body) in itertools.product(
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -265,7 +265,17 @@
             return (sum(1 for owned in status["owners"] if owned["vm"]) >= wanted
                     and all(vm["revision"] == status["revision"] for vm in status["vms"])
                     and len(status["vms"]) == ENTRY_VMS)
-        wait_until(ready, 20, "every VM ready and every upstream owned")
+        try:
+            wait_until(ready, 20, "every VM ready and every upstream owned")
+        except TimeoutError as error:
+            raise TimeoutError(f"{error}; {self.describe_state()}") from None
+
+    def describe_state(self):
+        """Returns which processes have ended, with the end of their logs, and the status."""
+        ended = {name: (entry["process"].returncode,
+                        pathlib.Path(entry["log"]).read_text(errors="replace")[-500:])
+                 for name, entry in self.processes.items() if entry["process"].poll() is not None}
+        return f"ended: {ended or 'none'}; status: {self.ctl('status', check=False).stdout[:1500]}"
 
     def inject_fault(self, upstream, fault, count=1):
         status, _, body = http("POST", f"http://{self.fault_address()}/fault", json.dumps(
