--- a/tests/platform_fixture.py
+++ b/tests/platform_fixture.py
@@ -192,6 +192,7 @@
         self.adapter_slots = adapter_slots  # 0 for a plain service
         self.started_ms = int(time.time() * 1000)
         self.announcements = 0
+        self.announces_to = None  # keeps to this address while it answers, unless None
         self.orders = 0
         self.fence = 0
         self.holder = ""
@@ -243,10 +244,13 @@
                             "ColdLeftMs": 0, "Models": self.models(), "Seq": self.announcements,
                             "born": self.started_ms}
             addresses = self.platform.control_addresses
-            for address in self.platform.random.sample(addresses, len(addresses)):
+            order = self.platform.random.sample(addresses, len(addresses))
+            order.sort(key=lambda address: address != self.announces_to)
+            for address in order:
                 answer = await call_once(address, "PUT", f"/api/instances/{self.name}",
                                          body=json.dumps(announcement).encode(), limit=1.0)
                 if answer.status == 200:
+                    self.announces_to = self.announces_to and address
                     break
             await asyncio.sleep(ANNOUNCE_S)
 
@@ -611,6 +615,9 @@
     def metrics_address(self, i):
         return f"127.7.2.{i + 1}:{self.port + 6}"
 
+    def coordinator_metrics_address(self, i):
+        return f"127.7.1.{i + 1}:{self.port + 6}"
+
     def settings_for(self, name):
         kind, _, number = name.rpartition("-")
         i = int(number) - 1
@@ -621,6 +628,7 @@
                     "control_address": self.control_addresses[i],
                     "seeds": [f"127.7.1.{j + 1}:{inner}" for j in range(len(self.coordinators))],
                     "inner_port": inner, "data_folder": str(folder),
+                    "metrics_address": self.coordinator_metrics_address(i),
                     "first_start": name not in self.started,
                     "losses_borne": (len(self.coordinators) - 1) // 2, "order_lease_ms": 3000,
                     "upstreams_check_fences": True, "announcement_ms": int(ANNOUNCE_S * 1000)}
@@ -712,11 +720,15 @@
         return (await call_once(self.ready_address(i), "GET", "/api/ready", limit=1)).status == 200
 
     async def has_retry_share(self, i):
-        metrics = (await call_once(self.metrics_address(i), "GET", "/metrics", limit=1)).body
+        return await self.read_metric(self.metrics_address(i), "siskindrift_retry_share") > 0
+
+    async def read_metric(self, address, name):
+        """Returns the value of a metric, or 0 if it can't be read."""
+        metrics = (await call_once(address, "GET", "/metrics", limit=1)).body
         for line in metrics.decode().splitlines():
-            if line.startswith("siskindrift_retry_share "):
-                return float(line.split()[1]) > 0
-        return False
+            if line.startswith(name + " "):
+                return float(line.split()[1])
+        return 0.0
 
     async def wait_until(self, condition, limit, what):
         end = time.monotonic() + limit
--- a/tests/process_test.py
+++ b/tests/process_test.py
@@ -77,6 +77,24 @@
             self.assertIsNone(self.platform.processes[name].poll(), name)
         self.assertTrue(await self.platform.put_document(limit=5))
 
+    @unittest.expectedFailure
+    async def test_a_coordinator_that_starts_again_learns_of_upstreams_that_announce_elsewhere(self):
+        for upstream in self.platform.upstreams:
+            upstream.announces_to = self.platform.control_addresses[0]
+        await asyncio.sleep(0.5)
+        for i in (1, 2):
+            name = self.platform.coordinators[i]
+            self.platform.signal(name, signal.SIGKILL)
+            await self.platform.wait_for_exit(name, 5)
+            await asyncio.sleep(0.5)
+            self.platform.start(name)
+
+            async def knows_all(i=i):
+                known = await self.platform.read_metric(
+                    self.platform.coordinator_metrics_address(i), "siskindrift_upstreams")
+                return known == len(self.platform.upstreams)
+            await self.platform.wait_until(knows_all, 5, f"{name} knows all upstreams")
+
     async def test_a_stopping_gateway_ends_every_stream_that_it_took(self):
         self.slow_down_streams()
         interrupted = []
