--- a/tests/fault_soak.py
+++ b/tests/fault_soak.py
@@ -439,6 +439,9 @@
 
 def run_seed(seed, seconds, folder):
     platform = PlatformFixture(folder, seed=seed)
+    if seed % 2:
+        for upstream in platform.upstreams:
+            upstream.announces_to = platform.control_addresses[0]
     soak = Soak(platform, seed, seconds)
     try:
         asyncio.run(soak.run_within(seconds + OVERHEAD_S))
