--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -1,7 +1,7 @@
 """Mutation testing: checks that a test fails when a safety check is removed from the code.
 
 Each entry of tools/mutations.json names a file, the text to replace (which must occur exactly once),
-its replacement and the test that must then fail. Works on a copy of the tree.
+its replacement and the test that must then fail: a program or a script. Works on a copy of the tree.
 Usage: python3 tools/mutate.py [NAME ...]
 """
 
@@ -15,6 +15,7 @@
 import tempfile
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
+PROGRAMS = ["siskindrift-gateway", "siskindrift-coordinator"]  # of the tests that are scripts
 
 
 def copy_tree(target):
@@ -54,17 +55,20 @@
         return False, "the text to replace does not occur exactly once"
     try:
         test = mutation["test"]
-        built = subprocess.run(["ninja", "-C", str(tree / "build"), test], capture_output=True, text=True)
+        script = tree / "tests" / f"{test}.py"
+        targets = PROGRAMS if script.exists() else [test]
+        built = subprocess.run(["ninja", "-C", str(tree / "build"), *targets], capture_output=True, text=True)
         if built.returncode != 0:
             return False, "the mutated code does not build: " + built.stdout[-400:]
         environment = dict(os.environ)
         environment.setdefault("RC_PARAMS", "seed=20261203 max_success=500 noshrink=1")
-        run = subprocess.run([str(tree / "build" / "bin" / test)], capture_output=True, text=True,
-                             env=environment, timeout=240)
+        command = [sys.executable, str(script)] if script.exists() else [str(tree / "build" / "bin" / test)]
+        run = subprocess.run(command, capture_output=True, text=True, env=environment, timeout=240)
         if run.returncode == 0:
             return False, "NOT DETECTED by " + test
         result = re.search(r"^at \d+ ms: .*$", run.stdout, re.MULTILINE) or \
-            re.search(r"Failure in TEST\(.*\)", run.stdout)
+            re.search(r"Failure in TEST\(.*\)", run.stdout) or \
+            re.search(r"^(FAIL|ERROR): .*$", run.stderr, re.MULTILINE)
         return True, (result.group(0).strip() if result else f"exit {run.returncode}")[:150]
     finally:
         restore(before)
