Don't count loads of adapters that their engines no longer confirm

Callers waited for adapters that an engine was loading when it ended: nobody else loaded them, and their loads filled the limit of the store. By the users' log 11 to 17 loads were counted with a limit of 11 while no known engine carried out any, and none was ordered for two seconds.

Cause: a load counted from its order until the engine was known to be gone, or its state was known again. The log counted loads at known engines only, so that it showed 0.

A load counts while its engine confirms it: by accepting it, by the answer to a poll, by a report. After 0.8 s without that, longer than between two polls, it counts neither against the store nor as a copy that comes. Limit and log use the same count; `stalled` shows the others.

Placer.LoadsElsewhereWhenTheEngineOfALoadDoesNotAnswerAnyMore and .CountsNoLoadAgainstTheStoreThatItsEngineDoesNotConfirmAnyMore guard it.

--- a/include/siskindrift/adapters/placer.h
+++ b/include/siskindrift/adapters/placer.h
@@ -74,6 +74,9 @@
     core::duration initial_poll_interval = core::milliseconds{30};
     /// Upper bound of the interval between two polls of a load in progress.
     core::duration max_poll_interval = core::milliseconds{480};
+    /// Time since its engine last confirmed a load after which the load doesn't count any more:
+    /// longer than between two polls. The engine may have ended.
+    core::duration max_load_silence = core::milliseconds{800};
     /// Fraction of the time of a load from the store below which a load was one from the cache.
     double max_cached_load_ratio = 0.5;
     /// Time after which an engine is given orders again although it hasn't unloaded an adapter.
@@ -159,6 +162,7 @@
     std::size_t adapter_slots = 0; ///< Adapter slots of these engines.
     std::size_t in_use = 0;        ///< Adapter slots whose adapter has running requests.
     std::size_t loading = 0;       ///< Adapter slots whose adapter is being loaded.
+    std::size_t stalled = 0;       ///< Loads that their engines don't confirm any more.
     std::size_t just_used = 0;     ///< Adapter slots whose adapter is idle but not evictable yet.
     std::size_t unanswered = 0;    ///< Engines that have not answered their last order yet.
     std::size_t unknown = 0;       ///< Usable engines whose state is not known: no orders for them.
@@ -267,6 +271,7 @@
         core::duration poll_interval{};  ///< Doubles with each poll.
         core::time_point accepted_at{};  ///< When the engine accepted the load.
         core::time_point loading_at{};   ///< Latest time at which it surely was in progress.
+        core::time_point confirmed_at{}; ///< When it was ordered, or the engine last confirmed it.
         core::time_point last_used{};
         bool used = false;                       ///< A gateway has reported a use since the load.
         std::uint64_t waiting_prompt_tokens = 0; ///< Of the requests that waited for the load.
@@ -408,6 +413,8 @@
     /// Returns the number of loads from the weight store that are in progress.
     /// @param accepted counts only those that their engines have accepted.
     [[nodiscard]] std::size_t store_loads(core::time_point now, bool accepted = false) const;
+    /// Returns whether a copy is being loaded, as far as is known.
+    [[nodiscard]] bool is_loading(const adapter_copy& held, core::time_point now) const;
     [[nodiscard]] core::duration min_idle_before_eviction() const;
     /// Returns whether requests can be sent to the engine.
     [[nodiscard]] bool is_usable(const engine_state& engine) const;
@@ -433,7 +440,7 @@
                                                           const demand& wanted) const;
     [[nodiscard]] bool held_recently(const engine_state& engine, adapter_key key) const;
     [[nodiscard]] bool has_unlimited_engines() const;
-    [[nodiscard]] bool many_slots_idle() const;
+    [[nodiscard]] bool many_slots_idle(core::time_point now) const;
     /// Returns whether an adapter without any copy has waited too long for an adapter slot.
     [[nodiscard]] bool slots_scarce(const std::vector<demand>& list, const copy_index& copies,
                                     core::time_point now) const;
--- a/src/adapters/placer.cpp
+++ b/src/adapters/placer.cpp
@@ -144,6 +144,7 @@
             held.state = state;
         }
         if (state == copy_state::loading) {
+            held.confirmed_at = now;
             held.next_poll_at = now + m_options.initial_poll_interval;
         }
     };
@@ -353,14 +354,20 @@
             // Nobody has answered whether it is complete, but it should be.
             const bool overdue = is_accepted && engine.last_unanswered_at > held.accepted_at &&
                                  now - held.accepted_at > m_store_load_time;
-            const bool counts = held.state == copy_state::loading && held.from_store &&
-                                (!accepted || is_accepted) && !overdue;
+            const bool counts =
+                is_loading(held, now) && held.from_store && (!accepted || is_accepted) && !overdue;
             loads += counts && is_usable(engine) ? 1 : 0;
         }
     }
     return loads;
 }
 
+bool placer::is_loading(const adapter_copy& held, core::time_point now) const
+{
+    return held.state == copy_state::loading &&
+           now - held.confirmed_at <= m_options.max_load_silence;
+}
+
 bool placer::is_doubted(const engine_state& engine) const
 {
     const auto gateways = static_cast<double>(m_gateways.size());
--- a/src/adapters/placer_orders.cpp
+++ b/src/adapters/placer_orders.cpp
@@ -243,6 +243,7 @@
         return;
     }
     held->second.state = copy_state::loading;
+    held->second.confirmed_at = now;
     if (name.second.empty()) {
         engine.report_due = now + m_options.model_load_poll_delay;
     }
--- a/src/adapters/placer_plan.cpp
+++ b/src/adapters/placer_plan.cpp
@@ -94,8 +94,8 @@
 
 placer::copy_index placer::index_copies(core::time_point now) const
 {
-    const auto interval = many_slots_idle() ? m_options.additional_copy_interval_idle
-                                            : m_options.additional_copy_interval;
+    const auto interval = many_slots_idle(now) ? m_options.additional_copy_interval_idle
+                                               : m_options.additional_copy_interval;
     copy_index index;
     const bool others_unlimited = has_unlimited_engines();
     for (const auto& [id, engine] : m_engines) {
@@ -105,7 +105,8 @@
         const auto wait_ms =
             static_cast<double>(engine.pending_tokens) / m_options.prefill_tokens_per_ms;
         for (const auto& [name, held] : engine.copies) {
-            if (name.second.empty()) {
+            const bool stalled = held.state == copy_state::loading && !is_loading(held, now);
+            if (name.second.empty() || stalled) {
                 continue;
             }
             const auto key = key_of(name);
@@ -307,6 +308,12 @@
         sum.unanswered += engine.pending_order ? 1 : 0;
         sum.unknown += engine.state_known ? 0 : 1;
         sum.unloading += engine.awaits_unload ? 1 : 0;
+        for (const auto& [name, held] : engine.copies) {
+            const bool loads = held.state == copy_state::loading && !name.second.empty();
+            const bool confirmed = is_loading(held, now);
+            sum.loading += loads && confirmed ? 1 : 0;
+            sum.stalled += loads && !confirmed ? 1 : 0;
+        }
         if (!engine.state_known) {
             continue;
         }
@@ -318,7 +325,6 @@
             }
             const bool loading = held.state == copy_state::loading;
             const bool used = !loading && in_use(engine, name);
-            sum.loading += loading ? 1 : 0;
             sum.in_use += used ? 1 : 0;
             sum.just_used +=
                 !loading && !used && !may_evict(engine, name, held, wished, now) ? 1 : 0;
@@ -442,7 +448,7 @@
     std::size_t loads = 0;
     for (const auto& [id, engine] : m_engines) {
         for (const auto& [name, held] : engine.copies) {
-            loads += held.state == copy_state::loading && held.overdue ? 1 : 0;
+            loads += is_loading(held, now) && held.overdue ? 1 : 0;
         }
     }
     bool any_without_engine = false;
@@ -478,7 +484,7 @@
     return found == nullptr || (!found->loading && !found->min_wait_ms);
 }
 
-bool placer::many_slots_idle() const
+bool placer::many_slots_idle(core::time_point now) const
 {
     std::size_t slots = 0;
     std::size_t used = 0;
@@ -488,7 +494,7 @@
         }
         slots += capacity_of(engine)->adapter_slots;
         for (const auto& [name, held] : engine.copies) {
-            used += held.state == copy_state::loading || in_use(engine, name) ? 1 : 0;
+            used += is_loading(held, now) || in_use(engine, name) ? 1 : 0;
         }
     }
     return static_cast<double>(used) < (1 - m_options.idle_slot_ratio) * static_cast<double>(slots);
@@ -548,6 +554,7 @@
                    now - wanted.unserved.since > m_options.min_overdue_wait;
     held.poll_interval = {};
     held.accepted_at = {};
+    held.confirmed_at = now;
     held.waiting_prompt_tokens = wanted.prompt_tokens;
     held.version = newest_version(name);
     held.state = copy_state::loading;
--- a/src/adapters/placer_test.cpp
+++ b/src/adapters/placer_test.cpp
@@ -928,3 +928,61 @@
     wish("y");
     LONGS_EQUAL(1, static_cast<long>(plan().at(0).orders_accepted));
 }
+
+TEST(Placer, LoadsElsewhereWhenTheEngineOfALoadDoesNotAnswerAnyMore)
+{
+    engine("a");
+    engine("b");
+    wish("x");
+    const auto first = plan()[0];
+    finish(first, order_result::accepted);
+    for (int i = 0; i < 4; ++i) {
+        clock.advance(core::milliseconds{300});
+        wish("x");
+        for (const auto& given : plan()) {
+            if (given.upstream != first.upstream) {
+                STRCMP_EQUAL("x", given.adapter.c_str());
+                return;
+            }
+            finish(given, order_result::unknown);
+        }
+    }
+    FAIL("the adapter is loaded on no other engine within 1.2 s");
+}
+
+TEST(Placer, CountsNoLoadAgainstTheStoreThatItsEngineDoesNotConfirmAnyMore)
+{
+    engine("a");
+    engine("b");
+    for (const std::string name : {"x", "y"}) {
+        wish(name);
+        for (const auto& given : plan()) {
+            finish(given, order_result::accepted);
+        }
+    }
+    LONGS_EQUAL(2, static_cast<long>(adapter_placer.summary(clock.now()).store_loads));
+    clock.advance(core::milliseconds{300});
+    for (const auto& given : plan()) {
+        finish(given, order_result::unknown);
+    }
+    clock.advance(core::milliseconds{900});
+    const auto summary = adapter_placer.summary(clock.now());
+    LONGS_EQUAL(0, static_cast<long>(summary.store_loads));
+    LONGS_EQUAL(0, static_cast<long>(summary.loading));
+    LONGS_EQUAL(2, static_cast<long>(summary.stalled));
+}
+
+TEST(Placer, CountsALoadAsLongAsItsEngineConfirmsIt)
+{
+    engine("a");
+    wish("x");
+    finish(plan()[0], order_result::accepted);
+    for (int i = 0; i < 40; ++i) {
+        clock.advance(core::milliseconds{100});
+        for (const auto& given : plan()) {
+            CHECK_TRUE(given.repeated);
+            finish(given, order_result::accepted);
+        }
+        LONGS_EQUAL(1, static_cast<long>(adapter_placer.summary(clock.now()).store_loads));
+    }
+}
--- a/src/apps/coordinator_fleet.cpp
+++ b/src/apps/coordinator_fleet.cpp
@@ -767,6 +767,7 @@
                                       {"places", summary.adapter_slots},
                                       {"in_use", summary.in_use},
                                       {"loading", summary.loading},
+                                      {"stalled", summary.stalled},
                                       {"just_used", summary.just_used},
                                       {"unanswered", summary.unanswered},
                                       {"unknown", summary.unknown},
