--- a/src/adapters/placer_orders.cpp
+++ b/src/adapters/placer_orders.cpp
@@ -306,15 +306,20 @@
 }
 
 // Adapts the estimate of the load time, so that the first poll of a load comes just after its end.
+// A poll that came later couldn't show whether loads slow each other down.
 void placer::update_store_load_time(const adapter_copy& held, core::time_point now)
 {
     const bool at_first_poll = held.poll_interval <= m_options.initial_poll_interval;
     const auto growth = std::min((now - held.accepted_at - m_store_load_time) * slow_load_weight,
                                  m_store_load_time * max_load_time_growth);
     const auto shift = at_first_poll ? m_store_load_time * -timely_load_decrease : growth;
-    m_store_load_time =
-        std::max(m_options.min_store_load_time,
-                 m_store_load_time + std::chrono::duration_cast<core::duration>(shift));
+    m_store_load_time += std::chrono::duration_cast<core::duration>(shift);
+    if (const auto learnt = m_store_limiter.learnt()) {
+        const auto latest = learnt->load_time * m_options.store_loads.max_stretch;
+        m_store_load_time =
+            std::min(m_store_load_time, std::chrono::duration_cast<core::duration>(latest));
+    }
+    m_store_load_time = std::max(m_options.min_store_load_time, m_store_load_time);
 }
 
 // Repeats the order of each load that should be complete: the engine answers that it holds.
