Judge the baseline of loads by what is noticed, and slowness by what is proven

Each sample now has two times: until when a poll proved it in progress, and when its end was noticed. The baseline, and what a measurement with fewer loads shows, go by the second, slowness by the first. Two slow samples in a row are needed below what the store has lately borne; loads that a poll proves not to come from a cache count; a measurement with fewer loads has an end; the first poll comes within 480 ms, so that no sound load counts as ended unasked.

LoadLimiter.KeepsUpWithStoresWhoseLoadsAreOnlySeenByPolls and .StaysNearTheCapacityWhileWholeSpellsOfLoadsAreSlowForOtherReasons guard it.

--- a/include/siskindrift/adapters/load_limiter.h
+++ b/include/siskindrift/adapters/load_limiter.h
@@ -36,15 +36,25 @@
     double increase = 0.1;
     /// Largest relative decrease at once.
     double max_decrease = 0.5;
+    /// Slow samples in a row after which the store may have lost capacity. Until then the limit
+    /// stays near the most loads that it has lately borne without slowing down.
+    unsigned max_slow_samples = 2;
+    /// Fraction of those loads below which the limit doesn't fall meanwhile.
+    double min_borne_ratio = 0.9;
+    /// Time after which it isn't known any more how many loads the store bears.
+    core::duration borne_lifetime = core::milliseconds{10'000};
     /// Relative decrease of the concurrent loads from which on their duration must have decreased.
     double min_tested_decrease = 0.2;
     /// Least fraction of the decrease of the loads by which their duration must have decreased.
     double min_relief = 0.5;
     /// Tested decreases in a row without relief after which the store isn't overloaded.
     unsigned max_unrelieved = 2;
+    /// Multiple of the duration of unslowed loads after which that measurement ends although too
+    /// few loads have ended.
+    double max_remeasuring_ratio = 8;
     /// How often the duration of unslowed loads is measured with fewer loads, while it is longer
     /// than `min_load_time` allows.
-    core::duration remeasure_interval = core::milliseconds{10'000};
+    core::duration remeasure_interval = core::milliseconds{5000};
     /// Quantile of the load durations by which the limit is changed. Low, because
     /// other causes only lengthen loads.
     double quantile = 0.25;
@@ -127,8 +137,9 @@
 
 private:
     struct sample {
-        double duration_s;
-        double loads; ///< Mean number of loads in progress during this one, including itself.
+        double duration_s; ///< By the latest time at which the load surely was in progress.
+        double noticed_s;  ///< Until its end was noticed.
+        double loads;      ///< Mean number of loads in progress during this one, including itself.
     };
     /// A series of decreases, and the loads by which the last tested one is judged.
     struct descent {
@@ -139,8 +150,10 @@
     static constexpr std::size_t max_kept_changes = 16;
 
     void update(const sample& typical, core::time_point now);
+    /// Returns the limit below which slow loads don't show an overload yet, in loads.
+    [[nodiscard]] double least_borne(core::time_point now) const;
     void increase(const sample& typical);
-    void decrease(const sample& typical, double stretch);
+    void decrease(const sample& typical, double stretch, core::time_point now);
     void record_change(limit_change_reason reason, std::size_t before, const sample& typical);
     /// Returns whether the decreases so far have shown that loads are slow for another reason.
     [[nodiscard]] bool is_refuted(const sample& typical);
@@ -151,8 +164,11 @@
     double m_limit;
     /// Since loads were last this fast. Until then, the limit doubles with each load time.
     bool m_overload_seen = false;
-    double m_unslowed_s = 0; ///< Duration of the fastest loads; 0: unknown.
+    double m_unslowed_s = 0; ///< Until the end of the fastest loads is noticed; 0: unknown.
     unsigned m_increases_in_row = 0;
+    unsigned m_slow_in_row = 0;
+    double m_borne = 0; ///< Most loads that hardly slowed each other down.
+    core::time_point m_borne_at{};
     std::optional<descent> m_descent;
     std::optional<double> m_limit_before_remeasuring;
     /// When unslowed loads were last measured with few loads; none: only told, or not few enough.
--- a/src/adapters/load_limiter.cpp
+++ b/src/adapters/load_limiter.cpp
@@ -55,6 +55,15 @@
     m_load_seconds += passed.count() * static_cast<double>(m_in_progress);
     m_summed_until = now;
     m_in_progress = loads;
+    const std::chrono::duration<double> longest{m_unslowed_s * m_options.max_remeasuring_ratio};
+    if (m_limit_before_remeasuring && now - m_changed_at > longest) {
+        const auto before = limit();
+        m_limit = *std::exchange(m_limit_before_remeasuring, std::nullopt);
+        m_measured_at = now;
+        m_changed_at = now;
+        m_samples.clear();
+        record_change(limit_change_reason::remeasured, before, {});
+    }
 }
 
 void load_limiter::forget_loads(core::time_point now)
@@ -81,7 +90,7 @@
     // What a load took after it was last known to be in progress is no proof of slowness.
     const auto proven =
         std::max<core::duration>(in_progress_until - began, m_options.min_load_time);
-    m_samples.push_back({std::chrono::duration<double>(proven).count(),
+    m_samples.push_back({std::chrono::duration<double>(proven).count(), noticed_s,
                          (m_load_seconds - load_seconds) / noticed_s});
     if (m_samples.size() < std::clamp(limit(), m_options.min_sample, m_options.max_sample)) {
         return;
@@ -91,7 +100,11 @@
     std::nth_element(
         m_samples.begin(), chosen, m_samples.end(),
         [](const sample& left, const sample& right) { return left.duration_s < right.duration_s; });
-    const auto typical = *chosen;
+    auto typical = *chosen;
+    std::nth_element(
+        m_samples.begin(), chosen, m_samples.end(),
+        [](const sample& left, const sample& right) { return left.noticed_s < right.noticed_s; });
+    typical.noticed_s = chosen->noticed_s;
     m_samples.clear();
     const auto before = limit();
     update(typical, now);
@@ -120,14 +133,17 @@
     if (m_unslowed_s == 0) {
         m_measured_at = now;
     }
-    if (m_unslowed_s == 0 || typical.duration_s < m_unslowed_s) {
-        const bool faster = typical.duration_s * m_options.timely_stretch < m_unslowed_s;
-        m_overload_seen = m_overload_seen && !faster;
-        m_unslowed_s = typical.duration_s;
+    if (m_unslowed_s == 0 || typical.noticed_s < m_unslowed_s) {
+        const bool faster = typical.noticed_s * m_options.timely_stretch < m_unslowed_s;
+        if (faster) {
+            m_overload_seen = false;
+            m_borne = 0; // by loads that were slow
+        }
+        m_unslowed_s = typical.noticed_s;
     }
     if (m_limit_before_remeasuring) {
         const auto limit_before = *std::exchange(m_limit_before_remeasuring, std::nullopt);
-        const double faster = 1 - typical.duration_s / unslowed_before;
+        const double faster = 1 - typical.noticed_s / unslowed_before;
         if (faster < m_options.max_decrease * m_options.min_relief) {
             m_limit = limit_before;
             m_measured_at = now;
@@ -140,10 +156,16 @@
     const double stretch = typical.duration_s / m_unslowed_s;
     if (stretch > m_options.max_stretch) {
         m_increases_in_row = 0;
-        decrease(typical, stretch);
+        decrease(typical, stretch, now);
         return;
     }
     m_descent.reset();
+    m_slow_in_row = 0;
+    if (typical.loads >= least_borne(now)) {
+        m_borne = now - m_borne_at > m_options.borne_lifetime ? typical.loads
+                                                              : std::max(m_borne, typical.loads);
+        m_borne_at = now;
+    }
     if (stretch <= m_options.timely_stretch) {
         increase(typical);
     }
@@ -165,23 +187,35 @@
     m_limit = std::min(m_limit + std::max(m_limit * share, 1.0), m_options.max_limit);
 }
 
-void load_limiter::decrease(const sample& typical, double stretch)
+double load_limiter::least_borne(core::time_point now) const
+{
+    const bool known =
+        now - m_borne_at <= m_options.borne_lifetime && m_slow_in_row < m_options.max_slow_samples;
+    return known ? m_borne * m_options.min_borne_ratio : 0;
+}
+
+void load_limiter::decrease(const sample& typical, double stretch, core::time_point now)
 {
     m_overload_seen = true;
     m_reason = limit_change_reason::overloaded;
+    ++m_slow_in_row;
+    const auto least = std::max(least_borne(now), m_options.min_limit);
+    if (typical.loads <= least && least > m_options.min_limit) {
+        return; // so many were not too many a moment ago
+    }
     if (!m_descent) {
         m_descent = descent{m_limit, typical};
     }
-    if (is_refuted(typical) || typical.loads <= m_options.min_limit) {
+    if (is_refuted(typical) || typical.loads <= m_options.min_limit * m_options.timely_stretch) {
         // Too few loads to overload the store, or fewer that are no faster.
-        m_unslowed_s = typical.duration_s;
+        m_unslowed_s = std::max(m_unslowed_s, typical.noticed_s);
         m_reason = limit_change_reason::unrelieved;
         m_limit = std::max(m_limit, m_descent->limit_before);
         m_descent.reset();
         return;
     }
     m_limit = std::clamp(typical.loads / stretch, m_limit * (1 - m_options.max_decrease), m_limit);
-    m_limit = std::max(m_limit, m_options.min_limit);
+    m_limit = std::max(m_limit, least);
 }
 
 bool load_limiter::is_refuted(const sample& typical)
--- a/src/adapters/load_limiter_test.cpp
+++ b/src/adapters/load_limiter_test.cpp
@@ -3,8 +3,11 @@
 #include <CppUTest/TestHarness.h>
 
 #include <algorithm>
+#include <array>
 #include <vector>
 
+#include "siskindrift/core/random.h"
+
 using namespace siskindrift;
 using namespace siskindrift::adapters;
 
@@ -264,3 +267,121 @@
     }
     CHECK_TRUE(limiter.limit() >= 64);
 }
+
+TEST(LoadLimiter, StaysNearTheCapacityWhileWholeSpellsOfLoadsAreSlowForOtherReasons)
+{
+    for (const std::uint64_t seed : {1, 2, 3, 4, 5, 6, 7, 8}) {
+        core::random_source random{seed};
+        saturated_store store;
+        store.capacity = 128;
+        store.play(3000);
+        double sum = 0;
+        constexpr int spells = 100;
+        for (int i = 0; i < spells; ++i) {
+            constexpr std::array<double, 3> durations_ms{250, 330, 420};
+            store.load_ms = durations_ms.at(core::uniform_below(random, durations_ms.size()));
+            sum += store.play(400);
+        }
+        CHECK_TRUE_TEXT(sum / spells > 0.6 * 128, std::to_string(sum / spells).c_str());
+    }
+}
+
+namespace {
+
+// A store whose loads are polled: their ends are noticed late, and the time of the first poll
+// follows the duration of the loads.
+class polled_store {
+public:
+    load_limiter limiter;
+    double capacity = 104;
+    double load_ms = 288;
+
+    // Returns the share of the time in which the limit is less than 0.6 of the capacity.
+    double share_below_capacity(int ms)
+    {
+        int below = 0;
+        for (int i = 0; i < ms; ++i) {
+            step();
+            below += static_cast<double>(limiter.limit()) < 0.6 * capacity ? 1 : 0;
+        }
+        return static_cast<double>(below) / ms;
+    }
+
+private:
+    struct load {
+        double ms_left;
+        core::time_point began;
+        double load_seconds;
+        core::time_point poll_at;
+        core::duration poll_interval;
+        core::time_point in_progress_until;
+    };
+    static constexpr core::milliseconds min_poll_interval{30};
+    static constexpr core::milliseconds max_poll_interval{480};
+
+    void step()
+    {
+        while (m_loads.size() < limiter.limit()) {
+            limiter.set_in_progress(m_loads.size() + 1, m_clock.now());
+            const auto now = m_clock.now();
+            m_loads.push_back({load_ms, now, limiter.load_seconds(),
+                               now + std::min<core::duration>(m_first_poll, max_poll_interval),
+                               min_poll_interval, now});
+        }
+        m_clock.advance(core::milliseconds{1});
+        const auto active = std::count_if(m_loads.begin(), m_loads.end(),
+                                          [](const load& one) { return one.ms_left > 0; });
+        const double slowdown = std::max(1.0, static_cast<double>(active) / capacity);
+        for (auto& one : m_loads) {
+            one.ms_left -= 1 / slowdown;
+        }
+        std::erase_if(m_loads, [&](load& one) { return poll(one); });
+        limiter.set_in_progress(m_loads.size(), m_clock.now());
+    }
+
+    // Returns whether the load has ended.
+    bool poll(load& one)
+    {
+        const auto now = m_clock.now();
+        if (now < one.poll_at) {
+            return false;
+        }
+        if (one.ms_left > 0) {
+            one.in_progress_until = now;
+            one.poll_at = now + one.poll_interval;
+            one.poll_interval = std::min<core::duration>(one.poll_interval * 2, max_poll_interval);
+            return false;
+        }
+        limiter.on_load(one.began, one.load_seconds, one.in_progress_until, now);
+        const auto late = now - one.began - m_first_poll;
+        m_first_poll +=
+            late > min_poll_interval ? std::min(late, m_first_poll / 20) : -m_first_poll / 100;
+        if (const auto learnt = limiter.learnt()) {
+            m_first_poll = std::min(m_first_poll, learnt->load_time + learnt->load_time / 5);
+        }
+        m_first_poll = std::max<core::duration>(m_first_poll, core::milliseconds{255});
+        return true;
+    }
+
+    core::manual_clock m_clock;
+    std::vector<load> m_loads;
+    core::duration m_first_poll = core::milliseconds{255};
+};
+
+} // namespace
+
+TEST(LoadLimiter, KeepsUpWithStoresWhoseLoadsAreOnlySeenByPolls)
+{
+    for (const double capacity : {8.0, 24.0, 104.0, 256.0}) {
+        for (const double load_ms : {250.0, 288.0, 310.0, 350.0, 420.0, 600.0}) {
+            polled_store store;
+            store.capacity = capacity;
+            store.load_ms = load_ms;
+            store.share_below_capacity(10'000);
+            const double below = store.share_below_capacity(20'000);
+            const auto what = std::to_string(capacity) + " of " + std::to_string(load_ms) +
+                              " ms: " + std::to_string(below);
+            CHECK_TRUE_TEXT(below < 0.1, what.c_str());
+        }
+    }
+}
--- a/src/adapters/placer_orders.cpp
+++ b/src/adapters/placer_orders.cpp
@@ -273,7 +273,7 @@
     if (!held.replaces && now < expected_end) {
         // Not in the cache, or not loaded as fast as from it.
         held.from_store = true;
-        held.next_poll_at = expected_end;
+        held.next_poll_at = std::min(expected_end, now + m_options.max_poll_interval);
         held.poll_interval = m_options.initial_poll_interval;
         return;
     }
@@ -298,7 +298,9 @@
     }
     if (!cached) {
         // What may have come from the engine's cache shows nothing about the store.
-        if (!m_cache_size.may_be_cached(held.history_age)) {
+        const bool proven = std::chrono::duration<double>(held.loading_at - held.accepted_at) >=
+                            m_store_load_time * m_options.max_cached_load_ratio;
+        if (proven || !m_cache_size.may_be_cached(held.history_age)) {
             m_store_limiter.on_load(held.accepted_at, held.load_seconds, held.loading_at, now);
         }
         update_store_load_time(held, now);
