Use a copy again whose unload was on its way when the leadership ended

A leader that lost its leadership with an unload on its way, and regained it, forgot the order and kept the copy as being unloaded for as long as the engine reported it.

Whether the unload was carried out is shown by the next report, so that the copy counts as loaded until then, as after an unload that isn't answered. Placer.UsesACopyAgainWhoseUnloadWasOnItsWayWhenTheLeadershipEnded fails before (2 copies told, 3 held) and passes.

--- a/src/adapters/placer.cpp
+++ b/src/adapters/placer.cpp
@@ -41,6 +41,12 @@
         engine.report_pending = false;
         engine.report_due = {};
         engine.published.reset(); // another leader may have published since
+        for (auto& [name, held] : engine.copies) {
+            // Whether an unload that was on its way is carried out is shown by the next report.
+            if (held.state == copy_state::unloading && !engine.awaits_unload) {
+                held.state = copy_state::loaded;
+            }
+        }
     }
 }
 
--- a/src/adapters/placer_test.cpp
+++ b/src/adapters/placer_test.cpp
@@ -986,3 +986,17 @@
         LONGS_EQUAL(1, static_cast<long>(adapter_placer.summary(clock.now()).store_loads));
     }
 }
+
+TEST(Placer, UsesACopyAgainWhoseUnloadWasOnItsWayWhenTheLeadershipEnded)
+{
+    engine("a", {"x", "y"});
+    clock.advance(core::milliseconds{1000});
+    wish("z");
+    const auto orders = plan();
+    LONGS_EQUAL(1, static_cast<long>(orders.size()));
+    CHECK_TRUE(orders[0].unload);
+    adapter_placer.end_leadership();
+    adapter_placer.begin_leadership(clock.now());
+    report("a", 0, {"x", "y"});
+    LONGS_EQUAL(3, adapter_placer.all_views().at(0).copies.size()); // with the base model
+}
