--- a/tests/platform_fixture.py
+++ b/tests/platform_fixture.py
@@ -178,6 +178,7 @@
     at: float
     first_event: int = 1
     instance_ok: bool = True
+    time_left_s: float = 0.0  # as the request says
 
 
 class Upstream:
@@ -349,6 +350,7 @@
             self.platform.crashing_arrivals.append(time.monotonic())
         execution = Execution(request_id, self.name, path, time.monotonic(),
                               int(headers.get("last-event-id") or 0) + 1)
+        execution.time_left_s = int(headers.get("x-siskindrift-deadline-ms") or 0) / 1000
         self.platform.executions.setdefault(request_id, []).append(execution)
         self.running += 1
         try:
