Keep the times of requests and retries when the window of the retry budget changes

A reload that changed retry_window_s read the counts as if their slices had the new length. A longer window put them into the future, where they counted, or kept requests from counting, for as long as the machine had run; a shorter one dropped them, so that the retries of the window were allowed twice.

The counts are moved to slices of the new length at their times; retries to the end of their slice, so that none leaves a window too soon. What is older than the former window isn't known, so a longer one allows less until it is full.

--- a/include/siskindrift/gateway/retry_budget.h
+++ b/include/siskindrift/gateway/retry_budget.h
@@ -33,8 +33,8 @@
 public:
     explicit retry_budget(retry_budget_options options = {}) : m_options(options) {}
 
-    /// Replaces the options; requests and retries counted so far are kept.
-    void set_options(retry_budget_options options) { m_options = options; }
+    /// Replaces the options; requests and retries counted so far are kept with their times.
+    void set_options(retry_budget_options options);
     /// Counts a caller's request.
     void record_request(core::time_point now);
     /// Counts a retry that is about to be sent, if the budget allows it. The retry counts in every
@@ -59,6 +59,11 @@
         std::deque<std::uint32_t> counts;
 
         void add(std::int64_t slice);
+        /// Returns the same counts in slices of another length.
+        /// @param spread whether each slice's counts are spread evenly over its time, or moved to
+        /// its end.
+        [[nodiscard]] slice_counts with_length(core::duration before, core::duration after,
+                                               bool spread) const;
         void remove_before(std::int64_t slice);
     };
 
--- a/src/gateway/retry_budget.cpp
+++ b/src/gateway/retry_budget.cpp
@@ -56,6 +56,21 @@
     ++counts[at];
 }
 
+retry_budget::slice_counts retry_budget::slice_counts::with_length(core::duration before,
+                                                                   core::duration after,
+                                                                   bool spread) const
+{
+    slice_counts converted;
+    for (std::size_t i = 0; i < counts.size(); ++i) {
+        const auto begin = (first + static_cast<std::int64_t>(i)) * before;
+        for (std::uint32_t number = 0; number < counts[i]; ++number) {
+            const auto at = spread ? begin + before * number / counts[i] : begin + before;
+            converted.add(at / after);
+        }
+    }
+    return converted;
+}
+
 void retry_budget::slice_counts::remove_before(std::int64_t slice)
 {
     while (!counts.empty() && first < slice) {
@@ -64,6 +79,17 @@
     }
 }
 
+void retry_budget::set_options(retry_budget_options options)
+{
+    const auto before = slice_length();
+    m_options = options;
+    if (const auto after = slice_length(); after != before) {
+        m_requests = m_requests.with_length(before, after, true);
+        // A retry may have arrived at any time of its slice, and must not leave a window too soon.
+        m_settled = m_settled.with_length(before, after, false);
+    }
+}
+
 core::duration retry_budget::slice_length() const
 {
     return std::max<core::duration>(m_options.window / slices_per_window, core::milliseconds{1});
