Test planned stops of a process that stood still, and half-sent requests

A gateway stopped by SIGSTOP from 0.3 s until after its own end gives its 6 open requests a 502 or 504 before it ends; a request whose last byte comes late in the grace gets 503 with Retry-After, one that is never sent whole doesn't run.

--- a/tests/planned_stop_test.py
+++ b/tests/planned_stop_test.py
@@ -11,8 +11,8 @@
 import time
 import unittest
 
-from platform_fixture import (Connection, GRACE_S, NOT_EXECUTED_STATUSES, PlatformFixture,
-                              check_answer, request_headers)
+from platform_fixture import (Connection, GRACE_S, HOST, NOT_EXECUTED_STATUSES, PlatformFixture,
+                              check_answer, read_head, render, request_headers)
 
 ROUTE_S = 15.0         # time budget of each route, more than any grace here
 ONE_LOOP_TURN_S = 0.5 # a request sent so long before the process ended was read
@@ -175,6 +175,43 @@
         self.expect_no_silent_end()
         self.assertEqual(6, len(self.answers_of("/", 502, 504)))
 
+    async def test_a_gateway_that_stood_still_past_its_end_answers_before_it_ends(self):
+        await self.start(grace_s=3)
+        for upstream in self.platform.upstreams:
+            upstream.work_s = 5.0
+        for number in range(6):
+            self.begin(("/safe/x", "/unsafe/x")[number % 2])
+        await asyncio.sleep(0.3)
+        await self.stop(grace_s=3)
+        await asyncio.sleep(0.3)
+        self.platform.signal("gateway-1", signal.SIGSTOP)
+        await asyncio.sleep(2.3)  # until after the gateway's own end, before it is killed
+        self.platform.signal("gateway-1", signal.SIGCONT)
+        await self.finish()
+        self.expect_no_silent_end()
+        self.assertEqual(6, len(self.answers_of("/", 502, 504)))
+
+    async def test_half_sent_requests_are_refused_when_they_end_late_and_never_run_otherwise(self):
+        await self.start(grace_s=3)
+        ip, port = self.platform.caller_address(0).split(":")
+        halves = []
+        for request_id in ("half-1", "half-2"):
+            reader, writer = await asyncio.open_connection(ip, int(port))
+            headers = {"Host": HOST, **request_headers(request_id, ROUTE_S), "Content-Length": "10"}
+            writer.write(render("POST /unsafe/x HTTP/1.1", headers, b"12345"))
+            await writer.drain()
+            halves.append((reader, writer))
+        await self.stop(grace_s=3)
+        await asyncio.sleep(1.6)
+        halves[0][1].write(b"67890")
+        line, headers = await read_head(halves[0][0])
+        self.assertIn(" 503 ", line)
+        self.assertIn("retry-after", headers)
+        await self.finish()
+        for _, writer in halves:
+            writer.close()
+        self.assertEqual({}, self.platform.executions)
+
 
 if __name__ == "__main__":
     begun = time.monotonic()
