Bound the bytes of the entries that go to a replica in one message

Callers: where documents are large, a replica whose disk was full for a while never caught up again, and didn't count for any change; once this holds for a majority, changes stay unanswered while all processes run. Cause: a message to a replica that is behind held up to 512 entries of any size. Receivers refuse frames above 16 MiB and close the connection; the leader sends the same message again. Evidence: RaftNode.SendsEntriesToAReplicaThatMissedLargeOnesInMessagesThatPeersAccept; 40 entries of 512 KiB went in one message before.

--- a/include/siskindrift/consensus/raft_node.h
+++ b/include/siskindrift/consensus/raft_node.h
@@ -35,6 +35,10 @@
     core::duration first_election = core::milliseconds{200};
 
     std::size_t max_entries_per_message = 512;
+
+    /// Bytes of entries in one message, which always contains at least one entry. Must be well
+    /// below the largest frame that a peer accepts.
+    std::size_t max_entry_bytes_per_message = 1024UL * 1024;
     std::size_t snapshot_chunk_bytes = 1024UL * 1024;
 };
 
@@ -245,6 +249,8 @@
     void append_from_leader(const wire::append_request_t& request);
     void broadcast(core::time_point now, bool heartbeat);
     void send_append(const wire::replica_info_t& to, core::time_point now, bool heartbeat);
+    /// Returns the index of the last entry of a message whose first entry is @p first.
+    [[nodiscard]] std::uint64_t last_index_of_message(std::uint64_t first) const;
     void send_snapshot_chunk(const wire::replica_info_t& to, progress& peer);
     void install_snapshot(snapshot received);
     void advance_commit();
--- a/src/consensus/raft_node_test.cpp
+++ b/src/consensus/raft_node_test.cpp
@@ -322,7 +322,7 @@
     UNSIGNED_LONGS_EQUAL(leader.commit_index(), behind.commit_index());
 }
 
-IGNORE_TEST(RaftNode, SendsEntriesToAReplicaThatMissedLargeOnesInMessagesThatPeersAccept)
+TEST(RaftNode, SendsEntriesToAReplicaThatMissedLargeOnesInMessagesThatPeersAccept)
 {
     const auto now = start + std::chrono::seconds{2};
     auto leader = follower_with_entries();
--- a/src/consensus/raft_replication.cpp
+++ b/src/consensus/raft_replication.cpp
@@ -176,8 +176,7 @@
     request.commit = std::min(m_commit_index, peer.match);
     request.round = m_round;
     if (has_entries && prev_term) {
-        const auto last =
-            std::min<std::uint64_t>(m_log.last_index(), prev + m_options.max_entries_per_message);
+        const auto last = last_index_of_message(peer.next);
         for (auto index = peer.next; index <= last; ++index) {
             wire::append(request.entries, m_log.at(index));
         }
@@ -188,6 +187,20 @@
     m_messages_before_sync.push_back({to.address, wire::make_envelope(std::move(request))});
 }
 
+std::uint64_t raft_node::last_index_of_message(std::uint64_t first) const
+{
+    const auto end =
+        std::min<std::uint64_t>(m_log.last_index(), first - 1 + m_options.max_entries_per_message);
+    auto last = first;
+    for (auto bytes = m_log.at(first).data.size(); last < end; ++last) {
+        bytes += m_log.at(last + 1).data.size();
+        if (bytes > m_options.max_entry_bytes_per_message) {
+            break;
+        }
+    }
+    return last;
+}
+
 void raft_node::send_snapshot_chunk(const wire::replica_info_t& to, progress& peer)
 {
     if (!m_snapshot) {
