Answer open calls when the disk of the leader fills up

Callers: a change that reached the leader just as its disk filled up had no answer for as long as the disk was full. Cause: calls wait for their entry to be applied or for the loss of leadership; while the disk is full neither timers nor messages are handled, so neither comes. Calls that arrive later were refused with 503 already. Evidence: CoordinatorDiskTest: no answer within 2 s before, 503 now. The log line open_calls_refused counts them. Why it holds: all calls that are open after a cycle that found the disk full are answered 503, as when leadership is lost; what they propose may still be committed, and callers send it again.

--- a/src/apps/coordinator_process.cpp
+++ b/src/apps/coordinator_process.cpp
@@ -283,6 +283,9 @@
     for (auto& reply : m_core->take_replies()) {
         send_reply(reply);
     }
+    if (m_storage->disk_full()) {
+        refuse_open_calls();
+    }
     return true;
 }
 
@@ -543,6 +546,19 @@
     m_core->on_request(client, command);
 }
 
+// What these calls propose may still be committed once the disk has room, so callers send it again.
+void coordinator_process::refuse_open_calls()
+{
+    if (m_pending_responders.empty()) {
+        return;
+    }
+    observe::warn("open_calls_refused",
+                  {{"reason", "disk_full"}, {"calls", m_pending_responders.size()}});
+    for (const auto& [client, responder] : std::exchange(m_pending_responders, {})) {
+        respond_error(responder, 503, "the disk of this replica is full");
+    }
+}
+
 void coordinator_process::send_reply(const control::client_reply& reply)
 {
     auto pending = m_pending_responders.extract(reply.client);
--- a/src/apps/coordinator_process.h
+++ b/src/apps/coordinator_process.h
@@ -71,6 +71,8 @@
     void request_membership();
     void update_leadership();
     void send_messages(const std::vector<consensus::outgoing_message>& messages);
+    /// Answers all calls that wait for a quorum with 503, because the disk is full.
+    void refuse_open_calls();
     void send_reply(const control::client_reply& reply);
     void on_message(net::connection_id from, wire::envelope_t message) override;
     void on_connection_state(const std::string& address, bool up) override;
--- a/tests/process_test.py
+++ b/tests/process_test.py
@@ -219,7 +219,6 @@
                 return self.platform.coordinators[i]
         return None
 
-    @unittest.skip("KNOWN-RED.txt, issue 43")
     async def test_calls_that_are_open_when_the_disk_of_the_leader_fills_up_are_answered(self):
         await self.platform.wait_until(self.leader, 10, "a coordinator leads")
         leader = await self.leader()
