Test with processes that a replica catches up with large documents after a full disk

Guards the bound on the bytes of a message. 60 documents of 340 KB are acknowledged while one of three disks is full; then it has room and the next one fills up.

--- a/tests/process_test.py
+++ b/tests/process_test.py
@@ -228,6 +228,27 @@
         answer = await call_once(address, "PUT", "/api/config", body=body, limit=2.0)
         self.assertEqual(503, answer.status)
 
+    async def test_a_replica_that_missed_large_documents_counts_again_once_its_disk_has_room(self):
+        plain = self.platform.document
+        self.platform.document = lambda version: with_more_routes(plain(version))
+        await self.platform.wait_until(self.leader, 10, "a coordinator leads")
+        leader = await self.leader()
+        first, second = (name for name in self.platform.coordinators if name != leader)
+        self.platform.fill_disk(first)
+        for _ in range(60):  # 20 MB, more than a frame may hold
+            self.assertTrue(await self.platform.put_document(limit=5))
+        self.platform.free_disk(first)
+        await asyncio.sleep(1.0)
+        self.platform.fill_disk(second)
+        self.assertTrue(await self.platform.put_document(limit=3))
+
+
+def with_more_routes(document):
+    base = document["Routes"][0]
+    document["Routes"] += [{**base, "Name": f"more-{i}", "PathPrefix": f"/more-{i}-{'x' * 200}/"}
+                           for i in range(900)]
+    return document
+
 
 if __name__ == "__main__":
     begun = time.monotonic()
