Bound what is sent to upstreams that lose their requests

An upstream that loses its requests at once has none in progress and looks idle; ejection only sorts it behind others. And once each gateway had counted one loss, the failure rate that the loss left never expired: others that are idle have a lower load, so nothing was sent that could lower it.

The pool now counts requests whose connections end without a byte of a response. Those lost together count once. While another upstream works, one of 20 requests is a trial, or one after 8 s; requests that must not run twice become one half as often. The only upstream gets trials after two losses in a row, with pauses of 0.25 s that double up to 2 s; other requests are refused, not executed, with a time to come back. A response ends it. Failure rates of upstreams without engines expire 2 to 16 s after the last failure. Each counted loss and each end of them is one log line.

The mirror of it for engines (failure rates don't expire in upstream_pool::load) is left as it is.

--- a/include/siskindrift/gateway/upstream_pool.h
+++ b/include/siskindrift/gateway/upstream_pool.h
@@ -12,6 +12,7 @@
 #include "siskindrift/core/clock.h"
 #include "siskindrift/core/random.h"
 #include "siskindrift/fleet/roster.h"
+#include "siskindrift/gateway/loss_guard.h"
 #include "siskindrift/gateway/request_metadata.h"
 #include "siskindrift/gateway/upstream_limits.h"
 #include "siskindrift/wire/messages.h"
@@ -75,6 +76,11 @@
     /// Number of gateways from which on each compares two random engines instead of all: their
     /// views are then older than the prefill of a prompt takes.
     std::size_t two_choices_gateways = 20;
+    /// Losses of upstreams without an engine.
+    loss_guard_options losses;
+    /// Failures in a row up to which each doubles the time for which the failure rate of an
+    /// upstream without an engine counts. That time begins with `ejection_time`.
+    unsigned max_counted_failures = 4;
 };
 
 /// The software version at which a stream has begun, and must go on.
@@ -158,10 +164,12 @@
     /// @param permitted upstream for which the request has waited for a permit, or empty. It is
     /// chosen if there is one, because another request may not come before the permit expires.
     /// @param pin set for a stream that has begun: only upstreams that it allows are chosen.
+    /// @param repeatable whether the request may be executed more than once.
     [[nodiscard]] pool_choice choose(const std::string& service, const adapter_name& wanted,
                                      const std::set<std::string>& tried, core::time_point now,
                                      const std::string& permitted = {},
-                                     const std::optional<software_pin>& pin = {});
+                                     const std::optional<software_pin>& pin = {},
+                                     bool repeatable = true);
 
     /// Records that a request was sent to @p upstream.
     /// @param tokens prompt tokens that the upstream has to process before the first token.
@@ -204,6 +212,16 @@
     [[nodiscard]] std::vector<std::string> unreachable_upstreams(core::time_point now) const;
     /// Records whether an attempt failed because of the upstream.
     void record_outcome(const std::string& upstream, bool failed, core::time_point now);
+    /// Records that the connection of a request to an upstream without an engine ended without a
+    /// byte of a response.
+    /// @param sent when the request was sent.
+    /// @return the state of the upstream's losses if this one counts.
+    std::optional<loss_guard> record_loss(const std::string& upstream, core::time_point sent,
+                                          core::time_point now);
+    /// Records that the upstream responded to a request.
+    /// @param sent when the request was sent.
+    /// @return whether the upstream was suspected to lose requests until then.
+    bool record_response(const std::string& upstream, core::time_point sent);
     /// Records the load that the upstream reported in a response.
     void record_load(const std::string& upstream, const upstream_load& load);
     /// Records that an engine rejected a request for lack of room. The gateway then sends it fewer
@@ -245,8 +263,17 @@
         core::time_point last_rejection{};
         core::time_point paused_until{}; ///< Until then the run wants no requests.
         core::time_point quiet_since{};  ///< Last byte, or the first request sent after a pause.
+        loss_guard losses;               ///< Of an upstream without an engine.
         std::uint64_t born_ms = 0;       ///< Run of the upstream that these fields are about.
     };
+    struct candidate {
+        const fleet::roster_entry* entry;
+        std::optional<std::uint64_t> version;
+        double load;
+        bool ejected;
+        bool needs_permit;
+        bool refuses;
+    };
     struct engine_state {
         std::uint64_t born_ms = 0;  ///< Start time, which identifies one run of the engine.
         std::uint32_t requests = 0; ///< Running and queued, of all gateways.
@@ -264,7 +291,11 @@
                                  core::time_point now) const;
     [[nodiscard]] bool is_ejected(const upstream_stats& stats, core::time_point now) const;
     [[nodiscard]] double load(const fleet::roster_entry& entry, const upstream_stats& stats,
-                              bool engine) const;
+                              bool engine, core::time_point now) const;
+    [[nodiscard]] double failure_penalty(const upstream_stats& stats, core::time_point now) const;
+    std::optional<core::duration> hold_back_suspected(std::vector<candidate>& candidates,
+                                                      bool repeatable, bool others,
+                                                      core::time_point now);
     [[nodiscard]] std::optional<std::uint64_t> held_version(const fleet::roster_entry& entry,
                                                             const adapter_name& wanted) const;
     [[nodiscard]] bool accepts_version(const adapter_name& name, std::uint64_t version,
--- a/src/apps/gateway_exchanges.cpp
+++ b/src/apps/gateway_exchanges.cpp
@@ -217,7 +217,7 @@
         return;
     }
     const auto choice = m_pool.choose(item.service, item.adapter, item.tried_upstreams, now,
-                                      item.permit_upstream, item.pin);
+                                      item.permit_upstream, item.pin, item.route.repeatable());
     stop_awaiting_permit(item);
     m_awaiting_place.erase(item.id);
     item.lacks = choice.lacks;
@@ -555,6 +555,9 @@
     if (item->helper.empty()) {
         item->opened_at = head.reused_connection ? core::time_point{} : item->sent_at;
         m_pool.record_activity(item->upstream_id, m_clock.now(), item->opened_at);
+        if (m_pool.record_response(item->upstream_id, item->sent_at)) {
+            observe::info("upstream_losses_ended", {{"upstream", item->upstream_id}});
+        }
         record_rejection_limit(*item);
         record_prompt_processed(*item);
         if (head.status < first_redirect_status) {
@@ -817,6 +820,22 @@
                         end == gateway::attempt_outcome::not_sent ||
                         (end == gateway::attempt_outcome::answered && status >= 500);
     m_pool.record_outcome(item.upstream_id, failed, now);
+    if (item.adapter.first.empty() && !item.response_head &&
+        item.call_end.result == http::call_result::connection_lost) {
+        record_loss(item);
+    }
+}
+
+void gateway_process::record_loss(const exchange& item)
+{
+    if (const auto losses = m_pool.record_loss(item.upstream_id, item.sent_at, m_clock.now())) {
+        observe::info("upstream_loses_requests",
+                      {{"upstream", item.upstream_id},
+                       {"losses", losses->losses()},
+                       {"trials_only", losses->needs_trials()},
+                       {"after_ms", core::to_ms(m_clock.now() - item.sent_at)},
+                       {"pause_ms", core::to_ms(losses->pause())}});
+    }
 }
 
 // Records that an engine has no room for a request, so that it gets fewer and its adapter more
--- a/src/apps/gateway_process.h
+++ b/src/apps/gateway_process.h
@@ -231,6 +231,7 @@
     void handle_attempt_end(exchange& item, gateway::attempt_outcome end, core::reason reason);
     void record_attempt_outcome(const exchange& item, gateway::attempt_outcome end);
     void record_rejection(const exchange& item);
+    void record_loss(const exchange& item);
     [[nodiscard]] static bool ended_complete(const exchange& item);
     void handle_stream_end(exchange& item);
     void forward_response(exchange& item);
--- a/src/gateway/upstream_pool.cpp
+++ b/src/gateway/upstream_pool.cpp
@@ -166,6 +166,7 @@
         stats.paused_until = {};
         stats.unreached_elsewhere = {};
         stats.last_rejection = {};
+        stats.losses = loss_guard{m_options.losses};
     }
 }
 
@@ -251,18 +252,75 @@
 // Returns, for an engine, the estimated delay of the first token of another request in ms; for
 // other upstreams the fraction of slots in use. Both include a penalty for failures.
 double upstream_pool::load(const fleet::roster_entry& entry, const upstream_stats& stats,
-                           bool engine) const
+                           bool engine, core::time_point now) const
 {
     const double slots = std::max(1U, entry.info.slots);
     const double busy = static_cast<double>(stats.in_flight + stats.other_requests) / slots;
     if (!engine) {
-        return busy + stats.failure_rate;
+        return busy + failure_penalty(stats, now);
     }
     const auto tokens = static_cast<double>(stats.pending_tokens + stats.other_tokens);
     return tokens / m_options.prefill_tokens_per_ms + m_options.full_batch_delay_ms * busy +
            m_options.failure_cost_ms * stats.failure_rate;
 }
 
+// Returns the penalty for the failures of an upstream without an engine. It expires: where other
+// upstreams are idle, nothing is sent to this one that could show that it is sound again.
+double upstream_pool::failure_penalty(const upstream_stats& stats, core::time_point now) const
+{
+    const auto counted = std::clamp(stats.consecutive_failures, 1U, m_options.max_counted_failures);
+    const auto lifetime = m_options.ejection_time * (1U << (counted - 1));
+    return now - stats.last_failure < lifetime ? stats.failure_rate : 0;
+}
+
+std::optional<loss_guard> upstream_pool::record_loss(const std::string& upstream,
+                                                     core::time_point sent, core::time_point now)
+{
+    auto& stats = m_stats[upstream];
+    reset_if_restarted(upstream, stats, now);
+    return stats.losses.record_loss(sent, now) ? std::optional{stats.losses} : std::nullopt;
+}
+
+bool upstream_pool::record_response(const std::string& upstream, core::time_point sent)
+{
+    return m_stats[upstream].losses.record_response(sent);
+}
+
+// Leaves only the candidate that gets a trial, or else those that don't lose their requests.
+// @p others tells whether an upstream works. Returns the time until the next trial if no candidate
+// is left.
+std::optional<core::duration> upstream_pool::hold_back_suspected(std::vector<candidate>& candidates,
+                                                                 bool repeatable, bool others,
+                                                                 core::time_point now)
+{
+    const auto losses = [&](const candidate& one) -> loss_guard& {
+        return m_stats[one.entry->info.id].losses;
+    };
+    const auto held = [&](const candidate& one) {
+        return others ? losses(one).suspected() : losses(one).needs_trials();
+    };
+    const auto trial =
+        std::find_if(candidates.begin(), candidates.end(), [&](const candidate& one) {
+            return held(one) && (others ? losses(one).is_trial_due_beside_others(repeatable, now)
+                                        : losses(one).is_trial_due(now));
+        });
+    if (trial != candidates.end()) {
+        candidates = {*trial};
+        return std::nullopt;
+    }
+    std::optional<core::duration> next;
+    for (const auto& one : candidates) {
+        if (held(one)) {
+            const auto time =
+                std::max(losses(one).time_to_trial(now), m_options.losses.first_pause);
+            next = std::min(next.value_or(time), time);
+            losses(one).record_passed_over();
+        }
+    }
+    std::erase_if(candidates, held);
+    return candidates.empty() ? next : std::nullopt;
+}
+
 std::optional<std::uint64_t> upstream_pool::held_version(const fleet::roster_entry& entry,
                                                          const adapter_name& wanted) const
 {
@@ -295,16 +353,8 @@
 pool_choice upstream_pool::choose(const std::string& service, const adapter_name& wanted,
                                   const std::set<std::string>& tried, core::time_point now,
                                   const std::string& permitted,
-                                  const std::optional<software_pin>& pin)
-{
-    struct candidate {
-        const fleet::roster_entry* entry;
-        std::optional<std::uint64_t> version;
-        double load;
-        bool ejected;
-        bool needs_permit;
-        bool refuses;
-    };
+                                  const std::optional<software_pin>& pin, bool repeatable)
+{
     std::optional<core::duration> retry_after; // of upstreams that have used up their limits
     bool any_unlimited = false;
     bool waits_for_place = false;
@@ -371,10 +421,15 @@
             any_full = true;
             continue;
         }
-        candidates.push_back({&entry, version, load(entry, stats, !wanted.first.empty()),
+        candidates.push_back({&entry, version, load(entry, stats, !wanted.first.empty(), now),
                               unreachable || !usable || is_ejected(stats, now),
                               admission.result == send_admission::kind::needs_permit, refuses});
     }
+    // One that has rejected this request works too.
+    const bool any_sound =
+        std::any_of(candidates.begin(), candidates.end(), [&](const candidate& one) {
+            return !one.ejected && !m_stats[one.entry->info.id].losses.suspected();
+        });
     std::erase_if(candidates, [&](const candidate& one) {
         const bool was_tried = tried.contains(one.entry->info.id);
         const bool old =
@@ -384,6 +439,12 @@
         }
         return was_tried || old;
     });
+    if (wanted.first.empty()) {
+        if (const auto next = hold_back_suspected(candidates, repeatable, any_sound, now)) {
+            lacks = shortage::room;
+            retry_after = std::min(retry_after.value_or(*next), *next);
+        }
+    }
     pool_choice choice;
     if (candidates.empty()) {
         choice.lacks = lacks;
@@ -453,6 +514,7 @@
         stats.quiet_since = now;
     }
     stats.pending_tokens += tokens;
+    stats.losses.record_sent(now);
     ++stats.in_flight;
     if (!name.second.empty()) {
         ++stats.requests_by_adapter[name];
--- a/tests/plain_service_test.cpp
+++ b/tests/plain_service_test.cpp
@@ -68,7 +68,7 @@
     }
 };
 
-IGNORE_TEST(PlainService, SendsLittleToAnUpstreamThatLosesItsRequestsWhileOthersWork)
+TEST(PlainService, SendsLittleToAnUpstreamThatLosesItsRequestsWhileOthersWork)
 {
     for (const std::uint64_t seed : {1, 2, 3}) {
         for (const bool repeatable : {true, false}) {
@@ -88,7 +88,7 @@
     check_misses();
 }
 
-IGNORE_TEST(PlainService, LosesFewRequestsAtTheOnlyUpstream)
+TEST(PlainService, LosesFewRequestsAtTheOnlyUpstream)
 {
     for (const std::uint64_t seed : {1, 2, 3}) {
         for (const bool repeatable : {true, false}) {
--- a/tests/plain_service_world.cpp
+++ b/tests/plain_service_world.cpp
@@ -111,7 +111,8 @@
 {
     auto& pool = *m_pools[item->gateway];
     const auto now = m_clock.now();
-    const auto choice = pool.choose("plain", no_adapter, item->tried, now);
+    const auto choice =
+        pool.choose("plain", no_adapter, item->tried, now, {}, {}, m_scenario.repeatable);
     if (choice.result != gateway::pool_choice::kind::send) {
         ++(item->may_have_run > 0 ? m_outcome.failed : m_outcome.refused);
         return;
@@ -172,6 +173,7 @@
     const auto& state = m_upstreams[item->upstream];
     if (what != reply::loss) {
         pool.record_activity(id, now);
+        pool.record_response(id, item->sent);
     }
     if (what != reply::loss && m_scenario.reports_load) {
         pool.record_load(id, {state.running, static_cast<std::uint32_t>(state.waiting.size()),
@@ -179,6 +181,9 @@
     }
     pool.record_ended(id, no_adapter);
     pool.record_outcome(id, what == reply::loss, now);
+    if (what == reply::loss) {
+        pool.record_loss(id, item->sent, now);
+    }
     if (what == reply::answer) {
         pool.record_admission(id);
         ++(now - item->arrived <= m_scenario.latency_objective ? m_outcome.in_time
