--- a/include/siskindrift/http/client.h
+++ b/include/siskindrift/http/client.h
@@ -37,7 +37,8 @@
 struct call_end {
     call_result result = call_result::not_sent;
     body_framing framing = body_framing::none;
-    std::string error; ///< Why the call failed; empty if it is complete.
+    std::string error;     ///< Why the call failed; empty if it is complete.
+    bool answered = false; ///< The server has sent a byte, also one of an interim response.
 };
 
 /// Status and headers of a response.
--- a/src/apps/gateway_exchanges.cpp
+++ b/src/apps/gateway_exchanges.cpp
@@ -820,7 +820,7 @@
                         end == gateway::attempt_outcome::not_sent ||
                         (end == gateway::attempt_outcome::answered && status >= 500);
     m_pool.record_outcome(item.upstream_id, failed, now);
-    if (item.adapter.first.empty() && !item.response_head &&
+    if (item.adapter.first.empty() && !item.call_end.answered &&
         item.call_end.result == http::call_result::connection_lost) {
         record_loss(item);
     }
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -334,6 +334,7 @@
 
     void limit_head_duration()
     {
+        m_answered = true;
         if (!std::exchange(m_head_begun, true)) {
             m_stream->expires_at(std::min(m_head_deadline, clock::now() + max_head_duration));
         }
@@ -474,7 +475,7 @@
             m_stream->close();
         }
         if (!m_cancelled) {
-            m_owner->handler().on_end(m_call.id, {how, framing(), std::move(error)});
+            m_owner->handler().on_end(m_call.id, {how, framing(), std::move(error), m_answered});
         }
     }
 
@@ -485,6 +486,7 @@
     clock::time_point m_call_deadline{};
     clock::time_point m_head_deadline{};
     bool m_head_begun = false;
+    bool m_answered = false; ///< A byte of any response has come.
     std::size_t m_body_bytes = 0;
     std::unique_ptr<beast::tcp_stream> m_stream;
     asio::any_io_executor m_executor;
