Send the requests of a test of planned stops after the gateway knows of its stop

Its first request was sent in the same millisecond as SIGTERM.

The ten requests are now sent from 0.3 s after the signal, as in the test beside it; all ten are still checked.

--- a/tests/planned_stop_test.py
+++ b/tests/planned_stop_test.py
@@ -105,6 +105,7 @@
     async def test_upstreams_are_told_no_more_time_than_the_grace_leaves(self):
         await self.start()
         await self.stop()
+        await asyncio.sleep(0.3)  # a request that is read before the signal gets all of its time
         for _ in range(10):
             self.begin("/safe/x")
             await asyncio.sleep(0.2)
