--- a/src/adapters/load_limiter_test.cpp
+++ b/src/adapters/load_limiter_test.cpp
@@ -19,7 +19,6 @@
     load_limiter limiter;
     double capacity = 8;
     double load_ms = 250;
-    double demand = 1e9;   ///< Most loads that are asked for at once.
     double jitter_ms = 0;  ///< The end of a load is noticed late, by up to this time.
     int late_loads = 0;    ///< Number of ten loads that engines carry out late.
     double late_ms = 1000; ///< How late. Until then they don't use the store.
@@ -44,7 +43,7 @@
 
     void step()
     {
-        while (m_loads.size() < limiter.limit() && static_cast<double>(m_loads.size()) < demand) {
+        while (m_loads.size() < limiter.limit()) {
             limiter.set_in_progress(m_loads.size() + 1, m_clock.now());
             const bool late = m_begun % 10 < late_loads;
             const double jitter = jitter_ms * ((m_begun * 7) % 10) / 10;
