Let no slow load raise the limit on loads

By reading: a decrease ended at nine tenths of what the store had lately borne, and at the least limit, also where the limit was below both, so that it rose and was logged as `overloaded`. Callers have not been seen to suffer from it. A decrease now never ends above the limit before it.

--- a/src/adapters/load_limiter.cpp
+++ b/src/adapters/load_limiter.cpp
@@ -214,8 +214,8 @@
         m_descent.reset();
         return;
     }
-    m_limit = std::clamp(typical.loads / stretch, m_limit * (1 - m_options.max_decrease), m_limit);
-    m_limit = std::max(m_limit, least);
+    const auto lowest = std::max(m_limit * (1 - m_options.max_decrease), least);
+    m_limit = std::clamp(typical.loads / stretch, std::min(lowest, m_limit), m_limit);
 }
 
 bool load_limiter::is_refuted(const sample& typical)
