--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,106 +1,84 @@
-"""A zone is lost, as the settings say may happen, right after a configuration was acknowledged."""
+"""Demand moves to other adapters at engines whose memory is used up before their adapter slots."""
 
 import asyncio
-import json
 import os
 import pathlib
-import re
-import shutil
-import signal
 import sys
 import tempfile
-import time
 
 HERE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "lib"))
 import standins  # noqa: E402, needs the path above
-from standins import ROOT, fixture  # noqa: E402
+from standins import fixture  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-# What may be lost at once; another value shows that the test can pass with the trouble.
-TOLERANCE = json.loads(os.environ.get("TOLERANCE", '{"Machines": 0, "Zones": 1, "Regions": 0}'))
-RECOVERY_S = 12.0
-READ_S = 5.0  # StableWindowMs is 3 s
-
-
-def render(template, fields):
-    """Fills in a settings template as DEPLOY.md says; sections don't occur in it."""
-    def value(match):
-        path, _, form = match.group(1).partition("|")
-        found = fields
-        for part in path.split("."):
-            found = found[int(part)] if isinstance(found, list) else found[part]
-        return json.dumps(found) if form == "json" else "" if found is None else str(found)
-    return re.sub(r"\{\{([^{}]+)\}\}", value, template)
+ENGINES = 2
+# The model and the adapters of PROTOCOL.md's example; its engines hold 35,300 MB instead.
+ENGINE = {"Slots": fixture.SLOTS, "KvCapacity": 232000, "AdapterSlots": 8, "LoadsPerS": 2.8,
+          "WeightsMb": 34500.0,
+          "Models": [{"Name": fixture.MODEL, "WeightsMb": 34300.0, "LoadS": 0.6, "Adapters": 3000,
+                      "AdapterMb": 40.0}]}
+BUSY = [f"a{i}" for i in range(1, 5)]
+NEXT = [f"a{i}" for i in range(5, 17)]  # the demand moves on to these, one after the other
+EVENTS = 13
 
 
 class Platform(fixture.PlatformFixture):
-    """Settings of coordinators come from the deploy file's template."""
+    def __init__(self, folder, record):
+        super().__init__(folder, gateways=2, plain=1, engines=0)
+        self.record = record
+        self.upstreams += [standins.Engine(self, f"engine-{i + 1}", i + 101, ENGINE, record)
+                           for i in range(ENGINES)]
+        self.engines = self.upstreams[1:]
 
-    def settings_for(self, name):
-        if not name.startswith("coordinator"):
-            return super().settings_for(name)
-        i = int(name.rpartition("-")[2]) - 1
-        port = self.port
-        fields = {"NodeName": name, "Zone": "abc"[i], "Ip": f"127.7.1.{i + 1}",
-                  "Listen": {"Control": self.control_addresses[i]},
-                  "Seeds": self.control_addresses, "InternalPorts": [port + 4, port + 5],
-                  "DataDir": str(self.folder / name / "data"), "Bootstrap": name not in self.started,
-                  "FaultTolerance": TOLERANCE, "HeartbeatMs": 1200,
-                  "Bounds": {"LeaseMs": 3000, "FencingEnforced": True, "BudgetWindowS": 10}}
-        template = (ROOT / "deploy" / "coordinator.settings.json").read_text(encoding="utf-8")
-        settings = json.loads(render(template, fields))
-        settings["metrics_address"] = self.coordinator_metrics_address(i)  # a free port
-        return settings
+    def document(self, version):
+        document = super().document(version)
+        document["Services"][1]["Engine"] = ENGINE
+        return document
 
 
-async def put_document(platform, record):
-    """Sends the next document; returns the name of the coordinator that acknowledged it."""
-    platform.version += 1
-    body = json.dumps(platform.document(platform.version)).encode()
-    end = time.monotonic() + 10
-    while time.monotonic() < end:
-        for address in platform.control_addresses:
-            answer = await fixture.call_once(address, "PUT", "/api/config", body=body, limit=1.0)
-            if answer.status == 200:
-                name = platform.coordinators[platform.control_addresses.index(address)]
-                record.line(f"configuration {platform.version} acknowledged by {name}")
-                return name
-        await asyncio.sleep(0.1)
-    raise TimeoutError("no acknowledgement")
+async def send(platform, number, adapter):
+    request_id = f"{number:016x}"
+    headers = fixture.request_headers(request_id, 6.0, adapter, events=EVENTS)
+    address = platform.caller_address(number % 2)
+    answer = await fixture.call_once(address, "POST", "/once/x", headers, limit=6.5)
+    platform.record.line(f"request {request_id} for {adapter}: {answer.status}"
+                         f"{' whole' if answer.whole else ' not whole'}")
+    return answer
 
 
 async def main():
     record = standins.Record(HERE / "record.txt")
     with tempfile.TemporaryDirectory(prefix="review-") as folder:
-        platform = Platform(folder, gateways=2, plain=1, engines=1)
+        platform = Platform(folder, record)
         try:
             await platform.start_all()
-            await asyncio.sleep(6.0)  # longer than CatchUpS
-            name = await put_document(platform, record)
-            if TROUBLE:
-                platform.signal(name, signal.SIGKILL)
-                platform.processes[name].wait()
-                shutil.rmtree(platform.folder / name / "data")
-                record.line(f"the zone of {name} is lost, with its disk")
-                await asyncio.sleep(1.0)
-                platform.start(name)
-                record.line(f"{name} is back, with an empty disk")
-            await asyncio.sleep(RECOVERY_S)
-            found = None
-            end = time.monotonic() + READ_S
-            while time.monotonic() < end and found != platform.version:
-                found = await platform.read_document()
-                record.line(f"read back: {found}")
-                await asyncio.sleep(0.3)
+            await asyncio.sleep(2.0)
+            requests = []
+            for number in range(300):  # 25 s
+                adapters = BUSY
+                if TROUBLE and number >= 60:
+                    # Four adapters are busy at a time; every 2 s one falls silent, the next rises.
+                    first = min((number - 60) // 20, len(NEXT) - 1)
+                    adapters = (BUSY + NEXT)[first + 1:first + 5]
+                requests.append(asyncio.create_task(
+                    send(platform, number + 1, adapters[number % len(adapters)])))
+                await asyncio.sleep(0.08)
+            answers = await asyncio.gather(*requests)
         except (TimeoutError, OSError) as error:
             record.line(f"could not run: {error}")
             return 2
         finally:
             platform.finished = True
             platform.stop_all()
-    record.line(f"acknowledged {platform.version}, read back {found}")
-    return 0 if found == platform.version else 1
+    served = sum(answer.status == 200 and answer.whole for answer in answers)
+    cut = sum(answer.status == 200 and not answer.whole for answer in answers)
+    overloaded = sum(engine.overloaded for engine in platform.engines)
+    record.line(f"{len(answers)} requests, {served} served, {cut} cut midway; "
+                f"{overloaded} orders to hold more than WeightsMb or AdapterSlots")
+    if served < 20:
+        return 2
+    return 1 if overloaded else 0
 
 
 if __name__ == "__main__":
