--- a/review/1/case.py
+++ b/review/1/case.py
@@ -10,19 +10,38 @@
 import time
 
 HERE = pathlib.Path(__file__).resolve().parent
-sys.path.insert(0, str(HERE.parent / "lib"))
-import standins  # noqa: E402, needs the path above
-from standins import fixture  # noqa: E402
+ROOT = HERE.parent.parent
+os.environ.setdefault("SISKINDRIFT_BIN", str(ROOT / "target" / "bin"))
+sys.path.insert(0, str(ROOT / "tests"))
+sys.dont_write_bytecode = True
+import platform_fixture as fixture  # noqa: E402, needs the path above
+
+fixture.ANNOUNCE_S = 1.2  # HeartbeatMs of DEPLOY.md
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 MEMORY_MB = 256  # MemoryMb of a core machine
-ROUTES = 2100    # six big_config of 350
-CHANGES = 207    # as in the day beside this script
+BIG_CONFIGS = 6  # as in the day beside this script
+BIG_CONFIG_ROUTES = 350
+STORMS = 8
+STORM_CHANGES = 25  # one each 0.06 s for 1.5 s
 CHANGE_GAP_S = 0.06
+STORM_PAUSE_S = 1.0
 RECOVERY_S = 12.0
 READ_S = 5.0     # StableWindowMs is 3 s
 
 
+class Record:
+    """Writes what was sent, answered and run, with the time since the start."""
+
+    def __init__(self, path):
+        self.file = open(path, "w", encoding="utf-8")
+        self.begun = time.monotonic()
+
+    def line(self, text):
+        self.file.write(f"{time.monotonic() - self.begun:8.3f} s  {text}\n")
+        self.file.flush()
+
+
 class Platform(fixture.PlatformFixture):
     extra_routes = 0
 
@@ -64,8 +83,15 @@
         await asyncio.sleep(0.01)
 
 
+async def put_document(platform, record):
+    if not await platform.put_document(limit=10):
+        raise TimeoutError("no acknowledgement")
+    size = len(json.dumps(platform.document(platform.version)))
+    record.line(f"configuration {platform.version} of {size} bytes acknowledged")
+
+
 async def main():
-    record = standins.Record(HERE / "record.txt")
+    record = Record(HERE / "record.txt")
     with tempfile.TemporaryDirectory(prefix="review-") as folder:
         platform = Platform(folder, gateways=2, plain=1, engines=1)
         ends = []
@@ -73,15 +99,17 @@
             await platform.start_all()
             await asyncio.sleep(2.0)
             watch = asyncio.create_task(watch_memory(platform, record, ends))
-            platform.extra_routes = ROUTES
-            for _ in range(CHANGES):
-                begun = time.monotonic()
-                if not await platform.put_document(limit=10):
-                    raise TimeoutError("no acknowledgement")
-                await asyncio.sleep(max(0.0, CHANGE_GAP_S - (time.monotonic() - begun)))
-            size = len(json.dumps(platform.document(platform.version)))
-            record.line(f"{CHANGES} configurations of {size} bytes are acknowledged; "
-                        f"{len(ends)} ends by memory so far")
+            for _ in range(BIG_CONFIGS):
+                platform.extra_routes += BIG_CONFIG_ROUTES
+                await put_document(platform, record)
+                await asyncio.sleep(STORM_PAUSE_S)
+            for _ in range(STORMS):
+                for _ in range(STORM_CHANGES):
+                    begun = time.monotonic()
+                    await put_document(platform, record)
+                    await asyncio.sleep(max(0.0, CHANGE_GAP_S - (time.monotonic() - begun)))
+                await asyncio.sleep(STORM_PAUSE_S)
+            record.line(f"{len(ends)} ends by memory so far")
             if ends:
                 raise TimeoutError("the changes alone used up the memory")
             if TROUBLE:
