Bound the replicated log and a start from it in bytes

Each start passed the memory of its process and was killed; from the time at which the upstreams counted as silent every request was refused.

Cause: the log was compacted by the number of its entries, whatever their size, and a start read it whole, decoded it, copied it twice and wrote it anew, about six times its size. Committed entries were handed out as one copy. All of it grew with the log; the platform's limits are in bytes.

So neither the memory nor the disk of a replica grows with what was changed, and a start needs no room on the disk.

--- a/include/siskindrift/config/settings.h
+++ b/include/siskindrift/config/settings.h
@@ -76,6 +76,8 @@
     std::string data_folder;
     bool first_start = false;       ///< Initial start of the deployment, with empty disks.
     std::uint32_t losses_borne = 1; ///< Number of coordinators that may fail at once.
+    std::uint64_t memory_bytes = 0; ///< Limit on the memory of the process; 0: unknown.
+    std::uint64_t disk_bytes = 0;   ///< Size of the disk with `data_folder`; 0: unknown.
     /// A new leader waits this long, plus a margin for orders in transit, before its first order,
     /// unless it also led the preceding term or `upstreams_check_fences` is set.
     core::duration order_lease = core::milliseconds{3000};
--- a/include/siskindrift/consensus/raft_log.h
+++ b/include/siskindrift/consensus/raft_log.h
@@ -28,6 +28,9 @@
     /// Returns the index of the last entry, or the base index when there are no entries.
     [[nodiscard]] std::uint64_t last_index() const { return m_base_index + m_entries.size(); }
 
+    /// Returns the memory that the data of all entries takes, in bytes.
+    [[nodiscard]] std::uint64_t bytes() const { return m_bytes; }
+
     /// Returns the term of the last entry, or the base term when there are no entries.
     [[nodiscard]] std::uint64_t last_term() const;
 
@@ -53,6 +56,7 @@
 private:
     std::uint64_t m_base_index = 0;
     std::uint64_t m_base_term = 0;
+    std::uint64_t m_bytes = 0;
     std::deque<wire::log_entry_t> m_entries;
 };
 
--- a/include/siskindrift/consensus/raft_node.h
+++ b/include/siskindrift/consensus/raft_node.h
@@ -40,6 +40,10 @@
     /// below the largest frame that a peer accepts.
     std::size_t max_entry_bytes_per_message = 1024UL * 1024;
     std::size_t snapshot_chunk_bytes = 1024UL * 1024;
+
+    /// Bytes of committed entries in one batch of work, which always contains at least one if any
+    /// are committed. The rest follows in later batches.
+    std::size_t max_committed_bytes_per_batch = 4 * 1024UL * 1024;
 };
 
 /// Durable state besides the log entries. It must be synced before a reply that depends on it.
@@ -91,7 +95,8 @@
 
     /// Messages that are valid only once the batch is synced, such as votes and acknowledgements.
     std::vector<outgoing_message> messages_after_sync;
-    std::vector<wire::log_entry_t> committed; ///< Entries to apply, in the order of the log.
+    /// Entries to apply, in the order of the log. They may end before the commit index.
+    std::vector<wire::log_entry_t> committed;
 
     /// Returns whether the batch contains anything to write and sync.
     [[nodiscard]] bool must_write() const { return hard || installed_snapshot || !entries.empty(); }
@@ -209,6 +214,8 @@
     /// leader's log and to be synced; 0 when unknown.
     [[nodiscard]] std::uint64_t match_index(std::uint64_t replica) const;
     [[nodiscard]] const raft_log& log() const { return m_log; }
+    /// Returns the snapshot that the log follows, or null if there is none.
+    [[nodiscard]] const snapshot* latest_snapshot() const { return m_snapshot.get(); }
     [[nodiscard]] bool damaged() const { return m_damaged; }
     [[nodiscard]] bool is_voter() const;
 
--- a/include/siskindrift/control/control_core.h
+++ b/include/siskindrift/control/control_core.h
@@ -31,6 +31,13 @@
     state::store_budget budget;
     std::uint64_t compact_after = 4096; ///< Number of log entries between two snapshots.
 
+    /// Bytes of log entries between two snapshots. Bounds the memory and the disk space of the log.
+    std::uint64_t compact_after_bytes = 8UL * 1024 * 1024;
+
+    /// Bytes of log entries that may wait for a quorum. Further writes are answered with
+    /// `unavailable`.
+    std::uint64_t max_uncommitted_bytes = 8UL * 1024 * 1024;
+
     /// How long a permit request waits before it is answered with `unavailable`.
     core::duration permit_timeout = core::milliseconds{400};
 };
@@ -87,6 +94,9 @@
     /// @returns a snapshot for the driver to store, or null when none is due
     std::shared_ptr<const consensus::snapshot> apply_ready(const consensus::ready& work);
 
+    /// Makes the next `apply_ready` return a snapshot if anything was applied since the last one.
+    void request_compaction() { m_compaction_requested = true; }
+
     /// Returns the replies that have accumulated since the previous call.
     std::vector<client_reply> take_replies();
 
@@ -115,6 +125,7 @@
         client_id client = 0;
         wire::control_request_t request;
         std::uint64_t round = 0;
+        std::uint64_t commit = 0; ///< Commit index at the request; must be applied before it.
     };
     /// A request for a permit that waits in the permit allocator.
     struct pending_permit {
@@ -133,6 +144,9 @@
     void expire_sessions();
     void update_leadership();
     void apply(const wire::log_entry_t& entry);
+    [[nodiscard]] bool compaction_due() const;
+    /// Returns the bytes of the log entries that aren't applied yet.
+    [[nodiscard]] std::uint64_t unapplied_bytes() const;
     void after_apply(const wire::log_entry_t& entry);
     void update_budget();
     void reply(client_id client, std::uint64_t request, wire::control_outcome outcome,
@@ -149,6 +163,8 @@
     state::permit_allocator m_permits;
     std::uint64_t m_seed;
     std::uint64_t m_applied = 0;
+    std::uint64_t m_applied_bytes = 0; ///< Of the applied entries since the last snapshot.
+    bool m_compaction_requested = false;
     std::uint64_t m_active_term = 0; ///< Term for which sessions and permits are set up, or 0.
     std::multimap<std::uint64_t, pending_write> m_pending_writes; ///< By log index.
     std::vector<pending_read> m_pending_reads;
--- a/include/siskindrift/log/replica_store.h
+++ b/include/siskindrift/log/replica_store.h
@@ -75,6 +75,13 @@
 [[nodiscard]] consensus::recovered_state read_replica(const std::filesystem::path& folder,
                                                       recovery_report& report);
 
+/// Where the valid records of a log end.
+struct log_end {
+    std::uint64_t segment = 0; ///< Number of the segment, or 0 if none contains the log.
+    std::uint64_t offset = 0;  ///< Bytes of the segment's valid records.
+    bool torn = false;         ///< An incomplete record follows.
+};
+
 /// Writes the state of a `raft_node` to its data folder. After a failed call the process must stop,
 /// because the content of the disk is unknown, unless `can_retry` returns true. Not thread-safe.
 class replica_store {
@@ -84,8 +91,9 @@
     {
     }
 
-    /// Recovers the state and opens a new log segment for writing. Incomplete records at the end
-    /// of the log are dropped.
+    /// Recovers the state and opens the log for writing, which needs no free space on the disk
+    /// unless the log is empty or a snapshot was stored without its segment. An incomplete record
+    /// at the end of the log is dropped.
     ///
     /// @param report receives statistics and the description of any damage
     /// @param error receives the error message
@@ -113,6 +121,8 @@
 
     /// Returns the number of records and snapshots that were synced since construction.
     [[nodiscard]] std::uint64_t syncs() const { return m_syncs; }
+    /// Returns the length of the segment that is written, in bytes.
+    [[nodiscard]] std::uint64_t segment_bytes() const { return m_segment_bytes; }
     /// Returns the number of bytes of log records that were synced since construction.
     [[nodiscard]] std::uint64_t written_bytes() const { return m_written_bytes; }
 
@@ -120,14 +130,17 @@
     bool write_snapshot_file(const consensus::snapshot& snapshot, std::uint64_t cluster,
                              core::error_message& error);
     bool start_segment(const wire::log_record_t& first, core::error_message& error);
+    bool continue_segment(const log_end& end, core::error_message& error);
+    [[nodiscard]] std::filesystem::path segment_path(std::uint64_t number) const;
     bool write_record(const wire::log_record_t& record, core::error_message& error);
     bool sync(append_file& file, core::error_message& error);
-    void remove_obsolete_files(std::uint64_t segment, std::uint64_t snapshot_index);
+    void remove_obsolete_files(std::uint64_t snapshot_index);
 
     std::filesystem::path m_folder;
     file_opener& m_opener;
     std::unique_ptr<append_file> m_file;
-    std::uint64_t m_segment = 0;
+    std::uint64_t m_segment = 0;          ///< Number of the segment that is written.
+    std::uint64_t m_last_segment = 0;     ///< Highest number that was ever used.
     std::uint64_t m_segment_bytes = 0;    ///< Length of the complete records of the segment.
     bool m_has_incomplete_record = false; ///< A write failed; its bytes must be removed.
     bool m_sync_failed = false;
--- a/src/apps/control_process.cpp
+++ b/src/apps/control_process.cpp
@@ -13,6 +13,7 @@
 
 constexpr core::milliseconds tick_interval{10};
 constexpr core::milliseconds handover_timeout{1000}; // for the election of a successor
+constexpr std::uint64_t max_segment_bytes = 64UL * 1024 * 1024;
 constexpr int network_thread_count = 2;
 
 bool is_operator_request(const wire::control_request_t& request)
@@ -57,7 +58,8 @@
 bool control_process::start()
 {
     std::optional<consensus::recovered_state> recovered;
-    m_storage = replica_storage::open(m_settings.data_folder, recovered);
+    m_storage =
+        replica_storage::open(m_settings.data_folder, recovered, max_segment_bytes, m_clock);
     if (!m_storage) {
         return false;
     }
--- a/src/apps/coordinator_process.cpp
+++ b/src/apps/coordinator_process.cpp
@@ -24,10 +24,26 @@
 constexpr core::milliseconds announcement_wait{2500}; // until all upstreams were announced again
 constexpr std::uint64_t compaction_interval_entries = 256; // documents are large and change rarely
 
-control::control_options core_options()
+// The log is compacted before it takes more than these fractions of the memory and of the disk. A
+// compaction needs the space of the log several times, and a disk holds the log and its successor.
+constexpr std::uint64_t memory_per_log = 32;
+constexpr std::uint64_t disk_per_log = 16;
+constexpr std::uint64_t min_log_bytes = 1024UL * 1024;
+constexpr std::uint64_t segment_per_log = 4; // replaced entries stay in the segment
+
+control::control_options core_options(const config::coordinator_settings& settings)
 {
     control::control_options options;
     options.compact_after = compaction_interval_entries;
+    auto& log_bytes = options.compact_after_bytes;
+    if (settings.memory_bytes != 0) {
+        log_bytes = std::min(log_bytes, settings.memory_bytes / memory_per_log);
+    }
+    if (settings.disk_bytes != 0) {
+        log_bytes = std::min(log_bytes, settings.disk_bytes / disk_per_log);
+    }
+    log_bytes = std::max(log_bytes, min_log_bytes);
+    options.max_uncommitted_bytes = log_bytes;
     return options;
 }
 
@@ -70,13 +86,15 @@
 bool coordinator_process::open_storage()
 {
     std::optional<consensus::recovered_state> recovered;
-    m_storage = replica_storage::open(m_settings.data_folder, recovered);
+    const auto options = core_options(m_settings);
+    m_storage = replica_storage::open(m_settings.data_folder, recovered,
+                                      options.compact_after_bytes * segment_per_log, m_clock);
     if (!m_storage) {
         return false;
     }
-    m_core = std::make_unique<control::control_core>(m_storage->identity(), std::move(*recovered),
-                                                     core_options(), core::random_nonzero(),
-                                                     m_clock, nullptr);
+    m_core =
+        std::make_unique<control::control_core>(m_storage->identity(), std::move(*recovered),
+                                                options, core::random_nonzero(), m_clock, nullptr);
     return true;
 }
 
--- a/src/apps/replica_storage.cpp
+++ b/src/apps/replica_storage.cpp
@@ -5,8 +5,15 @@
 
 namespace siskindrift::apps {
 
+namespace {
+
+constexpr core::milliseconds snapshot_retry_interval{300};
+
+} // namespace
+
 std::unique_ptr<replica_storage>
-replica_storage::open(const std::string& path, std::optional<consensus::recovered_state>& state)
+replica_storage::open(const std::string& path, std::optional<consensus::recovered_state>& state,
+                      std::uint64_t max_segment_bytes, const core::clock& time)
 {
     core::error_message error;
     auto folder = log::data_folder::open(path, core::random_nonzero(), error);
@@ -14,7 +21,8 @@
         observe::error("data_folder_refused", {{"reason", error.text()}});
         return nullptr;
     }
-    std::unique_ptr<replica_storage> storage{new replica_storage{std::move(*folder)}};
+    std::unique_ptr<replica_storage> storage{
+        new replica_storage{std::move(*folder), max_segment_bytes, time}};
     log::recovery_report report;
     state = storage->m_store.open(report, error);
     if (!state) {
@@ -27,6 +35,7 @@
     }
     observe::info("recovered", {{"replica", storage->identity().value()},
                                 {"records", report.records},
+                                {"log_bytes", storage->m_store.segment_bytes()},
                                 {"cut_bytes", report.cut_bytes}});
     return storage;
 }
@@ -34,6 +43,9 @@
 storage_result replica_storage::run_cycle(control::control_core& core, const send_function& send)
 {
     core::error_message error;
+    if (!retry_snapshot(core.raft())) {
+        return storage_result::failed;
+    }
     const bool repeated = disk_full();
     auto ready = repeated ? std::move(*m_unwritten) : core.take_ready();
     m_unwritten.reset();
@@ -55,16 +67,50 @@
         observe::info("disk_writable", {});
     }
     send(ready.messages_after_sync);
-    const auto snapshot = core.apply_ready(ready);
-    if (snapshot && !m_store.store_snapshot(*snapshot, core.raft(), error)) {
-        if (!m_store.can_retry()) {
-            observe::error("storage_failed", {{"reason", error.text()}});
-            return storage_result::failed;
-        }
-        // The log still holds what the snapshot covers.
-        observe::error("snapshot_not_stored", {{"reason", error.text()}});
+    if (m_store.segment_bytes() > m_max_segment_bytes && !m_unstored) {
+        core.request_compaction();
+    }
+    auto snapshot = core.apply_ready(ready);
+    if (snapshot && !store_snapshot(std::move(snapshot), core.raft())) {
+        return storage_result::failed;
     }
     return storage_result::done;
 }
 
+bool replica_storage::store_snapshot(std::shared_ptr<const consensus::snapshot> snapshot,
+                                     const consensus::raft_node& node)
+{
+    core::error_message error;
+    const auto log_bytes = m_store.segment_bytes();
+    if (m_store.store_snapshot(*snapshot, node, error)) {
+        observe::info("snapshot_stored", {{"entry", snapshot->last_index},
+                                          {"bytes", snapshot->state.size()},
+                                          {"log_bytes", log_bytes}});
+        m_unstored.reset();
+        return true;
+    }
+    if (!m_store.can_retry()) {
+        observe::error("storage_failed", {{"reason", error.text()}});
+        return false;
+    }
+    if (!m_unstored) {
+        observe::error("snapshot_not_stored", {{"reason", error.text()}, {"log_bytes", log_bytes}});
+    }
+    m_unstored = std::move(snapshot);
+    m_snapshot_retry_at = m_clock.now() + snapshot_retry_interval;
+    return true;
+}
+
+bool replica_storage::retry_snapshot(const consensus::raft_node& node)
+{
+    if (!m_unstored || m_clock.now() < m_snapshot_retry_at) {
+        return true;
+    }
+    if (node.log().base_index() != m_unstored->last_index) {
+        m_unstored.reset(); // the leader has sent a later one
+        return true;
+    }
+    return store_snapshot(m_unstored, node);
+}
+
 } // namespace siskindrift::apps
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -69,6 +69,14 @@
     }
 }
 
+void read_megabytes(const json::object& from, std::string_view name, std::uint64_t& to)
+{
+    constexpr double bytes_per_megabyte = 1024.0 * 1024;
+    if (const auto* value = from.if_contains(name)) {
+        to = static_cast<std::uint64_t>(value->to_number<double>() * bytes_per_megabyte);
+    }
+}
+
 // All processes of a deployment use the same port for internal connections.
 std::string inner_address_at(const std::string& address, const json::object& from)
 {
@@ -143,6 +151,8 @@
         settings.first_start = first->as_bool();
     }
     read(*object, "losses_borne", settings.losses_borne);
+    read_megabytes(*object, "memory_mb", settings.memory_bytes);
+    read_megabytes(*object, "disk_mb", settings.disk_bytes);
     if (const auto* checked = object->if_contains("upstreams_check_fences")) {
         settings.upstreams_check_fences = checked->as_bool();
     }
--- a/src/config/settings_test.cpp
+++ b/src/config/settings_test.cpp
@@ -57,3 +57,16 @@
 {
     CHECK_TRUE(fault_of("{").find("invalid JSON") != std::string::npos);
 }
+
+// Guards against a process that doesn't know what its platform allows it.
+TEST(Settings, ReadsTheMemoryAndTheDiskOfACoordinator)
+{
+    core::error_message why;
+    const auto settings = read_coordinator_settings(
+        R"({"vm":"c","failure_domain":"a","ip":"127.0.0.1","control_address":"127.0.0.1:1",
+        "seeds":["127.0.0.1:1"],"inner_port":2,"data_folder":"d","memory_mb":256,"disk_mb":128})",
+        why);
+    CHECK_TRUE_TEXT(settings.has_value(), why.text().c_str());
+    UNSIGNED_LONGS_EQUAL(256UL * 1024 * 1024, settings->memory_bytes);
+    UNSIGNED_LONGS_EQUAL(128UL * 1024 * 1024, settings->disk_bytes);
+}
--- a/src/consensus/raft_log.cpp
+++ b/src/consensus/raft_log.cpp
@@ -8,6 +8,7 @@
 {
     m_base_index = base_index;
     m_base_term = base_term;
+    m_bytes = 0;
     m_entries.clear();
 }
 
@@ -34,12 +35,14 @@
 
 void raft_log::append(wire::log_entry_t entry)
 {
+    m_bytes += entry.data.size();
     m_entries.push_back(std::move(entry));
 }
 
 void raft_log::truncate_from(std::uint64_t index)
 {
     while (last_index() >= index && !m_entries.empty()) {
+        m_bytes -= m_entries.back().data.size();
         m_entries.pop_back();
     }
 }
@@ -51,6 +54,7 @@
         return;
     }
     while (m_base_index < index) {
+        m_bytes -= m_entries.front().data.size();
         m_entries.pop_front();
         ++m_base_index;
     }
--- a/src/consensus/raft_node.cpp
+++ b/src/consensus/raft_node.cpp
@@ -416,9 +416,14 @@
         }
         m_first_unsaved_index = 0;
     }
-    while (m_delivered_index < m_commit_index) {
+    for (std::size_t bytes = 0; m_delivered_index < m_commit_index;) {
+        const auto& entry = m_log.at(m_delivered_index + 1);
+        bytes += entry.data.size();
+        if (bytes > m_options.max_committed_bytes_per_batch && !work.committed.empty()) {
+            break;
+        }
+        work.committed.push_back(entry);
         ++m_delivered_index;
-        work.committed.push_back(m_log.at(m_delivered_index));
     }
     return work;
 }
--- a/src/control/control_core.cpp
+++ b/src/control/control_core.cpp
@@ -40,12 +40,12 @@
                            control_options options, std::uint64_t seed, const core::clock& time,
                            const change_checker* checker)
     : m_clock(time), m_options(options), m_checker(checker),
-      m_raft(self, recovered, options.raft, seed, time.now()), m_state(options.limits),
+      m_raft(self, std::move(recovered), options.raft, seed, time.now()), m_state(options.limits),
       m_sessions(options.sessions), m_permits(options.budget), m_seed(seed)
 {
-    if (recovered.base) {
-        m_state.restore(recovered.base->state);
-        m_applied = recovered.base->last_index;
+    if (const auto* base = m_raft.latest_snapshot()) {
+        m_state.restore(base->state);
+        m_applied = base->last_index;
     }
 }
 
@@ -107,7 +107,7 @@
         reply(client, request.id, control_outcome::ok);
         return;
     }
-    m_pending_reads.push_back({client, request, m_raft.request_read()});
+    m_pending_reads.push_back({client, request, m_raft.request_read(), m_raft.commit_index()});
 }
 
 void control_core::propose(client_id client, const wire::control_request_t& request)
@@ -118,6 +118,11 @@
             return;
         }
     }
+    if (unapplied_bytes() > m_options.max_uncommitted_bytes) {
+        reply(client, request.id, control_outcome::unavailable,
+              "too many bytes of changes wait for a quorum");
+        return;
+    }
     const auto index = m_raft.propose(wire::encode_table(request), m_clock.wall_ms());
     m_pending_writes.emplace(*index, pending_write{client, request.id, m_raft.term()});
 }
@@ -212,7 +217,7 @@
     const auto confirmed = m_raft.confirmed_round();
     auto reads = std::exchange(m_pending_reads, {});
     for (auto& read : reads) {
-        if (read.round <= confirmed) {
+        if (read.round <= confirmed && read.commit <= m_applied) {
             answer_read(read);
         }
         else {
@@ -339,22 +344,49 @@
     if (work.installed_snapshot) {
         m_state.restore(work.installed_snapshot->state);
         m_applied = work.installed_snapshot->last_index;
+        m_applied_bytes = 0;
     }
     for (const auto& entry : work.committed) {
         apply(entry);
     }
     update_leadership();
     answer_confirmed_reads();
-    if (m_applied >= m_raft.log().base_index() + m_options.compact_after) {
-        return m_raft.compact(m_applied, m_state.save());
+    if (!compaction_due()) {
+        return nullptr;
+    }
+    auto created = m_raft.compact(m_applied, m_state.save());
+    if (created) {
+        m_applied_bytes = 0;
+        m_compaction_requested = false;
     }
-    return nullptr;
+    return created;
+}
+
+bool control_core::compaction_due() const
+{
+    const auto& log = m_raft.log();
+    if (m_applied <= log.base_index()) {
+        return false;
+    }
+    const bool long_log = m_applied >= log.base_index() + m_options.compact_after ||
+                          m_applied_bytes >= m_options.compact_after_bytes ||
+                          m_compaction_requested;
+    // The entries that follow the snapshot are written again, all at once. After a restart these
+    // may be many, until they are applied.
+    return long_log && unapplied_bytes() <= 2 * m_options.max_uncommitted_bytes;
+}
+
+std::uint64_t control_core::unapplied_bytes() const
+{
+    const auto bytes = m_raft.log().bytes();
+    return bytes - std::min(bytes, m_applied_bytes);
 }
 
 void control_core::apply(const wire::log_entry_t& entry)
 {
     auto answer = m_state.apply(entry);
     m_applied = entry.index;
+    m_applied_bytes += entry.data.size();
     after_apply(entry);
     const auto [begin, end] = m_pending_writes.equal_range(entry.index);
     for (auto write = begin; write != end; ++write) {
--- a/src/log/replica_store.cpp
+++ b/src/log/replica_store.cpp
@@ -7,9 +7,9 @@
 #include <cstring>
 #include <fcntl.h>
 #include <unistd.h>
-#include <xxhash.h>
 
 #include "siskindrift/log/data_folder.h"
+#include "siskindrift/log/segment_reader.h"
 #include "siskindrift/wire/frame.h"
 
 namespace siskindrift::log {
@@ -17,9 +17,6 @@
 
 namespace fs = std::filesystem;
 
-constexpr std::string_view segment_magic = "siskindrift-log1";
-constexpr std::size_t record_header_bytes = 12; // 4 bytes length, 8 bytes checksum
-constexpr std::size_t max_record_bytes = 256 * 1024 * 1024;
 constexpr mode_t file_mode = 0640;
 constexpr std::uint64_t first_segment = 1;
 
@@ -62,58 +59,6 @@
     return list_numbered_files(folder, "snapshot-", "");
 }
 
-std::string encode_record(std::string_view payload)
-{
-    const auto length = static_cast<std::uint32_t>(payload.size());
-    const std::uint64_t checksum = XXH3_64bits_withSeed(payload.data(), payload.size(), length);
-    std::string record(record_header_bytes, '\0');
-    std::memcpy(record.data(), &length, sizeof length);
-    std::memcpy(record.data() + sizeof length, &checksum, sizeof checksum);
-    record += payload;
-    return record;
-}
-
-// Returns the payload of the record at the start of `bytes`, or no value when the record is
-// incomplete or its checksum doesn't match.
-std::optional<std::string_view> decode_record(std::string_view bytes)
-{
-    if (bytes.size() < record_header_bytes) {
-        return std::nullopt;
-    }
-    std::uint32_t length = 0;
-    std::uint64_t checksum = 0;
-    std::memcpy(&length, bytes.data(), sizeof length);
-    std::memcpy(&checksum, bytes.data() + sizeof length, sizeof checksum);
-    const auto rest = bytes.substr(record_header_bytes);
-    if (length == 0 || length > max_record_bytes || length > rest.size()) {
-        return std::nullopt;
-    }
-    const auto payload = rest.substr(0, length);
-    if (XXH3_64bits_withSeed(payload.data(), payload.size(), length) != checksum) {
-        return std::nullopt;
-    }
-    return payload;
-}
-
-// Returns whether a valid record starts anywhere after the first byte. Each record is synced before
-// the next one is written, so a crash can tear only the last record of a segment. A valid record
-// after an invalid one therefore means that the data is damaged.
-bool contains_valid_record(std::string_view bytes)
-{
-    for (std::size_t offset = 1; offset + record_header_bytes < bytes.size(); ++offset) {
-        if (decode_record(bytes.substr(offset))) {
-            return true;
-        }
-    }
-    return false;
-}
-
-bool has_valid_first_record(std::string_view segment)
-{
-    return segment.starts_with(segment_magic) &&
-           decode_record(segment.substr(segment_magic.size()));
-}
-
 class log_replayer {
 public:
     log_replayer(consensus::recovered_state& state, recovery_report& report)
@@ -122,35 +67,37 @@
     }
 
     /// Replays the segment that contains the log. Its last record may be incomplete.
-    void replay_segment(const numbered_file& file, std::string_view bytes)
+    ///
+    /// Each record is synced before the next one is written, so a crash can tear only the last
+    /// record of a segment. A valid record after an invalid one means that the data is damaged.
+    void replay_segment(const numbered_file& file, segment_reader& reader)
     {
-        auto rest = bytes.substr(segment_magic.size());
-        while (!rest.empty() && m_report.damage.empty()) {
-            const auto payload = decode_record(rest);
-            if (!payload) {
-                if (contains_valid_record(rest)) {
-                    report_damage(file, bytes.size() - rest.size());
-                }
-                m_report.cut_bytes += rest.size();
-                return;
-            }
-            rest.remove_prefix(record_header_bytes + payload->size());
-            const auto record = wire::decode_table<wire::log_record_t>(std::string{*payload});
+        while (auto payload = reader.next()) {
+            auto record = wire::decode_table<wire::log_record_t>(*payload);
+            payload.reset(); // the entries are copied once, however long the record is
             if (!record || !apply(*record)) {
-                report_damage(file, bytes.size() - rest.size());
+                report_damage(file, reader.offset());
+                return;
             }
             ++m_report.records;
         }
+        if (!reader.at_end()) {
+            if (reader.contains_record_after(reader.offset()) || reader.failed()) {
+                report_damage(file, reader.offset());
+            }
+            m_report.cut_bytes += reader.size() - reader.offset();
+        }
+        m_end = {file.number, reader.offset(), !reader.at_end()};
     }
 
     /// Skips a segment whose first record is invalid, because the segment was never completely
     /// started. A valid record after it means that the segment is damaged instead.
-    void skip_segment(const numbered_file& file, std::string_view bytes)
+    void skip_segment(const numbered_file& file, const segment_reader& reader)
     {
-        if (contains_valid_record(bytes)) {
+        if (reader.contains_record_after(0) || reader.failed()) {
             report_damage(file, 0);
         }
-        m_report.cut_bytes += bytes.size();
+        m_report.cut_bytes += reader.size();
     }
 
     void report_damage(const numbered_file& file, std::size_t offset)
@@ -159,22 +106,23 @@
     }
 
     [[nodiscard]] std::uint64_t base_index() const { return m_base_index; }
+    [[nodiscard]] const log_end& end() const { return m_end; }
 
 private:
-    bool apply(const wire::log_record_t& record)
+    bool apply(wire::log_record_t& record)
     {
         m_state.hard = {record.cluster, record.term, record.voted_for};
         if (record.reset) {
             m_state.entries.clear();
             m_base_index = record.base_index;
         }
-        for (const auto& entry : record.entries) {
+        for (auto& entry : record.entries) {
             const auto next = m_base_index + m_state.entries.size() + 1;
             if (entry->index <= m_base_index || entry->index > next) {
                 return false;
             }
             m_state.entries.resize(entry->index - m_base_index - 1);
-            m_state.entries.push_back(*entry);
+            m_state.entries.push_back(std::move(*entry));
         }
         return true;
     }
@@ -182,6 +130,7 @@
     consensus::recovered_state& m_state;
     recovery_report& m_report;
     std::uint64_t m_base_index = 0;
+    log_end m_end;
 };
 
 void read_snapshot(const fs::path& folder, consensus::recovered_state& state,
@@ -271,8 +220,8 @@
 {
     const auto segments = list_segments(folder);
     for (auto segment = segments.rbegin(); segment != segments.rend(); ++segment) {
-        const auto bytes = read_file(segment->path);
-        if (has_valid_first_record(bytes)) {
+        segment_reader bytes{segment->path};
+        if (bytes.has_valid_start()) {
             reader.replay_segment(*segment, bytes);
             return;
         }
@@ -284,6 +233,27 @@
     }
 }
 
+struct recovery {
+    consensus::recovered_state state;
+    std::uint64_t last_index = 0; // of the log, which may end before the snapshot
+    log_end end;
+};
+
+recovery recover(const fs::path& folder, recovery_report& report)
+{
+    recovery found;
+    read_snapshot(folder, found.state, report);
+    log_replayer reader{found.state, report};
+    read_log(folder, reader);
+    found.last_index = reader.base_index() + found.state.entries.size();
+    if (report.damage.empty()) {
+        discard_covered_entries(found.state, reader.base_index(), report);
+    }
+    found.state.damaged = !report.damage.empty();
+    found.end = reader.end();
+    return found;
+}
+
 wire::log_record_t make_record(const consensus::hard_state& hard)
 {
     wire::log_record_t record;
@@ -308,47 +278,65 @@
 
 consensus::recovered_state read_replica(const fs::path& folder, recovery_report& report)
 {
-    consensus::recovered_state state;
-    read_snapshot(folder, state, report);
-    log_replayer reader{state, report};
-    read_log(folder, reader);
-    if (report.damage.empty()) {
-        discard_covered_entries(state, reader.base_index(), report);
-    }
-    state.damaged = !report.damage.empty();
-    return state;
+    return recover(folder, report).state;
 }
 
 std::optional<consensus::recovered_state> replica_store::open(recovery_report& report,
                                                               core::error_message& error)
 {
-    auto state = read_replica(m_folder, report);
-    m_hard = state.hard;
-    if (state.damaged) {
-        return state; // nothing is written, so the folder can be examined
+    auto found = recover(m_folder, report);
+    m_hard = found.state.hard;
+    if (found.state.damaged) {
+        return std::move(found.state); // nothing is written, so the folder can be examined
     }
     const auto segments = list_segments(m_folder);
-    m_segment = segments.empty() ? first_segment - 1 : segments.back().number;
-    auto record = make_record(m_hard);
-    record.reset = true;
-    record.base_index = state.base ? state.base->last_index : 0;
-    record.base_term = state.base ? state.base->last_term : 0;
-    for (const auto& entry : state.entries) {
-        wire::append(record.entries, entry);
-    }
-    // The new segment doesn't contain an incomplete record at the end of the old one.
-    if (!start_segment(record, error)) {
+    m_last_segment = segments.empty() ? first_segment - 1 : segments.back().number;
+    const auto& base = found.state.base;
+    const auto base_index = base ? base->last_index : 0;
+    // No entry can follow in a segment that ends before the snapshot.
+    const bool can_continue = found.end.segment != 0 && found.last_index >= base_index;
+    if (can_continue && !continue_segment(found.end, error)) {
         return std::nullopt;
     }
-    remove_obsolete_files(m_segment, record.base_index);
-    return state;
+    if (!can_continue) {
+        auto record = make_record(m_hard);
+        record.reset = true;
+        record.base_index = base_index;
+        record.base_term = base ? base->last_term : 0;
+        for (const auto& entry : found.state.entries) {
+            wire::append(record.entries, entry);
+        }
+        if (!start_segment(record, error)) {
+            return std::nullopt;
+        }
+    }
+    remove_obsolete_files(base_index);
+    return std::move(found.state);
+}
+
+// Writing the log anew would need its size in memory several times, and on the disk once more.
+bool replica_store::continue_segment(const log_end& end, core::error_message& error)
+{
+    m_file = m_opener.open(segment_path(end.segment), error);
+    if (!m_file || (end.torn && (!m_file->truncate(end.offset, error) || !sync(*m_file, error)))) {
+        return false;
+    }
+    m_segment = end.segment;
+    m_segment_bytes = end.offset;
+    return true;
+}
+
+fs::path replica_store::segment_path(std::uint64_t number) const
+{
+    return m_folder / make_numbered_name("log-", number, ".seg");
 }
 
 // The previous segment stays in use if the new one can't be written.
 bool replica_store::start_segment(const wire::log_record_t& first, core::error_message& error)
 {
-    const auto path = m_folder / make_numbered_name("log-", m_segment + 1, ".seg");
-    const auto bytes = std::string{segment_magic} + encode_record(wire::encode_table(first));
+    const auto number = ++m_last_segment; // never that of a file that could not be removed
+    const auto path = segment_path(number);
+    const auto bytes = encode_record(wire::encode_table(first), segment_magic);
     auto file = m_opener.open(path, error);
     bool started = file && file->write(bytes, error);
     if (started) {
@@ -360,7 +348,7 @@
         fs::remove(path, ignored);
         return false;
     }
-    ++m_segment;
+    m_segment = number;
     m_file = std::move(file);
     m_segment_bytes = bytes.size();
     m_has_incomplete_record = false;
@@ -430,7 +418,7 @@
     if (!start_segment(record, error)) {
         return false;
     }
-    remove_obsolete_files(m_segment, snapshot.last_index);
+    remove_obsolete_files(snapshot.last_index);
     return true;
 }
 
@@ -450,11 +438,11 @@
     return replace_file(path, encode_record(wire::encode_table(image)), error);
 }
 
-void replica_store::remove_obsolete_files(std::uint64_t segment, std::uint64_t snapshot_index)
+void replica_store::remove_obsolete_files(std::uint64_t snapshot_index)
 {
     std::error_code ignored;
     for (const auto& file : list_segments(m_folder)) {
-        if (file.number < segment) {
+        if (file.number != m_segment) {
             fs::remove(file.path, ignored);
         }
     }
--- a/tests/process_test.py
+++ b/tests/process_test.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import os
+import pathlib
 import shutil
 import signal
 import sys
@@ -14,6 +15,8 @@
                               call_once, check_answer, request_headers)
 
 STREAM_EVENTS = 10
+COORDINATOR_MEMORY_BYTES = 256 * 2 ** 20
+COORDINATOR_DISK_BYTES = 128 * 2 ** 20
 STREAM_PAUSE_S = 0.3  # a stream of 10 events lasts 3 s, less than GRACE_S
 
 
@@ -243,6 +246,31 @@
         self.assertTrue(await self.platform.put_document(limit=3))
 
 
+    async def test_all_coordinators_start_again_within_their_memory_after_many_large_changes(self):
+        """Guards against a log that outgrows the memory of the process that reads it."""
+        plain = self.platform.document
+        self.platform.document = lambda version: with_more_routes(plain(version))
+        await self.platform.wait_until(self.leader, 10, "a coordinator leads")
+        for _ in range(180):  # 61 MB
+            self.assertTrue(await self.platform.put_document(limit=5))
+        for name in self.platform.coordinators:
+            folder = self.platform.folder / name / "data"
+            used = sum(file.stat().st_size for file in folder.iterdir())
+            self.assertLess(used, COORDINATOR_DISK_BYTES / 2)
+            self.platform.signal(name, signal.SIGKILL)
+        for name in self.platform.coordinators:
+            self.platform.processes[name].wait()
+            self.platform.start(name)
+        await self.platform.wait_until(self.reads_newest_document, 12, "the document is read")
+        for name in self.platform.coordinators:
+            status = pathlib.Path(f"/proc/{self.platform.processes[name].pid}/status").read_text()
+            peak_kb = int(status.split("VmHWM:")[1].split()[0])
+            self.assertLess(peak_kb * 1024, COORDINATOR_MEMORY_BYTES / 2)
+
+    async def reads_newest_document(self):
+        return await self.platform.read_document() == self.platform.acknowledged
+
+
 def with_more_routes(document):
     base = document["Routes"][0]
     document["Routes"] += [{**base, "Name": f"more-{i}", "PathPrefix": f"/more-{i}-{'x' * 200}/"}
