Count the memory of engines when ordering loads

Cause: the placer counted adapter slots only. The sizes of models and adapters and the memory of engines were decoded and used nowhere.

Whatever an engine holds, loads or unloads, and a load whose outcome is unknown, now counts with its size beside the slots. That is what already protected the slots, so late, lost and unconfirmed orders are covered too. Where memory is short, as many idle adapters are evicted as the new one needs, and none where that would not do. What fits into no engine is refused at once with a reason of its own and takes no part in placement; an engine that has restarted loads the first base model that fits.

--- a/include/siskindrift/adapters/placer.h
+++ b/include/siskindrift/adapters/placer.h
@@ -257,6 +257,11 @@
 
     enum class copy_state : std::uint8_t { loaded, loading, unloading };
     enum class placement : std::uint8_t { ordered, no_engine, waits };
+    /// Memory of an engine that a base model and each of its adapters take, in MB.
+    struct model_size {
+        double weights_mb = 0;
+        double adapter_mb = 0;
+    };
     /// A copy of an adapter or a base model on one engine.
     struct adapter_copy {
         std::uint64_t version = 0;
@@ -383,13 +388,24 @@
         /// Returns the copies that can serve a demand, or null if there are none.
         [[nodiscard]] const copy_summary* find(const demand& wanted) const;
     };
+    /// An adapter that may be evicted, and what that costs.
+    struct eviction {
+        adapter_name name;
+        double size_mb = 0;
+        double cost_ms = 0;
+    };
     /// An engine that can take an order, and what a load there costs apart from the load itself.
     struct load_offer {
         engine_state* engine = nullptr;
-        bool full = false;                  ///< All adapter slots are taken.
-        std::optional<adapter_name> victim; ///< To evict, if the engine is full.
-        double eviction_cost_ms = 0;
-        double wait_ms = 0; ///< Delay of a first token by other requests.
+        std::size_t free_slots = 0;
+        double free_mb = 0;              ///< Negative if the engine holds more than its memory.
+        double adapters_mb = 0;          ///< Memory that its base models leave for adapters.
+        std::vector<eviction> evictable; ///< The least recently used first.
+        double wait_ms = 0;              ///< Delay of a first token by other requests.
+
+        /// Returns what to evict before an adapter of @p size_mb fits, or none if that is
+        /// impossible. The list is empty if there is room already.
+        [[nodiscard]] std::optional<std::vector<const eviction*>> make_room(double size_mb) const;
     };
 
     [[nodiscard]] std::vector<demand> collect_demands(core::time_point now) const;
@@ -410,6 +426,14 @@
     [[nodiscard]] std::uint64_t newest_version(const adapter_name& name) const;
     [[nodiscard]] const gateway::engine_capacity* capacity_of(const engine_state& engine) const;
     [[nodiscard]] std::size_t used_adapter_slots(const engine_state& engine) const;
+    /// Returns the memory that a base model or an adapter takes, in MB; 0 if it isn't known.
+    [[nodiscard]] double size_mb(const adapter_name& name) const;
+    /// Returns the memory of an engine that all it holds, loads and unloads may take, in MB.
+    [[nodiscard]] double used_memory_mb(const engine_state& engine) const;
+    /// Returns the memory that the base models of an engine take, in MB.
+    [[nodiscard]] double base_models_mb(const engine_state& engine) const;
+    /// Returns how many adapters the slots and the memory of an engine hold.
+    [[nodiscard]] std::size_t adapter_capacity(const engine_state& engine) const;
     /// Returns the number of loads from the weight store that are in progress.
     /// @param accepted counts only those that their engines have accepted.
     [[nodiscard]] std::size_t store_loads(core::time_point now, bool accepted = false) const;
@@ -431,10 +455,10 @@
                                  const adapter_copy& held,
                                  const std::unordered_set<adapter_key>& wished,
                                  core::time_point now) const;
-    /// Returns the least recently used adapter that may be evicted, or none.
-    [[nodiscard]] std::optional<adapter_name>
-    choose_victim(const engine_state& engine, const std::unordered_set<adapter_key>& wished,
-                  core::time_point now) const;
+    /// Returns the adapters that may be evicted, the least recently used first.
+    [[nodiscard]] std::vector<eviction>
+    find_evictable(const engine_state& engine, const std::unordered_set<adapter_key>& wished,
+                   core::time_point now) const;
     /// Returns the cost in ms of loading an adapter on an engine, or none if that is impossible.
     [[nodiscard]] std::optional<double> placement_cost_ms(const load_offer& offer,
                                                           const demand& wanted) const;
@@ -495,6 +519,9 @@
     bool m_fenced = false;               ///< A later leader has given orders.
     core::time_point m_first_order_at{}; ///< No order is given before this time.
     gateway::deployment m_deployment;
+    /// By base model. Models that a later document lacks stay, because engines may hold them.
+    std::map<std::string, model_size> m_model_sizes;
+    std::set<std::string> m_unplaceable; ///< Base models whose adapters no engine can hold.
     std::map<adapter_name, std::uint64_t> m_newest_versions;
     std::map<std::string, engine_state> m_engines;
     std::map<std::string, gateway_state> m_gateways;
--- a/include/siskindrift/core/verdict.h
+++ b/include/siskindrift/core/verdict.h
@@ -70,7 +70,8 @@
     X(malformed_frame)                                                                             \
     X(unknown_version)                                                                             \
     X(stream_origin_unknown)                                                                       \
-    X(software_version_gone)
+    X(software_version_gone)                                                                       \
+    X(adapter_too_large)
 
 /// Machine-readable reason of a refusal, a retry or a failure.
 enum class reason : std::uint16_t {
--- a/include/siskindrift/gateway/deployment.h
+++ b/include/siskindrift/gateway/deployment.h
@@ -64,9 +64,14 @@
     std::uint32_t slots = 0;     ///< Maximum number of requests in one batch.
     std::uint64_t kv_tokens = 0; ///< Capacity of the KV cache, in tokens.
     std::uint32_t adapter_slots = 0;
-    double weights_mb = 0;       ///< Memory shared by base models and adapters, in MB.
+    double weights_mb = 0;       ///< Memory shared by base models and adapters, in MB; 0: unknown.
     double loads_per_second = 0; ///< Limit on base model loads over all engines.
     std::vector<engine_model> models;
+
+    /// Returns whether an engine that holds nothing else has the memory for @p model and, unless
+    /// @p adapter is empty, for one of its adapters. Sizes that aren't stated count as 0, and a
+    /// memory that isn't stated as unlimited.
+    [[nodiscard]] bool can_hold(const std::string& model, const std::string& adapter) const;
 };
 
 /// A group of interchangeable upstreams.
--- a/src/adapters/placer.cpp
+++ b/src/adapters/placer.cpp
@@ -7,6 +7,8 @@
 namespace siskindrift::adapters {
 namespace {
 
+constexpr double max_adapters = 1e9; // of one engine, so that a count fits its type
+
 wire::adapter_copy_t make_copy(const adapter_name& name, std::uint64_t version)
 {
     wire::adapter_copy_t copy;
@@ -58,6 +60,21 @@
 void placer::set_deployment(const gateway::deployment& document)
 {
     m_deployment = document;
+    std::set<std::string> placeable;
+    m_unplaceable.clear();
+    for (const auto& [name, service] : document.services) {
+        if (!service.engine) {
+            continue;
+        }
+        for (const auto& model : service.engine->models) {
+            m_model_sizes[model.name] = {model.weights_mb, model.adapter_mb};
+            const bool fits = service.engine->can_hold(model.name, "any");
+            (fits ? placeable : m_unplaceable).insert(model.name);
+        }
+    }
+    for (const auto& model : placeable) {
+        m_unplaceable.erase(model);
+    }
 }
 
 void placer::set_version(const adapter_name& name, std::uint64_t version)
@@ -351,6 +368,51 @@
     return static_cast<std::size_t>(held) + (reserved ? 1 : 0);
 }
 
+double placer::size_mb(const adapter_name& name) const
+{
+    const auto found = m_model_sizes.find(name.first);
+    if (found == m_model_sizes.end()) {
+        return 0;
+    }
+    return name.second.empty() ? found->second.weights_mb : found->second.adapter_mb;
+}
+
+double placer::used_memory_mb(const engine_state& engine) const
+{
+    double used = 0;
+    for (const auto& [name, held] : engine.copies) {
+        used += size_mb(name);
+    }
+    const auto& open = engine.unconfirmed_order;
+    const bool reserved =
+        open && !open->unload && !engine.copies.contains({open->model, open->adapter});
+    return used + (reserved ? size_mb({open->model, open->adapter}) : 0);
+}
+
+double placer::base_models_mb(const engine_state& engine) const
+{
+    double used = 0;
+    for (const auto& [name, held] : engine.copies) {
+        used += name.second.empty() ? size_mb(name) : 0;
+    }
+    return used;
+}
+
+std::size_t placer::adapter_capacity(const engine_state& engine) const
+{
+    const auto* capacity = capacity_of(engine);
+    double largest = 0;
+    for (const auto& [name, held] : engine.copies) {
+        largest = std::max(largest, size_mb({name.first, "any"}));
+    }
+    if (capacity->weights_mb <= 0 || largest <= 0) {
+        return capacity->adapter_slots;
+    }
+    const double room = std::max(capacity->weights_mb - base_models_mb(engine), 0.0) / largest;
+    return std::min<std::size_t>(capacity->adapter_slots,
+                                 static_cast<std::size_t>(std::min(room, max_adapters)));
+}
+
 std::size_t placer::store_loads(core::time_point now, bool accepted) const
 {
     std::size_t loads = 0;
--- a/src/adapters/placer_orders.cpp
+++ b/src/adapters/placer_orders.cpp
@@ -354,7 +354,13 @@
         if (capacity->models.empty() || capacity->loads_per_second <= 0) {
             continue;
         }
-        const adapter_name name{capacity->models.front().name, ""};
+        const auto model =
+            std::find_if(capacity->models.begin(), capacity->models.end(),
+                         [&](const auto& item) { return capacity->can_hold(item.name, ""); });
+        if (model == capacity->models.end()) {
+            continue;
+        }
+        const adapter_name name{model->name, ""};
         auto& held = engine.copies[name];
         held.state = copy_state::loading;
         held.next_poll_at = core::time_point::max();
--- a/src/adapters/placer_plan.cpp
+++ b/src/adapters/placer_plan.cpp
@@ -1,6 +1,7 @@
 // Planning of the placer: which adapters to load on which engines, and which to evict.
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <tuple>
 #include <unordered_map>
 #include <xxhash.h>
@@ -15,6 +16,7 @@
 constexpr double recent_victim_penalty_ms = 300;
 constexpr double rejected_wait_ms = 1e9;  // longer than any load
 constexpr double tie_break_range_ms = 20; // selects one engine among engines of equal cost
+constexpr double unlimited_mb = std::numeric_limits<double>::infinity();
 
 // Returns a hash of an adapter and an engine, scaled to [0, 1].
 double tie_break_fraction(adapter_key key, const std::string& engine)
@@ -34,6 +36,9 @@
                 continue;
             }
             const auto& [name, software] = wished;
+            if (m_unplaceable.contains(name.first)) {
+                continue; // gateways refuse its requests
+            }
             const auto key = key_of(name);
             auto& sum = demands[{key, software}];
             const auto left = wish.time_left - (now - wish.last_reported);
@@ -176,22 +181,53 @@
                m_options.max_unreported_uses;
 }
 
-std::optional<adapter_name> placer::choose_victim(const engine_state& engine,
-                                                  const std::unordered_set<adapter_key>& wished,
-                                                  core::time_point now) const
+std::vector<placer::eviction> placer::find_evictable(const engine_state& engine,
+                                                     const std::unordered_set<adapter_key>& wished,
+                                                     core::time_point now) const
 {
-    std::optional<adapter_name> oldest;
-    std::pair<bool, core::time_point> oldest_use;
+    // A copy that came too late for its requests should serve the next one.
+    std::vector<std::tuple<bool, core::time_point, adapter_name>> found;
     for (const auto& [name, held] : engine.copies) {
-        // A copy that came too late for its requests should serve the next one.
-        const bool unserved = !held.used && m_unserved.find(name) != nullptr;
-        const std::pair use{unserved, held.last_used};
-        if (may_evict(engine, name, held, wished, now) && (!oldest || use < oldest_use)) {
-            oldest = name;
-            oldest_use = use;
+        if (may_evict(engine, name, held, wished, now)) {
+            found.emplace_back(!held.used && m_unserved.find(name) != nullptr, held.last_used,
+                               name);
         }
     }
-    return oldest;
+    std::sort(found.begin(), found.end());
+    std::vector<eviction> list;
+    for (const auto& [unserved, last_used, name] : found) {
+        const auto idle_s = std::chrono::duration<double>(now - last_used);
+        list.push_back(
+            {name, size_mb(name), recent_victim_penalty_ms / std::max(idle_s.count(), 1.0)});
+    }
+    return list;
+}
+
+std::optional<std::vector<const placer::eviction*>>
+placer::load_offer::make_room(double size_mb) const
+{
+    std::vector<const eviction*> chosen;
+    auto slots = free_slots;
+    auto mb = free_mb;
+    for (const auto& item : evictable) {
+        if (slots > 0 && mb >= size_mb) {
+            break;
+        }
+        chosen.push_back(&item);
+        ++slots;
+        mb += item.size_mb;
+    }
+    if (slots == 0 || mb < size_mb) {
+        return std::nullopt;
+    }
+    // Leaves what a larger one behind it has made room for as well.
+    std::erase_if(chosen, [&](const eviction* item) {
+        const bool needed = slots == 1 || mb - item->size_mb < size_mb;
+        slots -= needed ? 0 : 1;
+        mb -= needed ? 0 : item->size_mb;
+        return !needed;
+    });
+    return chosen;
 }
 
 // Gateways count the prompts that waited for a load as pending at its engine only some time after
@@ -214,6 +250,10 @@
 placer::collect_offers(const std::unordered_set<adapter_key>& wished, core::time_point now)
 {
     std::vector<load_offer> offers;
+    double largest_adapter_mb = 0;
+    for (const auto& [model, size] : m_model_sizes) {
+        largest_adapter_mb = std::max(largest_adapter_mb, size.adapter_mb);
+    }
     const bool others_unlimited = has_unlimited_engines();
     for (auto& [id, engine] : m_engines) {
         if (!can_take_order(engine, now) || (others_unlimited && m_limited.contains(id))) {
@@ -229,14 +269,14 @@
         }
         load_offer offer;
         offer.engine = &engine;
-        offer.full = used_adapter_slots(engine) >= capacity->adapter_slots;
-        if (offer.full) {
-            offer.victim = choose_victim(engine, wished, now);
-        }
-        if (offer.victim) {
-            const auto idle_s =
-                std::chrono::duration<double>(now - engine.copies.at(*offer.victim).last_used);
-            offer.eviction_cost_ms = recent_victim_penalty_ms / std::max(idle_s.count(), 1.0);
+        const auto used_slots = used_adapter_slots(engine);
+        offer.free_slots =
+            capacity->adapter_slots - std::min<std::size_t>(capacity->adapter_slots, used_slots);
+        const bool limited = capacity->weights_mb > 0;
+        offer.free_mb = limited ? capacity->weights_mb - used_memory_mb(engine) : unlimited_mb;
+        offer.adapters_mb = limited ? capacity->weights_mb - base_models_mb(engine) : unlimited_mb;
+        if (offer.free_slots == 0 || offer.free_mb < largest_adapter_mb) {
+            offer.evictable = find_evictable(engine, wished, now);
         }
         const double busy =
             static_cast<double>(engine.running + engine.waiting) / std::max(1U, capacity->slots);
@@ -263,14 +303,23 @@
                      held->second.version >= newest_version(*wanted.name))) {
         return std::nullopt;
     }
-    if ((!replaces && offer.full && !offer.victim) ||
-        !engine.copies.contains({wanted.name->first, ""})) {
+    if (!engine.copies.contains({wanted.name->first, ""})) {
         return std::nullopt;
     }
+    double eviction_ms = 0;
+    if (!replaces) {
+        const auto evictions = offer.make_room(size_mb(*wanted.name));
+        if (!evictions) {
+            return std::nullopt;
+        }
+        for (const auto* item : *evictions) {
+            eviction_ms += item->cost_ms;
+        }
+    }
     const auto load_time =
         held_recently(engine, wanted.key) ? m_options.cached_load_time : m_store_load_time;
-    return static_cast<double>(core::to_ms(load_time)) + (replaces ? 0 : offer.eviction_cost_ms) +
-           offer.wait_ms + tie_break_range_ms * tie_break_fraction(wanted.key, engine.id);
+    return static_cast<double>(core::to_ms(load_time)) + eviction_ms + offer.wait_ms +
+           tie_break_range_ms * tie_break_fraction(wanted.key, engine.id);
 }
 
 placement_summary placer::summary(core::time_point now) const
@@ -318,7 +367,7 @@
             continue;
         }
         ++sum.engines;
-        sum.adapter_slots += capacity_of(engine)->adapter_slots;
+        sum.adapter_slots += adapter_capacity(engine);
         for (const auto& [name, held] : engine.copies) {
             if (name.second.empty()) {
                 continue;
@@ -492,7 +541,7 @@
         if (!is_usable(engine) || capacity_of(engine) == nullptr) {
             continue;
         }
-        slots += capacity_of(engine)->adapter_slots;
+        slots += adapter_capacity(engine);
         for (const auto& [name, held] : engine.copies) {
             used += is_loading(held, now) || in_use(engine, name) ? 1 : 0;
         }
@@ -527,7 +576,10 @@
         }
     }
     if (best == offers.end()) {
-        return placement::no_engine;
+        const bool fits_any = std::any_of(offers.begin(), offers.end(), [&](const auto& offer) {
+            return size_mb(name) <= offer.adapters_mb;
+        });
+        return fits_any ? placement::no_engine : placement::waits;
     }
     if (wait_ms && best_cost >= *wait_ms) {
         return placement::waits;
@@ -538,12 +590,17 @@
                     should_wait_for_recent_engine(wanted, now))) {
         return placement::waits;
     }
-    const auto victim = best->victim;
-    const bool full = best->full;
-    offers.erase(best); // an engine takes one order at a time
     const bool replaces = engine.copies.contains(name);
+    std::optional<adapter_name> victim;
+    if (!replaces) {
+        const auto evictions = best->make_room(size_mb(name));
+        if (evictions && !evictions->empty()) {
+            victim = evictions->front()->name;
+        }
+    }
+    offers.erase(best); // an engine takes one order at a time
     m_changed_engines.insert(engine.id);
-    if (!replaces && full) {
+    if (victim) {
         engine.copies[*victim].state = copy_state::unloading;
         orders.push_back(create_order(engine, *victim, 0, true, now));
         return placement::ordered;
--- a/src/apps/gateway_exchanges.cpp
+++ b/src/apps/gateway_exchanges.cpp
@@ -21,6 +21,7 @@
 constexpr std::size_t max_all_kept_bytes = 48UL * 1024 * 1024;
 constexpr std::size_t max_event_bytes = 1024UL * 1024; // of a resumable stream, which is held back
 constexpr core::milliseconds short_retry_after{100};   // a document or another gateway is due
+constexpr core::milliseconds document_retry_after{30'000}; // an operator has to change the document
 constexpr core::milliseconds first_document_timeout{1500}; // an election and a disk read
 // Shares of a request's time that it may wait; the rest is left for a retry by the caller.
 constexpr double first_document_share = 0.5;
@@ -250,7 +251,9 @@
         refuse_limited(item, choice.retry_after);
         return;
     case gateway::pool_choice::kind::adapter_not_loaded:
-        wait_for_upstream(item);
+        if (!refuse_unplaceable(item)) {
+            wait_for_upstream(item);
+        }
         return;
     case gateway::pool_choice::kind::none:
         break;
@@ -371,6 +374,24 @@
     return call;
 }
 
+// Refuses a request whose adapter no engine has the memory for: only another document helps.
+bool gateway_process::refuse_unplaceable(exchange& item)
+{
+    const auto service = m_deployment->services.find(item.service);
+    if (service == m_deployment->services.end() || !service->second.engine ||
+        service->second.engine->can_hold(item.adapter.first, item.adapter.second)) {
+        return false;
+    }
+    if (item.may_have_run > 0 || item.stream_begun) {
+        fail_request(item, core::reason::adapter_too_large);
+    }
+    else {
+        respond_with_error(item, service_unavailable, core::reason::adapter_too_large,
+                           document_retry_after);
+    }
+    return true;
+}
+
 void gateway_process::wait_for_upstream(exchange& item)
 {
     if (!item.tried_upstreams.empty() && !item.adapter.first.empty()) {
--- a/src/apps/gateway_process.h
+++ b/src/apps/gateway_process.h
@@ -212,6 +212,7 @@
     void dispatch(exchange& item);
     void send_attempt(exchange& item, const gateway::pool_choice& choice);
     void wait_for_upstream(exchange& item);
+    bool refuse_unplaceable(exchange& item);
     void dispatch_waiting();
     void dispatch_loaded(const wire::engine_update_t& update);
     void arm_timer(exchange& item, core::duration after);
--- a/src/gateway/deployment.cpp
+++ b/src/gateway/deployment.cpp
@@ -1,5 +1,6 @@
 #include "siskindrift/gateway/deployment.h"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -45,4 +46,14 @@
     return std::nullopt;
 }
 
+bool engine_capacity::can_hold(const std::string& model, const std::string& adapter) const
+{
+    const auto found = std::find_if(models.begin(), models.end(),
+                                    [&](const engine_model& item) { return item.name == model; });
+    if (weights_mb <= 0 || found == models.end()) {
+        return true;
+    }
+    return found->weights_mb + (adapter.empty() ? 0 : found->adapter_mb) <= weights_mb;
+}
+
 } // namespace siskindrift::gateway
--- a/tests/process_test.py
+++ b/tests/process_test.py
@@ -81,6 +81,23 @@
             self.assertIsNone(self.platform.processes[name].poll(), name)
         self.assertTrue(await self.platform.put_document(limit=5))
 
+    async def test_a_request_whose_adapter_fits_into_no_engine_is_refused_at_once(self):
+        plain = self.platform.document
+
+        def document_with_large_adapters(version):
+            document = plain(version)
+            document["Services"][1]["Engine"]["Models"][0]["AdapterMb"] = 1500
+            return document
+        self.platform.document = document_with_large_adapters
+        self.assertTrue(await self.platform.put_document(limit=5))
+        await asyncio.sleep(APPLY_S)
+        connection = Connection(self.platform.caller_address(0))
+        _, answer = await self.send_request(connection, "/stream/x")
+        connection.close()
+        self.assertEqual(503, answer.status)
+        self.assertIn("retry-after", answer.headers)
+        self.assertLess(answer.seconds, 0.5)
+
     async def test_a_coordinator_that_starts_again_learns_of_upstreams_that_announce_elsewhere(self):
         for upstream in self.platform.upstreams:
             upstream.announces_to = self.platform.control_addresses[0]
