Bound what a process keeps for all its connections

Cause: each answer, held-back event and unread response had a limit of its own, and only kept answers had one for all, which ended the answer that came last. Buffers kept the size that they once had.

A gateway now counts these bytes in one ledger, whose limit comes from the memory in its settings. When it is exceeded, the connection that keeps most has to give it up, those last whose end is known; its attempt ends like any that breaks off, so what may be sent again is. A connection whose caller doesn't read counts too. An answer that states a length above what is kept ends at its head; buffers are given back.

--- a/include/siskindrift/config/settings.h
+++ b/include/siskindrift/config/settings.h
@@ -60,6 +60,7 @@
     /// Longest time from the signal to stop until the platform kills the process.
     core::duration stop_grace = core::milliseconds{8000};
     std::uint32_t endpoints_ttl_s = 2;
+    std::uint64_t memory_bytes = 0; ///< Limit on the memory of the process; 0: unknown.
     /// Interval between two announcements of an upstream.
     core::duration announcement = core::milliseconds{1200};
     std::string metrics_address; ///< IP:port, or empty for none.
--- a/include/siskindrift/core/verdict.h
+++ b/include/siskindrift/core/verdict.h
@@ -71,7 +71,8 @@
     X(unknown_version)                                                                             \
     X(stream_origin_unknown)                                                                       \
     X(software_version_gone)                                                                       \
-    X(adapter_too_large)
+    X(adapter_too_large)                                                                           \
+    X(memory_limit)
 
 /// Machine-readable reason of a refusal, a retry or a failure.
 enum class reason : std::uint16_t {
--- a/include/siskindrift/gateway/event_splitter.h
+++ b/include/siskindrift/gateway/event_splitter.h
@@ -31,6 +31,11 @@
     [[nodiscard]] const std::string& last_event_id() const { return m_last_event_id; }
     /// Returns the size of the buffered incomplete event.
     [[nodiscard]] std::size_t buffered_bytes() const { return m_partial.size(); }
+    /// Returns the memory that is kept for it.
+    [[nodiscard]] std::size_t kept_bytes() const
+    {
+        return m_partial.empty() ? 0 : m_partial.capacity();
+    }
     /// Returns whether the stream stands inside an event, buffered or not.
     [[nodiscard]] bool inside_event() const { return m_boundary.inside_event(); }
     /// Returns the number of complete events from the current upstream.
--- a/include/siskindrift/http/server.h
+++ b/include/siskindrift/http/server.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "siskindrift/core/clock.h"
+#include "siskindrift/core/memory_ledger.h"
 #include "siskindrift/core/verdict.h"
 
 namespace siskindrift::http {
@@ -95,7 +96,10 @@
 /// Accepts connections on one address. The context and the handler must outlive it.
 class server {
 public:
-    server(boost::asio::io_context& context, server_limits limits, server_handler& handler);
+    /// @param memory is told what connections keep for callers that read slowly, and closes those
+    /// that keep most when it is too much. It must outlive the context; null: it isn't counted.
+    server(boost::asio::io_context& context, server_limits limits, server_handler& handler,
+           core::memory_ledger* memory = nullptr);
     ~server();
     server(const server&) = delete;
     server& operator=(const server&) = delete;
--- a/src/apps/gateway_exchanges.cpp
+++ b/src/apps/gateway_exchanges.cpp
@@ -1,4 +1,6 @@
 #include <algorithm>
+#include <boost/asio/post.hpp>
+#include <charconv>
 
 #include "gateway_process.h"
 #include "platform/calls.h"
@@ -18,7 +20,6 @@
 // Limits on responses, so that endless ones don't exhaust the memory of the process.
 constexpr std::size_t max_kept_response_bytes = 8UL * 1024 * 1024;
 constexpr std::size_t max_streamed_response_bytes = 16UL * 1024 * 1024;
-constexpr std::size_t max_all_kept_bytes = 48UL * 1024 * 1024;
 constexpr std::size_t max_event_bytes = 1024UL * 1024; // of a resumable stream, which is held back
 constexpr core::milliseconds short_retry_after{100};   // a document or another gateway is due
 constexpr core::milliseconds document_retry_after{30'000}; // an operator has to change the document
@@ -29,6 +30,22 @@
 constexpr std::uint16_t first_redirect_status = 300;
 constexpr std::uint16_t service_unavailable = 503;
 constexpr std::size_t max_counted_rejections = 256;
+constexpr std::string_view too_large_to_keep = "the response is too large to keep";
+
+// Returns the length of the body that a head states, or 0.
+std::uint64_t stated_length(const http::client_head& head)
+{
+    const auto text = head.header("Content-Length");
+    std::uint64_t length = 0;
+    std::from_chars(text.data(), text.data() + text.size(), length);
+    return length;
+}
+
+// Short strings need no memory of their own.
+std::size_t kept_capacity(const std::string& text)
+{
+    return text.empty() ? 0 : text.capacity();
+}
 
 core::reason reason_for(http::call_result outcome)
 {
@@ -108,6 +125,7 @@
 {
     auto& item = *new_exchange;
     item.id = id;
+    item.memory.emplace(*this, id);
     item.request = std::move(request);
     gateway::remove_relay_headers(item.request.headers);
     item.responder = std::move(responder);
@@ -339,11 +357,11 @@
     item.relay_verdict.reset();
     item.relay_upstream.clear();
     item.response_head.reset();
-    m_kept_bytes -= item.response_body.size();
-    item.response_body.clear();
+    item.response_body = {};
     item.event_stream = false;
     item.forwarding = false;
     item.events.discard_partial_event();
+    update_memory(item);
     item.events_before = item.events.events();
     item.answer_recorded = false;
     item.call_id = m_next_call++;
@@ -601,6 +619,9 @@
     if (item->forwarding) {
         begin_stream(*item);
     }
+    else if (stated_length(head) > max_kept_response_bytes) {
+        end_call(*item, http::call_result::connection_lost, std::string{too_large_to_keep});
+    }
 }
 
 // Returns whether a response may be passed on as part of the stream: as its beginning, or as more
@@ -658,11 +679,8 @@
             item->events.follow(bytes);
         }
         item->response_body += bytes;
-        m_kept_bytes += bytes.size();
-        if (item->response_body.size() > max_kept_response_bytes ||
-            m_kept_bytes > max_all_kept_bytes) {
-            end_call(*item, http::call_result::connection_lost,
-                     "the response is too large to keep");
+        if (item->response_body.size() > max_kept_response_bytes) {
+            end_call(*item, http::call_result::connection_lost, std::string{too_large_to_keep});
             return;
         }
     }
@@ -670,11 +688,48 @@
         end_call(*item, http::call_result::connection_lost, "an event is too large to hold back");
         return;
     }
+    update_memory(*item);
     if (item->events.events() >= item->events_before + events_begun) {
         record_answer(*item, true);
     }
 }
 
+// Tells the ledger what the current response keeps. Of one whose length is stated no more is to be
+// expected than was checked.
+void gateway_process::update_memory(exchange& item)
+{
+    const bool end_known = item.response_head && !item.forwarding &&
+                           !item.response_head->header("Content-Length").empty();
+    item.memory->set(kept_capacity(item.response_body) + item.events.kept_bytes(), end_known);
+}
+
+void gateway_process::exchange_memory::release_memory()
+{
+    boost::asio::post(m_owner.m_context,
+                      [&owner = m_owner, id = m_id] { owner.release_memory(id); });
+}
+
+// Ends the answer that keeps most of the process's memory.
+void gateway_process::release_memory(std::uint64_t id)
+{
+    const auto found = m_exchanges.find(id);
+    if (found == m_exchanges.end()) {
+        return;
+    }
+    auto& item = *found->second;
+    count_reason(core::reason::memory_limit);
+    observe::warn("memory_released", {{"request", item.metadata.request_id},
+                                      {"upstream", item.upstream_id},
+                                      {"kept_bytes", item.response_body.size()},
+                                      {"event_bytes", item.events.buffered_bytes()},
+                                      {"all_bytes", m_memory.total()},
+                                      {"limit", m_memory.limit()}});
+    if (item.call_id != 0) {
+        end_call(item, http::call_result::connection_lost,
+                 "the answers that the process keeps exceed its memory");
+    }
+}
+
 void gateway_process::forward_stream_data(exchange& item, const std::string& bytes)
 {
     if (!item.event_stream || !item.route.repeatable()) {
@@ -951,7 +1006,6 @@
         return;
     }
     record_served(item, item.response_head->status);
-    m_kept_bytes -= item.response_body.size();
     auto headers = platform::caller_response_headers(*item.response_head);
     for (auto& header : relay_headers(item, std::nullopt)) {
         headers.push_back(std::move(header));
@@ -1061,7 +1115,6 @@
     m_origin_lookups.erase(item.origin_query);
     m_unsure_origins.erase(item.id);
     m_awaiting_place.erase(item.id);
-    m_kept_bytes -= item.response_body.size();
     m_exchanges.erase(item.id);
 }
 
--- a/src/apps/gateway_process.cpp
+++ b/src/apps/gateway_process.cpp
@@ -36,6 +36,16 @@
 // All gateways have attached to a coordinator again, which may have restarted.
 constexpr core::milliseconds attach_time{1500};
 
+// Part of the memory for what is kept of responses. The rest holds the process itself, requests and
+// the buffers of connections.
+constexpr std::uint64_t memory_per_kept = 3;
+constexpr std::uint64_t default_kept_bytes = 48UL * 1024 * 1024;
+
+std::uint64_t kept_limit(std::uint64_t memory_bytes)
+{
+    return memory_bytes == 0 ? default_kept_bytes : memory_bytes / memory_per_kept;
+}
+
 fleet::roster_options roster_options(core::duration announcement)
 {
     fleet::roster_options options;
@@ -51,7 +61,8 @@
 }
 
 gateway_process::gateway_process(config::gateway_settings settings, std::string settings_path)
-    : m_settings(std::move(settings)), m_settings_path(std::move(settings_path)), m_context(1),
+    : m_settings(std::move(settings)), m_settings_path(std::move(settings_path)),
+      m_memory(kept_limit(m_settings.memory_bytes)), m_context(1),
       m_signals(m_context, SIGTERM, SIGINT, SIGHUP), m_stop_timer(m_context),
       m_report_timer(m_context), m_share_timer(m_context), m_path_timer(m_context),
       m_place_timer(m_context), m_evidence_timer(m_context),
@@ -74,7 +85,7 @@
               respond_resolve(request, responder);
           },
           [](std::uint64_t) {}),
-      m_callers(m_context, http::server_limits{}, m_caller_listener),
+      m_callers(m_context, http::server_limits{}, m_caller_listener, &m_memory),
       m_readiness(m_context, http::server_limits{}, m_readiness_listener),
       m_directory(m_context, http::server_limits{}, m_directory_listener),
       m_relay_listener(
@@ -83,7 +94,7 @@
               handle_relayed_request(id, std::move(request), std::move(responder));
           },
           [this](std::uint64_t id) { handle_relay_disconnect(id); }),
-      m_relays(m_context, http::server_limits{}, m_relay_listener),
+      m_relays(m_context, http::server_limits{}, m_relay_listener, &m_memory),
       m_client(m_context, *this, m_settings.source_address),
       m_metrics_endpoint(m_context, m_metrics,
                          [this](observe::metrics& metrics) { update_gauges(metrics); }),
--- a/src/apps/gateway_process.h
+++ b/src/apps/gateway_process.h
@@ -16,6 +16,7 @@
 #include "platform/exchange_codec.h"
 #include "siskindrift/adapters/unserved_adapters.h"
 #include "siskindrift/config/settings.h"
+#include "siskindrift/core/memory_ledger.h"
 #include "siskindrift/core/verdict.h"
 #include "siskindrift/fleet/roster.h"
 #include "siskindrift/fleet/software_history.h"
@@ -94,6 +95,22 @@
     /// An engine that has sent so many events of an answer has begun it for good.
     static constexpr std::uint64_t events_begun = 2;
 
+    /// What one exchange keeps of a response.
+    class exchange_memory final : public core::memory_holder {
+    public:
+        exchange_memory(gateway_process& owner, std::uint64_t id)
+            : m_owner(owner), m_id(id), m_account(owner.m_memory, *this)
+        {
+        }
+        void set(std::uint64_t bytes, bool end_known) { m_account.set(bytes, end_known); }
+        void release_memory() override;
+
+    private:
+        gateway_process& m_owner;
+        std::uint64_t m_id;
+        core::memory_account m_account;
+    };
+
     /// A request of a caller and the state of its forwarding.
     struct exchange {
         std::uint64_t id = 0;
@@ -153,6 +170,7 @@
         std::optional<http::client_head> response_head;
         gateway::response_metadata response_metadata;
         std::string response_body;
+        std::optional<exchange_memory> memory;
         http::call_end call_end; ///< Of the last attempt that has ended.
         // Streaming response.
         bool stream_begun = false;
@@ -229,6 +247,8 @@
     [[nodiscard]] static gateway::attempt_outcome classify(const exchange& item);
     void begin_stream(exchange& item);
     void forward_stream_data(exchange& item, const std::string& bytes);
+    static void update_memory(exchange& item);
+    void release_memory(std::uint64_t id);
     void handle_attempt_end(exchange& item, gateway::attempt_outcome end, core::reason reason);
     void record_attempt_outcome(const exchange& item, gateway::attempt_outcome end);
     void record_rejection(const exchange& item);
@@ -313,6 +333,7 @@
     config::gateway_settings m_settings;
     std::string m_settings_path;
     core::boottime_clock m_clock;
+    core::memory_ledger m_memory; ///< Of what is kept of responses, and for slow callers.
     boost::asio::io_context m_context;
     boost::asio::signal_set m_signals;
     boost::asio::steady_timer m_stop_timer;
@@ -400,7 +421,6 @@
     /// Adapters that were requested here without being served, for a new leader.
     adapters::unserved_adapters m_unserved;
     bool m_tell_unserved = false; ///< The leader hasn't been told of them.
-    std::size_t m_kept_bytes = 0; ///< Of responses that are kept until they are complete.
     std::uint64_t m_next_call = 1;
     std::optional<core::time_point> m_report_due;
     core::time_point m_last_report_at{};
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -125,6 +125,7 @@
     read_seconds(*object, "retry_window_s", settings.retry_window);
     read_seconds(*object, "stop_grace_s", settings.stop_grace);
     read(*object, "endpoints_ttl_s", settings.endpoints_ttl_s);
+    read_megabytes(*object, "memory_mb", settings.memory_bytes);
     read(*object, "announcement_ms", settings.announcement);
     read(*object, "metrics_address", settings.metrics_address);
     read(*object, "log_level", settings.log_level);
--- a/src/gateway/event_splitter.cpp
+++ b/src/gateway/event_splitter.cpp
@@ -1,5 +1,7 @@
 #include "siskindrift/gateway/event_splitter.h"
 
+#include <utility>
+
 namespace siskindrift::gateway {
 namespace {
 
@@ -34,8 +36,8 @@
     if (end == 0) {
         return {};
     }
-    auto complete = m_partial.substr(0, buffered + end);
-    m_partial.erase(0, buffered + end);
+    auto complete = std::exchange(m_partial, m_partial.substr(buffered + end));
+    complete.resize(buffered + end);
     if (const auto id = last_id_field(complete); !id.empty()) {
         m_last_event_id = std::string{id};
     }
@@ -44,7 +46,7 @@
 
 void event_splitter::discard_partial_event()
 {
-    m_partial.clear();
+    m_partial = {};
     m_boundary.reset();
 }
 
--- a/src/http/client_test.cpp
+++ b/src/http/client_test.cpp
@@ -1,4 +1,4 @@
-#include "siskindrift/http/client.h"
+#include "siskindrift/http/buffered_client.h"
 
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
@@ -331,3 +331,42 @@
     LONGS_EQUAL(503, handler.statuses.front());
     LONGS_EQUAL(200, handler.statuses.back());
 }
+
+// Guards against the end of the process by bodies without end, each of which is below its limit.
+TEST(Client, DropsTheLargestOfTheBufferedResponsesThatTogetherAreTooLarge)
+{
+    asio::io_context server_context;
+    tcp::acceptor acceptor{server_context, *net::parse_address(address)};
+    std::thread server{[&] {
+        auto large = acceptor.accept();
+        auto small = acceptor.accept();
+        const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: ";
+        asio::write(large, asio::buffer(head + "9000\r\n\r\n" + std::string(7000, 'x')));
+        std::this_thread::sleep_for(read_delay);
+        asio::write(small, asio::buffer(head + "5000\r\n\r\n" + std::string(5000, 'x')));
+        asio::streambuf rest;
+        boost::system::error_code ignored;
+        asio::read_until(small, rest, "end of the connection", ignored);
+    }};
+    buffered_client buffered{context, 10'000};
+    std::vector<std::size_t> received;
+    for (int i = 0; i < 2; ++i) {
+        client_call call;
+        call.address = address;
+        call.method = "GET";
+        call.path = "/";
+        call.connect_timeout = call.head_timeout = call.progress_timeout = total_timeout;
+        buffered.start(std::move(call), [&](std::optional<buffered_response> response) {
+            received.push_back(response ? response->body.size() : 0);
+            if (received.size() == 2) {
+                context.stop();
+            }
+        });
+    }
+    context.run();
+    context.restart();
+    buffered.close_idle_connections(address);
+    server.join();
+    UNSIGNED_LONGS_EQUAL(0, received[0]);
+    UNSIGNED_LONGS_EQUAL(5000, received[1]);
+}
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -22,6 +22,8 @@
 
 // Longer than for the client's connections, because a caller may pause reading.
 constexpr core::milliseconds unacknowledged_timeout{10'000};
+// A connection gives back a larger buffer after a write.
+constexpr std::size_t max_kept_capacity = 64UL * 1024;
 
 std::string status_line(std::uint16_t status)
 {
@@ -62,6 +64,7 @@
 struct server_shared {
     server_limits limits;
     server_handler& handler;
+    core::memory_ledger* memory;
     std::atomic<bool> closing{false}; ///< Every connection closes after its next response.
     std::atomic<std::size_t> pending_responses{0};
     std::atomic<std::size_t> connections{0};
@@ -69,16 +72,20 @@
 };
 
 /// One connection. Its members are used on its strand only, except the atomic backlog.
-class server_connection final : public std::enable_shared_from_this<server_connection> {
+class server_connection final : public core::memory_holder,
+                                public std::enable_shared_from_this<server_connection> {
 public:
     server_connection(tcp::socket socket, std::shared_ptr<server_shared> shared)
         : m_stream(std::move(socket)), m_shared(std::move(shared))
     {
         ++m_shared->connections;
+        if (m_shared->memory != nullptr) {
+            m_account.emplace(*m_shared->memory, *this);
+        }
     }
     server_connection(const server_connection&) = delete;
     server_connection& operator=(const server_connection&) = delete;
-    ~server_connection() { --m_shared->connections; }
+    ~server_connection() override { --m_shared->connections; }
 
     void begin()
     {
@@ -134,6 +141,18 @@
         });
     }
 
+    void release_memory() override
+    {
+        if (auto self = weak_from_this().lock()) {
+            asio::post(m_stream.get_executor(), [self = std::move(self)] {
+                if (!self->m_closed) {
+                    self->m_shared->handler.on_refused(core::reason::memory_limit);
+                    self->close();
+                }
+            });
+        }
+    }
+
     [[nodiscard]] bool closing() const { return m_shared->closing; }
     [[nodiscard]] std::size_t backlog() const { return m_backlog; }
     [[nodiscard]] const server_limits& limits() const { return m_shared->limits; }
@@ -243,6 +262,7 @@
             return;
         }
         m_queue.push_back(std::move(bytes));
+        update_account();
         m_last_queued = m_last_queued || last;
         if (!m_writing) {
             write_next();
@@ -273,6 +293,10 @@
             [self = shared_from_this()](error_code error, std::size_t) {
                 self->m_writing = false;
                 self->m_backlog -= std::min<std::size_t>(self->m_backlog, self->m_out.size());
+                if (self->m_out.capacity() > max_kept_capacity) {
+                    self->m_out = {};
+                }
+                self->update_account();
                 if (error) {
                     if (error == beast::error::timeout) {
                         self->m_shared->handler.on_refused(core::reason::caller_too_slow);
@@ -285,6 +309,13 @@
             });
     }
 
+    void update_account()
+    {
+        if (m_account) {
+            m_account->set(m_closed ? 0 : m_backlog.load());
+        }
+    }
+
     void finish_response()
     {
         end_response();
@@ -327,6 +358,8 @@
             return;
         }
         m_closed = true;
+        m_queue.clear();
+        update_account();
         error_code ignored;
         m_stream.socket().close(ignored);
         if (m_responding) {
@@ -351,6 +384,7 @@
     bool m_resets_on_close = false;
     bool m_breaking_off = false; ///< Closes after the queued bytes, without the response's end.
     bool m_closed = false;
+    std::optional<core::memory_account> m_account;
 };
 
 namespace {
@@ -443,9 +477,10 @@
 
 class server::implementation : public std::enable_shared_from_this<server::implementation> {
 public:
-    implementation(asio::io_context& context, server_limits limits, server_handler& handler)
+    implementation(asio::io_context& context, server_limits limits, server_handler& handler,
+                   core::memory_ledger* memory)
         : m_context(context), m_acceptor(context),
-          m_shared(new server_shared{limits, handler, {}, {}, {}, {1}})
+          m_shared(new server_shared{limits, handler, memory, {}, {}, {}, {1}})
     {
     }
 
@@ -509,8 +544,9 @@
     std::shared_ptr<server_shared> m_shared;
 };
 
-server::server(asio::io_context& context, server_limits limits, server_handler& handler)
-    : m_implementation(std::make_shared<implementation>(context, limits, handler))
+server::server(asio::io_context& context, server_limits limits, server_handler& handler,
+               core::memory_ledger* memory)
+    : m_implementation(std::make_shared<implementation>(context, limits, handler, memory))
 {
 }
 
--- a/src/http/server_test.cpp
+++ b/src/http/server_test.cpp
@@ -34,12 +34,17 @@
             }
             return;
         }
+        if (request.target == "/large") {
+            response->respond(200, {}, std::string(large_bytes, 'x'));
+            return;
+        }
         response->respond(200, {}, request.body);
         pending_after_respond = observed->pending_responses();
     }
     void on_caller_disconnected(std::uint64_t) override {}
     void on_refused(core::reason why) override { last_rejection = why; }
 
+    static constexpr std::size_t large_bytes = 32UL * 1024 * 1024; // more than sockets buffer
     const server* observed = nullptr;
     std::atomic<std::size_t> pending_after_respond{0};
     std::atomic<core::reason> last_rejection{core::reason::none};
@@ -50,6 +55,7 @@
 TEST_GROUP(Server)
 {
     const std::string address = tests::unused_loopback_address();
+    core::memory_ledger memory{echo::large_bytes * 3 / 2};
     asio::io_context context;
     echo handler;
     std::unique_ptr<server> tested;
@@ -60,10 +66,11 @@
         server_limits limits;
         limits.max_connections = 3;
         limits.max_body_bytes = 1000;
+        limits.max_backlog_bytes = 2 * echo::large_bytes;
         limits.max_header_bytes = 2000;
         limits.header_timeout = std::chrono::milliseconds{300};
         limits.body_timeout = std::chrono::milliseconds{300};
-        tested = std::make_unique<server>(context, limits, handler);
+        tested = std::make_unique<server>(context, limits, handler, &memory);
         handler.observed = tested.get();
         std::string error;
         CHECK_TRUE_TEXT(tested->listen(address, error), error.c_str());
@@ -199,3 +206,23 @@
     receive_until_end("GET /broken HTTP/1.0\r\n\r\n", ended);
     CHECK_TRUE_TEXT(ended == asio::error::connection_reset, ended.message().c_str());
 }
+
+// Guards against the end of the process by what it keeps for callers that don't read.
+TEST(Server, ClosesAConnectionWhenCallersThatDoNotReadLeaveTooMuchToKeep)
+{
+    asio::io_context callers;
+    std::vector<asio::ip::tcp::socket> sockets;
+    for (int i = 0; i < 2; ++i) {
+        sockets.emplace_back(callers);
+        sockets.back().connect(*net::parse_address(address));
+        asio::write(sockets.back(), asio::buffer(std::string{"GET /large HTTP/1.1\r\n\r\n"}));
+    }
+    for (int i = 0; i < 100 && handler.last_rejection.load() == core::reason::none; ++i) {
+        std::this_thread::sleep_for(std::chrono::milliseconds{20});
+    }
+    CHECK_TRUE(handler.last_rejection.load() == core::reason::memory_limit);
+    for (int i = 0; i < 100 && memory.total() > memory.limit(); ++i) {
+        std::this_thread::sleep_for(std::chrono::milliseconds{20});
+    }
+    CHECK_TRUE(memory.total() <= memory.limit());
+}
--- a/tests/endless_answer_test.py
+++ b/tests/endless_answer_test.py
@@ -8,13 +8,16 @@
 import time
 import unittest
 
-from platform_fixture import (Connection, PlatformFixture, Upstream, expected_seal, render,
+from platform_fixture import (HOST, Connection, PlatformFixture, Upstream, expected_seal, render,
                               request_headers)
 
 DEADLINE_S = 3.0
 MARGIN_S = 0.7            # for the answer of the gateway itself
 CLOSED_S = 1.0            # time after its answer until the upstream's connection is closed
+MEMORY_MB = int(os.environ.get("MEMORY_MB", "160"))  # 0: a build that knows no such setting
 MAX_MEMORY_KB = 160 * 1024
+AT_ONCE = 200
+SOUND_AT_ONCE = 40
 PATHS = ("/unsafe/x", "/safe/x", "/once/x", "/stream/x")  # kept, kept, streamed, held back
 KINDS = ("head", "garbage", "trickling_head", "body", "trickling_body", "chunk_header", "event",
          "trickling_event")
@@ -27,7 +30,7 @@
     kind = None
 
     async def execute(self, writer, path, headers, request_id):
-        if self.kind is None:
+        if self.kind is None or "x-sound" in headers:
             return await super().execute(writer, path, headers, request_id)
         self.platform.executions.setdefault(request_id, [])
         head = render("HTTP/1.1 200 OK", {
@@ -62,7 +65,7 @@
     async def asyncSetUp(self):
         self.folder = tempfile.mkdtemp(prefix="endless-answer-test-")
         self.platform = PlatformFixture(self.folder, seed=30, coordinators=1, gateways=1, plain=1,
-                                        engines=1)
+                                        engines=1, gateway_settings=memory_settings())
         for upstream in self.platform.upstreams:
             upstream.__class__ = EndlessUpstream
         self.platform.open_answers = 0
@@ -90,6 +93,35 @@
         connection.close()
         return request_id, answer
 
+    async def call_many(self, path, read=True):
+        """Sends requests with endless answers, and sound ones beside them; returns the sound answers."""
+        async def call(number, sound):
+            request_id = f"{'b' if sound else 'a'}{number:015x}"
+            headers = request_headers(request_id, DEADLINE_S, "a1" if path in PATHS[2:] else "")
+            if sound:
+                headers["X-Sound"] = "1"
+                await asyncio.sleep(number * DEADLINE_S / SOUND_AT_ONCE)
+            connection = Connection(self.platform.caller_address(0))
+            if sound or read:
+                answer = await connection.call("POST", path, headers, limit=DEADLINE_S + 4)
+            else:
+                answer = await self.send_without_reading(path, headers)
+            connection.close()
+            return answer
+        endless = [asyncio.create_task(call(i, False)) for i in range(AT_ONCE)]
+        answers = await asyncio.gather(*(call(i, True) for i in range(SOUND_AT_ONCE)))
+        await asyncio.gather(*endless)
+        return answers
+
+    async def send_without_reading(self, path, headers):
+        host, port = self.platform.caller_address(0).split(":")
+        reader, writer = await asyncio.open_connection(host, int(port), limit=1)
+        lines = [f"POST {path} HTTP/1.1", f"Host: {HOST}", "Content-Length: 0"]
+        lines += [f"{name}: {value}" for name, value in headers.items()]
+        writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
+        await asyncio.sleep(DEADLINE_S + 1)
+        writer.close()
+
     def gateway_memory_kb(self):
         with open(f"/proc/{self.platform.processes['gateway-1'].pid}/status") as status:
             for line in status:
@@ -117,6 +149,25 @@
             await asyncio.sleep(2.5)  # until the upstreams are used again
         self.assertLess(self.gateway_memory_kb(), MAX_MEMORY_KB)
 
+    async def test_many_answers_without_end_do_not_exhaust_the_memory(self):
+        """Guards against the end of a gateway, with all its requests, by answers that it keeps."""
+        for kind, path, read in (("body", "/stream/x", True), ("body", "/unsafe/x", True),
+                                 ("event", "/stream/x", True), ("body", "/once/x", False)):
+            with self.subTest(kind=kind, path=path, read=read):
+                EndlessUpstream.kind = kind
+                answers = await self.call_many(path, read)
+                served = sum(answer.status == 200 and answer.whole for answer in answers)
+                peak_kb = self.gateway_memory_kb()
+                print(f"{kind} {path} read={read}: {served} served, peak {peak_kb // 1024} MB")
+                self.assertLess(peak_kb, MAX_MEMORY_KB)
+                self.assertEqual(SOUND_AT_ONCE, served)
+                EndlessUpstream.kind = None
+                await asyncio.sleep(2.5)  # until the upstreams are used again
+
+
+def memory_settings():
+    return {"memory_mb": MEMORY_MB} if MEMORY_MB else {}
+
 
 if __name__ == "__main__":
     unittest.main(verbosity=2)
