Count a model by the sizes of the service of its engine

Sizes are now kept by service and model. PlacerMemory.CountsAModelByTheSizesOfTheServiceOfItsEngine.

--- a/include/siskindrift/adapters/placer.h
+++ b/include/siskindrift/adapters/placer.h
@@ -426,8 +426,9 @@
     [[nodiscard]] std::uint64_t newest_version(const adapter_name& name) const;
     [[nodiscard]] const gateway::engine_capacity* capacity_of(const engine_state& engine) const;
     [[nodiscard]] std::size_t used_adapter_slots(const engine_state& engine) const;
-    /// Returns the memory that a base model or an adapter takes, in MB; 0 if it isn't known.
-    [[nodiscard]] double size_mb(const adapter_name& name) const;
+    /// Returns the memory of an engine that a base model or an adapter takes, in MB; 0 if it isn't
+    /// known.
+    [[nodiscard]] double size_mb(const engine_state& engine, const adapter_name& name) const;
     /// Returns the memory of an engine that all it holds, loads and unloads may take, in MB.
     [[nodiscard]] double used_memory_mb(const engine_state& engine) const;
     /// Returns the memory that the base models of an engine take, in MB.
@@ -519,8 +520,9 @@
     bool m_fenced = false;               ///< A later leader has given orders.
     core::time_point m_first_order_at{}; ///< No order is given before this time.
     gateway::deployment m_deployment;
-    /// By base model. Models that a later document lacks stay, because engines may hold them.
-    std::map<std::string, model_size> m_model_sizes;
+    /// By service and base model. Models that a later document lacks stay, because engines may hold
+    /// them.
+    std::map<std::pair<std::string, std::string>, model_size> m_model_sizes;
     std::set<std::string> m_unplaceable; ///< Base models whose adapters no engine can hold.
     std::map<adapter_name, std::uint64_t> m_newest_versions;
     std::map<std::string, engine_state> m_engines;
--- a/src/adapters/placer.cpp
+++ b/src/adapters/placer.cpp
@@ -67,7 +67,7 @@
             continue;
         }
         for (const auto& model : service.engine->models) {
-            m_model_sizes[model.name] = {model.weights_mb, model.adapter_mb};
+            m_model_sizes[{name, model.name}] = {model.weights_mb, model.adapter_mb};
             const bool fits = service.engine->can_hold(model.name, "any");
             (fits ? placeable : m_unplaceable).insert(model.name);
         }
@@ -368,9 +368,9 @@
     return static_cast<std::size_t>(held) + (reserved ? 1 : 0);
 }
 
-double placer::size_mb(const adapter_name& name) const
+double placer::size_mb(const engine_state& engine, const adapter_name& name) const
 {
-    const auto found = m_model_sizes.find(name.first);
+    const auto found = m_model_sizes.find({engine.service, name.first});
     if (found == m_model_sizes.end()) {
         return 0;
     }
@@ -381,19 +381,19 @@
 {
     double used = 0;
     for (const auto& [name, held] : engine.copies) {
-        used += size_mb(name);
+        used += size_mb(engine, name);
     }
     const auto& open = engine.unconfirmed_order;
     const bool reserved =
         open && !open->unload && !engine.copies.contains({open->model, open->adapter});
-    return used + (reserved ? size_mb({open->model, open->adapter}) : 0);
+    return used + (reserved ? size_mb(engine, {open->model, open->adapter}) : 0);
 }
 
 double placer::base_models_mb(const engine_state& engine) const
 {
     double used = 0;
     for (const auto& [name, held] : engine.copies) {
-        used += name.second.empty() ? size_mb(name) : 0;
+        used += name.second.empty() ? size_mb(engine, name) : 0;
     }
     return used;
 }
@@ -403,7 +403,7 @@
     const auto* capacity = capacity_of(engine);
     double largest = 0;
     for (const auto& [name, held] : engine.copies) {
-        largest = std::max(largest, size_mb({name.first, "any"}));
+        largest = std::max(largest, size_mb(engine, {name.first, "any"}));
     }
     if (capacity->weights_mb <= 0 || largest <= 0) {
         return capacity->adapter_slots;
--- a/src/adapters/placer_memory_test.cpp
+++ b/src/adapters/placer_memory_test.cpp
@@ -330,6 +330,17 @@
     CHECK_TRUE(wish("small", "z").front().unload);
 }
 
+TEST(PlacerMemory, CountsAModelByTheSizesOfTheServiceOfItsEngine)
+{
+    auto document = make_document(390, 8, models);
+    document.services["other"] = document.services["llm"];
+    document.services["other"].engine->models = {{"small", 10, 50, 1}, {"large", 10, 50, 1}};
+    adapter_placer.set_deployment(document);
+    adapter_placer.begin_leadership(clock.now());
+    engine("a", {{"small", "x"}, {"small", "y"}});
+    CHECK_TRUE(wish("small", "z").front().unload);
+}
+
 TEST(PlacerMemory, LoadsABaseModelThatFits)
 {
     adapter_placer.set_deployment(make_document(150, 8, {models[1], models[0]}));
--- a/src/adapters/placer_plan.cpp
+++ b/src/adapters/placer_plan.cpp
@@ -197,8 +197,8 @@
     std::vector<eviction> list;
     for (const auto& [unserved, last_used, name] : found) {
         const auto idle_s = std::chrono::duration<double>(now - last_used);
-        list.push_back(
-            {name, size_mb(name), recent_victim_penalty_ms / std::max(idle_s.count(), 1.0)});
+        list.push_back({name, size_mb(engine, name),
+                        recent_victim_penalty_ms / std::max(idle_s.count(), 1.0)});
     }
     return list;
 }
@@ -308,7 +308,7 @@
     }
     double eviction_ms = 0;
     if (!replaces) {
-        const auto evictions = offer.make_room(size_mb(*wanted.name));
+        const auto evictions = offer.make_room(size_mb(engine, *wanted.name));
         if (!evictions) {
             return std::nullopt;
         }
@@ -577,7 +577,7 @@
     }
     if (best == offers.end()) {
         const bool fits_any = std::any_of(offers.begin(), offers.end(), [&](const auto& offer) {
-            return size_mb(name) <= offer.adapters_mb;
+            return size_mb(*offer.engine, name) <= offer.adapters_mb;
         });
         return fits_any ? placement::no_engine : placement::waits;
     }
@@ -593,7 +593,7 @@
     const bool replaces = engine.copies.contains(name);
     std::optional<adapter_name> victim;
     if (!replaces) {
-        const auto evictions = best->make_room(size_mb(name));
+        const auto evictions = best->make_room(size_mb(engine, name));
         if (evictions && !evictions->empty()) {
             victim = evictions->front()->name;
         }
