--- a/src/apps/gateway_exchanges.cpp
+++ b/src/apps/gateway_exchanges.cpp
@@ -357,7 +357,7 @@
     item.relay_verdict.reset();
     item.relay_upstream.clear();
     item.response_head.reset();
-    item.response_body = {};
+    std::string{}.swap(item.response_body);
     item.event_stream = false;
     item.forwarding = false;
     item.events.discard_partial_event();
--- a/src/gateway/event_splitter.cpp
+++ b/src/gateway/event_splitter.cpp
@@ -46,7 +46,7 @@
 
 void event_splitter::discard_partial_event()
 {
-    m_partial = {};
+    std::string{}.swap(m_partial); // an assignment would keep the memory
     m_boundary.reset();
 }
 
