Apply new limits to the next request of an idle connection

Cause: a connection took the limits when it became idle and began to wait for a header. The header is now parsed as it arrives, with the limits in force then; they bound headers as well as bodies.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -24,6 +24,7 @@
 constexpr core::milliseconds unacknowledged_timeout{10'000};
 // A connection gives back a larger buffer after a write.
 constexpr std::size_t max_kept_capacity = 64UL * 1024;
+constexpr std::size_t read_bytes = 4096; // holds most request headers
 
 std::string status_line(std::uint16_t status)
 {
@@ -161,13 +162,45 @@
     void await_request(bool first)
     {
         m_parser.emplace();
-        m_parser->header_limit(static_cast<std::uint32_t>(m_shared->limits.max_header_bytes));
-        m_parser->body_limit(m_shared->limits.max_body_bytes);
         m_stream.expires_after(first ? m_shared->limits.header_timeout
                                      : m_shared->limits.idle_timeout);
-        beast::http::async_read_header(
-            m_stream, m_buffer, *m_parser,
-            [self = shared_from_this()](error_code error, std::size_t) { self->on_header(error); });
+        parse_header();
+    }
+
+    // Parses what was received, and reads more while the header isn't complete. The limits are
+    // those in force when the bytes arrive, not those of when the connection became idle.
+    void parse_header()
+    {
+        m_parser->header_limit(static_cast<std::uint32_t>(m_shared->limits.max_header_bytes));
+        m_parser->body_limit(m_shared->limits.max_body_bytes);
+        error_code error;
+        if (m_buffer.size() > 0) {
+            m_buffer.consume(m_parser->put(m_buffer.data(), error));
+        }
+        if (error == beast::http::error::need_more) {
+            error = {};
+        }
+        if (error || m_parser->is_header_done()) {
+            on_header(error);
+            return;
+        }
+        m_stream.async_read_some(m_buffer.prepare(read_bytes),
+                                 [self = shared_from_this()](error_code failed, std::size_t bytes) {
+                                     self->on_header_bytes(failed, bytes);
+                                 });
+    }
+
+    void on_header_bytes(error_code error, std::size_t bytes)
+    {
+        m_buffer.commit(bytes);
+        if (error == asio::error::eof && m_parser->got_some()) {
+            error = beast::http::error::partial_message;
+        }
+        if (error) {
+            on_header(error);
+            return;
+        }
+        parse_header();
     }
 
     void on_header(error_code error)
@@ -294,7 +327,7 @@
                 self->m_writing = false;
                 self->m_backlog -= std::min<std::size_t>(self->m_backlog, self->m_out.size());
                 if (self->m_out.capacity() > max_kept_capacity) {
-                    self->m_out = {};
+                    std::string{}.swap(self->m_out);
                 }
                 self->update_account();
                 if (error) {
--- a/src/http/server_test.cpp
+++ b/src/http/server_test.cpp
@@ -207,6 +207,42 @@
     CHECK_TRUE_TEXT(ended == asio::error::connection_reset, ended.message().c_str());
 }
 
+// Guards against the refusal of the next request on each kept connection once limits are raised.
+TEST(Server, AppliesNewLimitsToTheNextRequestOfAnIdleConnection)
+{
+    asio::io_context own;
+    asio::ip::tcp::socket socket{own};
+    socket.connect(*net::parse_address(address));
+    asio::streambuf received;
+    const auto post = [&](std::size_t header_bytes, std::size_t body_bytes) {
+        asio::write(socket,
+                    asio::buffer("POST / HTTP/1.1\r\nX-Long: " + std::string(header_bytes, 'h') +
+                                 "\r\nContent-Length: " + std::to_string(body_bytes) + "\r\n\r\n" +
+                                 std::string(body_bytes, 'b')));
+        const auto head_bytes = asio::read_until(socket, received, "\r\n\r\n");
+        const std::string head{asio::buffers_begin(received.data()),
+                               asio::buffers_begin(received.data()) +
+                                   static_cast<std::ptrdiff_t>(head_bytes)};
+        received.consume(head_bytes);
+        if (head.find("200 OK") != std::string::npos && received.size() < body_bytes) {
+            asio::read(socket, received, asio::transfer_exactly(body_bytes - received.size()));
+        }
+        received.consume(received.size());
+        return head.substr(0, std::string{"HTTP/1.1 200"}.size());
+    };
+    STRCMP_EQUAL("HTTP/1.1 200", post(10, 900).c_str());
+    std::this_thread::sleep_for(std::chrono::milliseconds{50}); // the connection is idle
+    server_limits limits;
+    limits.max_body_bytes = 5000;
+    limits.max_header_bytes = 6000;
+    limits.header_timeout = limits.body_timeout = std::chrono::milliseconds{300};
+    tested->set_limits(limits);
+    STRCMP_EQUAL("HTTP/1.1 200", post(4500, 4900).c_str());
+    limits.max_body_bytes = 100;
+    tested->set_limits(limits);
+    STRCMP_EQUAL("HTTP/1.1 413", post(10, 200).c_str());
+}
+
 // Guards against the end of the process by what it keeps for callers that don't read.
 TEST(Server, ClosesAConnectionWhenCallersThatDoNotReadLeaveTooMuchToKeep)
 {
