Deliver responses that are larger than what a slow caller may leave

Found by reading: a connection with more than 5 MiB unwritten was closed, also when these were one response that had just been handed to it, so that kept answers of 5 to 8 MiB never arrived. What was unread before counts. Server.SendsAResponseThatIsLargerThanWhatASlowCallerMayLeave fails before.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -289,7 +289,9 @@
             m_backlog -= std::min<std::size_t>(m_backlog, bytes.size());
             return;
         }
-        if (m_backlog > m_shared->limits.max_backlog_bytes + m_shared->limits.max_body_bytes) {
+        // A response that is written at once may be larger than what a slow caller may leave.
+        const auto unread = m_backlog - std::min<std::size_t>(m_backlog, bytes.size());
+        if (unread > m_shared->limits.max_backlog_bytes + m_shared->limits.max_body_bytes) {
             m_shared->handler.on_refused(core::reason::caller_too_slow);
             close();
             return;
--- a/src/http/server_test.cpp
+++ b/src/http/server_test.cpp
@@ -243,6 +243,18 @@
     STRCMP_EQUAL("HTTP/1.1 413", post(10, 200).c_str());
 }
 
+// Guards against responses that are never delivered because they are large, not unread.
+TEST(Server, SendsAResponseThatIsLargerThanWhatASlowCallerMayLeave)
+{
+    server_limits limits;
+    limits.max_body_bytes = limits.max_backlog_bytes = 1000;
+    tested->set_limits(limits);
+    boost::system::error_code ended;
+    const auto received =
+        receive_until_end("GET /large HTTP/1.1\r\nConnection: close\r\n\r\n", ended);
+    CHECK_TRUE(received.size() > echo::large_bytes);
+}
+
 // Guards against the end of the process by what it keeps for callers that don't read.
 TEST(Server, ClosesAConnectionWhenCallersThatDoNotReadLeaveTooMuchToKeep)
 {
