Log sends that end without an answer, and test retries that arrive late

Operators saw repeats beyond the shared retry budget (BUDGET) and kept no logs. The logs named each retry that was sent, but not how its count ended, so that late arrivals, first sends that come last and uncounted retries couldn't be told apart.

--- a/src/apps/gateway_exchanges.cpp
+++ b/src/apps/gateway_exchanges.cpp
@@ -762,7 +762,9 @@
             m_limits.restore(item->upstream_id);
         }
     }
-    settle_retry_late(*item);
+    else {
+        settle_retry_late(*item);
+    }
     record_prompt_processed(*item);
     if (item->helper.empty()) {
         m_pool.record_ended(item->upstream_id, item->adapter);
--- a/src/apps/gateway_guards.cpp
+++ b/src/apps/gateway_guards.cpp
@@ -447,6 +447,16 @@
 
 void gateway_process::settle_retry_late(exchange& item)
 {
+    if (!item.response_head) {
+        observe::info("send_unanswered",
+                      {{"request", item.metadata.request_id},
+                       {"service", item.service},
+                       {"upstream", item.upstream_id},
+                       {"helper", item.helper},
+                       {"attempt", item.attempts_sent},
+                       {"counted", item.counts_as_retry},
+                       {"age_ms", core::to_ms(m_clock.now() - item.sent_at)}});
+    }
     if (std::exchange(item.counts_as_retry, false)) {
         m_retry_budgets[item.service].settle_late(m_clock.now());
     }
--- a/tests/platform_fixture.py
+++ b/tests/platform_fixture.py
@@ -217,6 +217,7 @@
         self.software = "v1"  # version of its software, part of each event
         self.work_s = 0.02
         self.event_pause_s = 0.02
+        self.frozen = False  # reads nothing, while its kernel accepts connections and bytes
         self.server = None
 
     async def start(self):
@@ -235,7 +236,7 @@
         # A cancellation that arrives as a call completes can be lost (asyncio.wait_for), so the
         # loop also checks a flag.
         while not self.platform.finished:
-            if self.down:
+            if self.down or self.frozen:
                 await asyncio.sleep(0.05)
                 continue
             self.announcements += 1
@@ -281,6 +282,9 @@
             while True:
                 line, headers = await read_head(reader)
                 body = await read_body(reader, headers)
+                # Requests that were closed meanwhile are read too, as a kernel keeps their bytes.
+                while self.frozen:
+                    await asyncio.sleep(0.01)
                 method, path, _ = line.split(" ")
                 if not await self.answer(writer, method, path, headers, body):
                     break
--- a/tests/retry_budget_test.py
+++ b/tests/retry_budget_test.py
@@ -24,25 +24,25 @@
     return bisect.bisect_right(times, end) - bisect.bisect_left(times, begin)
 
 
-def find_retries(arrivals):
+def find_retries(arrivals, counted_service=SERVICE):
     """Returns the times of the arrivals beyond the first of each request."""
     seen = set()
     retry_times = []
     for at, service, request_id in sorted(arrivals):
-        if service == SERVICE:
+        if service == counted_service:
             if request_id in seen:
                 retry_times.append(at)
             seen.add(request_id)
     return retry_times
 
 
-def excess_retries(request_times, arrivals):
+def excess_retries(request_times, arrivals, service=SERVICE):
     """Returns the largest excess over the budget in any window, and where that window begins.
 
     A window's requests are those in it, in the window before or half a window before, whichever
     is most.
     """
-    retry_times = find_retries(arrivals)
+    retry_times = find_retries(arrivals, service)
     request_times = sorted(request_times)
     worst = (-RETRY_EXTRA, 0.0)
     for begin in retry_times:
