Count sends without an answer until they have certainly arrived

Cause: a retry that its gateway gave up was taken to arrive within a second, and left the budget after eleven. The kernel of an upstream that stands still, or a link that holds, delivers it whenever it goes on. A first send that came last wasn't counted at all once its retry had been answered. Evidence: the logs joined with the arrivals by request and upstream; the surplus repeats are counted retries that came over 1 s after they were given up.

Now a ledger follows the sends of each request. One without an answer stays in every window until the same run answers a later send, announces itself without having been silent, or has ended, or a minute has passed; the retries of a request leave the budget as its second, third and further send has arrived, whichever was sent first. Half of what is allowed is kept for upstreams that answer, and a retry prefers those, so a silent one uses up little. The gateway that passes a request to another one counts it, since it knows of the sends before. A connection that is given up drops what its kernel hasn't delivered.

--- a/include/siskindrift/gateway/relay_codec.h
+++ b/include/siskindrift/gateway/relay_codec.h
@@ -18,6 +18,8 @@
     unsigned may_have_run = 0;  ///< Upstreams that may have executed it so far.
     std::set<std::string> tried_upstreams;
     std::optional<software_pin> pin; ///< Of a stream that has begun.
+    /// The sending gateway has counted the next attempt in its retry budget, if that is a retry.
+    bool counted = false;
 };
 
 /// State of a request when the other gateway answers it.
--- a/include/siskindrift/gateway/retry_budget.h
+++ b/include/siskindrift/gateway/retry_budget.h
@@ -23,6 +23,12 @@
     double allowed = 0;
 };
 
+/// When a retry that is about to be sent reaches its upstream.
+enum class retry_arrival : std::uint8_t {
+    soon,        ///< The upstream answers its requests.
+    at_any_time, ///< The request has an unanswered send, or the upstream is silent.
+};
+
 /// One gateway's part of the retry budget of one service. Performs no I/O.
 ///
 /// The retries that reach upstreams in any window are limited to the gateway's share of the extra
@@ -40,11 +46,16 @@
     /// Counts a retry that is about to be sent, if the budget allows it. The retry counts in every
     /// window from now on until `settle`, `settle_late` or `refund` is called for it.
     /// @param share fraction of the extra retries that this gateway may send, from 0 to 1.
+    /// @param arrival retries that may arrive at any time can use only a part of the budget, since
+    /// fewer may be allowed when they arrive.
     /// @return false if the budget is exhausted.
-    [[nodiscard]] bool try_consume(core::time_point now, double share);
-    /// Records that the upstream has received a retry.
+    [[nodiscard]] bool try_consume(core::time_point now, double share,
+                                   retry_arrival arrival = retry_arrival::soon);
+    /// Counts a retry that was sent already, whether or not the budget allows it.
+    void consume() { ++m_unsettled; }
+    /// Records that an upstream has received a retry.
     void settle(core::time_point now) { settle_at(now); }
-    /// Records that a retry was given up, and that the upstream may receive it shortly.
+    /// Records that an upstream which runs receives a retry shortly, if it hasn't yet.
     void settle_late(core::time_point now) { settle_at(now + fleet::late_arrival_limit); }
     /// Records that a counted retry was not sent.
     void refund();
--- a/include/siskindrift/gateway/upstream_pool.h
+++ b/include/siskindrift/gateway/upstream_pool.h
@@ -165,11 +165,13 @@
     /// chosen if there is one, because another request may not come before the permit expires.
     /// @param pin set for a stream that has begun: only upstreams that it allows are chosen.
     /// @param repeatable whether the request may be executed more than once.
+    /// @param silent upstreams that are chosen only if there is no other.
     [[nodiscard]] pool_choice choose(const std::string& service, const adapter_name& wanted,
                                      const std::set<std::string>& tried, core::time_point now,
                                      const std::string& permitted = {},
                                      const std::optional<software_pin>& pin = {},
-                                     bool repeatable = true);
+                                     bool repeatable = true,
+                                     const std::set<std::string>& silent = {});
 
     /// Records that a request was sent to @p upstream.
     /// @param tokens prompt tokens that the upstream has to process before the first token.
--- a/include/siskindrift/http/client.h
+++ b/include/siskindrift/http/client.h
@@ -39,6 +39,7 @@
     body_framing framing = body_framing::none;
     std::string error;     ///< Why the call failed; empty if it is complete.
     bool answered = false; ///< The server has sent a byte, also one of an interim response.
+    bool refused = false;  ///< Nobody listens at the address.
 };
 
 /// Status and headers of a response.
--- a/src/apps/gateway_exchanges.cpp
+++ b/src/apps/gateway_exchanges.cpp
@@ -173,7 +173,7 @@
         dispatch(item);
         return;
     }
-    m_retry_budgets[item.service].record_request(item.arrived_at);
+    m_retries[item.service].record_request(item.arrived_at);
     if (!item.adapter.first.empty()) {
         m_prompt_mixes[item.service].record(item.route.name, item.metadata.prompt_tokens,
                                             item.arrived_at);
@@ -235,8 +235,12 @@
     if (refuse_unsendable(item) || refuse_blocked(item)) {
         return;
     }
-    const auto choice = m_pool.choose(item.service, item.adapter, item.tried_upstreams, now,
-                                      item.permit_upstream, item.pin, item.route.repeatable());
+    const bool retry = item.attempts_sent > item.attempts_counted;
+    const auto silent =
+        retry ? m_retries[item.service].silent_upstreams(now) : std::set<std::string>{};
+    const auto choice =
+        m_pool.choose(item.service, item.adapter, item.tried_upstreams, now, item.permit_upstream,
+                      item.pin, item.route.repeatable(), silent);
     stop_awaiting_permit(item);
     m_awaiting_place.erase(item.id);
     item.lacks = choice.lacks;
@@ -295,13 +299,15 @@
 void gateway_process::send_attempt(exchange& item, const gateway::pool_choice& choice)
 {
     const auto now = m_clock.now();
-    if (item.attempts_sent > 0 && !consume_retry(item, choice)) {
+    const auto* entry = m_roster.find(choice.upstream);
+    const auto born_ms = entry != nullptr ? entry->info.born_ms : 0;
+    if (item.attempts_sent > item.attempts_counted &&
+        !try_retry(item, {choice.upstream, born_ms})) {
         fail_request(item, core::reason::retry_budget);
         return;
     }
     begin_attempt(item);
-    const auto* entry = m_roster.find(choice.upstream);
-    item.upstream_born_ms = entry != nullptr ? entry->info.born_ms : 0;
+    item.upstream_born_ms = born_ms;
     item.software_version = entry != nullptr ? entry->info.software_version : std::string{};
     const auto limit = m_limits.limit_of(choice.upstream, item.upstream_born_ms);
     item.uses_permit = limit.has_value();
@@ -333,6 +339,7 @@
         schedule_load_report();
     }
     record_stream_origin(item);
+    m_retries[item.service].record_sent(gateway::request_key{item.id}, run_of(item), now);
     m_client.start(make_call(item, added));
     arm_timer(item, time_left(item));
     schedule_path_check();
@@ -585,8 +592,8 @@
         return;
     }
     item->response_head = head;
-    settle_retry(*item);
     apply_relay_head(*item, *item->response_head);
+    record_relay_outcome(*item);
     item->response_metadata = platform::decode_response(*item->response_head);
     if (item->relay_verdict) {
         item->response_metadata.not_executed = *item->relay_verdict == core::verdict::not_run;
@@ -670,6 +677,7 @@
     }
     if (item->helper.empty()) {
         m_pool.record_activity(item->upstream_id, m_clock.now(), item->opened_at);
+        m_retries[item->service].record_activity(run_of(*item), m_clock.now());
     }
     if (item->forwarding) {
         forward_stream_data(*item, bytes);
@@ -757,13 +765,19 @@
     item->call_id = 0;
     item->call_end = call_end;
     if (call_end.result == http::call_result::not_sent) {
-        refund_retry(*item);
+        auto& retries = m_retries[item->service];
+        retries.record_not_sent(gateway::request_key{item->id});
+        if (call_end.refused) {
+            retries.record_run_end(run_of(*item), m_clock.now());
+        }
         if (std::exchange(item->uses_permit, false)) {
             m_limits.restore(item->upstream_id);
         }
     }
     else {
-        settle_retry_late(*item);
+        record_unanswered_send(*item, call_end.result == http::call_result::connection_lost
+                                          ? gateway::send_end::peer_closed
+                                          : gateway::send_end::given_up);
     }
     record_prompt_processed(*item);
     if (item->helper.empty()) {
@@ -1095,7 +1109,7 @@
         return;
     }
     m_client.cancel(item.call_id);
-    settle_retry_late(item);
+    record_unanswered_send(item, gateway::send_end::given_up);
     record_prompt_processed(item);
     m_exchange_by_call.erase(item.call_id);
     item.call_id = 0;
@@ -1111,6 +1125,9 @@
 void gateway_process::remove_exchange(exchange& item)
 {
     restore_trial(item);
+    if (const auto retries = m_retries.find(item.service); retries != m_retries.end()) {
+        retries->second.record_end(gateway::request_key{item.id}, item.relayed);
+    }
     m_waiting.erase(item.id);
     m_awaiting_permit.erase(item.id);
     m_awaiting_document.erase(item.id);
--- a/src/apps/gateway_guards.cpp
+++ b/src/apps/gateway_guards.cpp
@@ -416,56 +416,100 @@
     respond_with_error(item, 503, core::reason::upstream_limit, retry_after);
 }
 
-bool gateway_process::consume_retry(exchange& item, const gateway::pool_choice& choice)
+// Returns the run that the current attempt was sent to; of a helper it isn't known which run it is.
+gateway::upstream_run gateway_process::run_of(const exchange& item)
+{
+    if (!item.helper.empty()) {
+        return {"gateway " + item.helper, 0};
+    }
+    return {item.upstream_id, item.upstream_born_ms};
+}
+
+// Counts the next attempt as a retry. Returns false if the budget doesn't allow it.
+bool gateway_process::try_retry(const exchange& item, const gateway::upstream_run& run)
 {
     const auto now = m_clock.now();
     const auto share = m_retry_share.fraction(now);
-    auto& budget = m_retry_budgets[item.service];
-    item.counts_as_retry = budget.try_consume(now, share);
-    const auto usage = budget.usage(now, share);
-    observe::info(item.counts_as_retry ? "retry_sent" : "retry_refused",
+    auto& retries = m_retries[item.service];
+    const bool silent = retries.is_silent(run, now);
+    const bool allowed = retries.try_retry(gateway::request_key{item.id}, run, now, share);
+    const auto usage = retries.usage(now, share);
+    observe::info(allowed ? "retry_sent" : "retry_refused",
                   {{"request", item.metadata.request_id},
                    {"service", item.service},
-                   {"upstream", choice.upstream},
+                   {"upstream", run.upstream},
+                   {"silent", silent},
                    {"attempt", item.attempts_sent + 1},
                    {"counted", usage.retries},
+                   {"unanswered", retries.unanswered()},
                    {"allowed", usage.allowed},
                    {"share", share},
                    {"generation", m_retry_share.generation()}});
-    if (item.counts_as_retry) {
+    if (allowed) {
         m_metrics.count("siskindrift_retries_total");
     }
-    return item.counts_as_retry;
+    return allowed;
 }
 
-void gateway_process::settle_retry(exchange& item)
+// Records that the current attempt ended without an answer.
+void gateway_process::record_unanswered_send(const exchange& item, gateway::send_end how)
 {
-    if (std::exchange(item.counts_as_retry, false)) {
-        m_retry_budgets[item.service].settle(m_clock.now());
+    const auto now = m_clock.now();
+    auto& retries = m_retries[item.service];
+    const bool silent = retries.is_silent(run_of(item), now);
+    const bool may_arrive = retries.record_unanswered(gateway::request_key{item.id}, how, now);
+    if (item.response_head) {
+        return;
     }
+    observe::info("send_unanswered", {{"request", item.metadata.request_id},
+                                      {"service", item.service},
+                                      {"upstream", run_of(item).upstream},
+                                      {"attempt", item.attempts_sent},
+                                      {"peer_closed", how == gateway::send_end::peer_closed},
+                                      {"silent", silent},
+                                      {"may_arrive", may_arrive},
+                                      {"age_ms", core::to_ms(now - item.sent_at)}});
 }
 
-void gateway_process::settle_retry_late(exchange& item)
+// Records what a helper's answer says of the sends that the helper made or didn't make.
+void gateway_process::record_relay_outcome(const exchange& item)
 {
-    if (!item.response_head) {
-        observe::info("send_unanswered",
-                      {{"request", item.metadata.request_id},
-                       {"service", item.service},
-                       {"upstream", item.upstream_id},
-                       {"helper", item.helper},
-                       {"attempt", item.attempts_sent},
-                       {"counted", item.counts_as_retry},
-                       {"age_ms", core::to_ms(m_clock.now() - item.sent_at)}});
+    auto& retries = m_retries[item.service];
+    const gateway::request_key request{item.id};
+    if (item.relay_verdict == core::verdict::not_run) {
+        retries.record_not_sent(request);
     }
-    if (std::exchange(item.counts_as_retry, false)) {
-        m_retry_budgets[item.service].settle_late(m_clock.now());
+    else {
+        retries.record_answer(request, m_clock.now());
     }
 }
 
-void gateway_process::refund_retry(exchange& item)
+// Finds out what became of sends without an answer. They end with the run that they were sent to:
+// when it starts again, or another upstream starts at its address.
+void gateway_process::resolve_unanswered_sends()
 {
-    if (std::exchange(item.counts_as_retry, false)) {
-        m_retry_budgets[item.service].refund();
+    const auto now = m_clock.now();
+    for (auto& [service, retries] : m_retries) {
+        for (const auto& run : retries.unanswering_runs()) {
+            const auto* entry = m_roster.find(run.upstream);
+            if (entry == nullptr) {
+                continue;
+            }
+            const auto& entries = m_roster.entries();
+            const bool replaced =
+                std::any_of(entries.begin(), entries.end(), [&](const auto& other) {
+                    return other.second.info.address == entry->info.address &&
+                           other.second.info.born_ms > run.born_ms;
+                });
+            if (replaced) {
+                observe::info("unanswering_run_ended",
+                              {{"service", service}, {"upstream", run.upstream}});
+                retries.record_run_end(run, now);
+            }
+            else if (entry->info.born_ms == run.born_ms) {
+                retries.record_announcement(run, entry->last_heard, now);
+            }
+        }
     }
 }
 
--- a/src/apps/gateway_process.cpp
+++ b/src/apps/gateway_process.cpp
@@ -161,7 +161,7 @@
     m_settings.retry_window = fresh->retry_window;
     m_settings.stop_grace = fresh->stop_grace;
     m_settings.endpoints_ttl_s = fresh->endpoints_ttl_s;
-    for (auto& [name, budget] : m_retry_budgets) {
+    for (auto& [name, budget] : m_retries) {
         budget.set_options(
             {m_settings.retry_ratio, m_settings.retry_extra, m_settings.retry_window});
     }
@@ -201,6 +201,11 @@
     metrics.set("siskindrift_blocked_parts", static_cast<double>(m_prompt_guard.blocked_parts()));
     metrics.set("siskindrift_limited_upstreams", static_cast<double>(m_limits.size()));
     metrics.set("siskindrift_retry_share", m_retry_share.fraction(m_clock.now()));
+    double unanswered = 0;
+    for (const auto& [service, retries] : m_retries) {
+        unanswered += static_cast<double>(retries.unanswered());
+    }
+    metrics.set("siskindrift_unanswered_retries", unanswered);
     metrics.set("siskindrift_leader_term", static_cast<double>(m_engine_term));
     const auto now = m_clock.now();
     metrics.set("siskindrift_fleet_view_age_ms",
@@ -496,6 +501,7 @@
     m_roster.take_changed_copies(now);
     m_pool.remove_departed();
     request_document();
+    resolve_unanswered_sends();
     if (changed) {
         dispatch_waiting();
     }
@@ -530,7 +536,7 @@
     m_callers.set_limits(limits);
     m_relays.set_limits(limits);
     for (const auto& [name, service] : m_deployment->services) {
-        m_retry_budgets[name].set_options(
+        m_retries[name].set_options(
             {m_settings.retry_ratio, m_settings.retry_extra, m_settings.retry_window});
     }
     observe::info("document_in_force", {{"version", m_deployment->version}});
--- a/src/apps/gateway_process.h
+++ b/src/apps/gateway_process.h
@@ -30,7 +30,7 @@
 #include "siskindrift/gateway/prompt_guard.h"
 #include "siskindrift/gateway/prompt_mix.h"
 #include "siskindrift/gateway/relay_codec.h"
-#include "siskindrift/gateway/retry_budget.h"
+#include "siskindrift/gateway/retry_ledger.h"
 #include "siskindrift/gateway/retry_share.h"
 #include "siskindrift/gateway/route_table.h"
 #include "siskindrift/gateway/stop_schedule.h"
@@ -143,8 +143,9 @@
         std::optional<gateway::software_pin> pin;
         unsigned sends = 0;   ///< Counts up with every send, also one that failed to connect.
         bool relayed = false; ///< Another gateway passed the request on to this one.
-        unsigned may_have_run_before = 0;        ///< `may_have_run` when it was passed on.
-        std::vector<std::string> unreached;      ///< Holders that this gateway doesn't reach.
+        unsigned attempts_counted = 0;      ///< Attempts that are no retries of this gateway's own.
+        unsigned may_have_run_before = 0;   ///< `may_have_run` when it was passed on.
+        std::vector<std::string> unreached; ///< Holders that this gateway doesn't reach.
         std::set<std::string> tried_helpers;     ///< Gateways that it was passed on to.
         std::set<std::string> reached_upstreams; ///< Those of `tried_upstreams` it was sent to.
         core::reason failure_reason = core::reason::none;
@@ -152,9 +153,8 @@
         std::uint64_t call_id = 0;       ///< 0 if no attempt is open.
         std::uint64_t events_before = 0; ///< Events of earlier attempts.
         bool answer_recorded =
-            false; ///< The prompt guard knows that the attempt is being answered.
-        bool counts_as_retry = false; ///< The retry budget counts it, and it may still arrive.
-        std::string helper;           ///< Gateway that the attempt goes through, or empty.
+            false;          ///< The prompt guard knows that the attempt is being answered.
+        std::string helper; ///< Gateway that the attempt goes through, or empty.
         std::optional<core::verdict> relay_verdict; ///< Of an answer of the helper's own.
         core::reason relay_reason = core::reason::none;
         std::string relay_upstream; ///< Upstream that the helper chose, for logs.
@@ -304,10 +304,11 @@
     [[nodiscard]] std::vector<std::string> choose_registrars() const;
 
     // Retry budget and prompt guard (gateway_guards.cpp).
-    [[nodiscard]] bool consume_retry(exchange& item, const gateway::pool_choice& choice);
-    void settle_retry(exchange& item);
-    void settle_retry_late(exchange& item);
-    void refund_retry(exchange& item);
+    [[nodiscard]] static gateway::upstream_run run_of(const exchange& item);
+    [[nodiscard]] bool try_retry(const exchange& item, const gateway::upstream_run& run);
+    void record_unanswered_send(const exchange& item, gateway::send_end how);
+    void record_relay_outcome(const exchange& item);
+    void resolve_unanswered_sends();
     bool refuse_blocked(exchange& item);
     void refuse_newly_blocked();
     void record_answer(exchange& item, bool success);
@@ -385,7 +386,7 @@
     gateway::helper_pool m_helpers;
     bool m_upstreams_lost = false; ///< No upstream is reachable from here.
     bool m_path_check_scheduled = false;
-    std::map<std::string, gateway::retry_budget> m_retry_budgets;
+    std::map<std::string, gateway::retry_ledger> m_retries;    ///< By service.
     std::map<std::string, gateway::prompt_mix> m_prompt_mixes; ///< By service.
     gateway::retry_share m_retry_share;
     gateway::prompt_guard m_prompt_guard;
--- a/src/apps/gateway_relays.cpp
+++ b/src/apps/gateway_relays.cpp
@@ -40,6 +40,7 @@
     auto& item = *new_exchange;
     item.relayed = true;
     item.attempts_sent = state->attempts_sent;
+    item.attempts_counted = state->counted ? state->attempts_sent : 0;
     item.may_have_run = state->may_have_run;
     item.may_have_run_before = state->may_have_run;
     item.tried_upstreams = state->tried_upstreams;
@@ -56,6 +57,10 @@
     if (!helper) {
         return false;
     }
+    if (item.attempts_sent > 0 && !try_retry(item, {"gateway " + helper->vm, 0})) {
+        fail_request(item, core::reason::retry_budget);
+        return true;
+    }
     observe::info("request_relayed", {{"request", item.metadata.request_id},
                                       {"service", item.service},
                                       {"helper", helper->vm},
@@ -69,6 +74,7 @@
     state.may_have_run = item.may_have_run;
     state.tried_upstreams = item.reached_upstreams;
     state.pin = item.pin;
+    state.counted = true;
     begin_attempt(item);
     item.helper = helper->vm;
     item.tried_helpers.insert(helper->vm);
@@ -87,6 +93,7 @@
     }
     call.connect_timeout = std::min<core::duration>(helper_connect_timeout, time_left(item));
     call.max_body_bytes = max_relayed_bytes;
+    m_retries[item.service].record_sent(gateway::request_key{item.id}, run_of(item), now);
     m_client.start(std::move(call));
     arm_timer(item, time_left(item));
     return true;
--- a/src/gateway/relay_codec.cpp
+++ b/src/gateway/relay_codec.cpp
@@ -16,6 +16,7 @@
 constexpr std::string_view upstream_header = "Siskindrift-Relay-Upstream";
 constexpr std::string_view born_header = "Siskindrift-Relay-Born";
 constexpr std::string_view verdict_header = "Siskindrift-Relay-Verdict";
+constexpr std::string_view counted_header = "Siskindrift-Relay-Counted";
 constexpr std::string_view reason_header = "Siskindrift-Relay-Reason";
 
 // Versions and ids come from other programs and may contain any bytes.
@@ -64,6 +65,9 @@
     http::header_list headers{
         {std::string{sent_header}, std::to_string(request.attempts_sent)},
         {std::string{may_have_run_header}, std::to_string(request.may_have_run)}};
+    if (request.counted) {
+        headers.emplace_back(counted_header, "1");
+    }
     for (const auto& upstream : request.tried_upstreams) {
         headers.emplace_back(tried_header, to_hex(upstream));
     }
@@ -85,6 +89,7 @@
     relay_request request;
     request.attempts_sent = *sent;
     request.may_have_run = *may_have_run;
+    request.counted = find(headers, counted_header).has_value();
     for (const auto& [key, value] : headers) {
         const auto upstream =
             boost::algorithm::iequals(key, tried_header) ? from_hex(value) : std::nullopt;
--- a/src/gateway/relay_codec_test.cpp
+++ b/src/gateway/relay_codec_test.cpp
@@ -13,10 +13,12 @@
     sent.attempts_sent = 2;
     sent.may_have_run = 1;
     sent.tried_upstreams = {"i-1", "i,2\r\n"};
+    sent.counted = true;
     sent.pin = software_pin{"v1,\r\nX: y", "i-1", 77};
     const auto received = decode_relay_request(encode_relay_request(sent));
     LONGS_EQUAL(2, received->attempts_sent);
     LONGS_EQUAL(1, received->may_have_run);
+    CHECK_TRUE(received->counted);
     CHECK_TRUE(sent.tried_upstreams == received->tried_upstreams);
     STRCMP_EQUAL(sent.pin->version.c_str(), received->pin->version.c_str());
     STRCMP_EQUAL("i-1", received->pin->upstream.c_str());
--- a/src/gateway/retry_budget.cpp
+++ b/src/gateway/retry_budget.cpp
@@ -9,6 +9,8 @@
 
 constexpr std::int64_t slices_per_window = 100;
 constexpr double windows_averaged = 3;
+// Of the retries that are allowed now, how many may arrive at any time.
+constexpr double arriving_at_any_time_share = 0.5;
 
 // Sums of consecutive slices of a range, in constant time each.
 class range_sums {
@@ -139,13 +141,17 @@
     return tightest;
 }
 
-bool retry_budget::try_consume(core::time_point now, double share)
+bool retry_budget::try_consume(core::time_point now, double share, retry_arrival arrival)
 {
     remove_expired(now);
     const auto used = usage(now, share);
     if (used.retries + 1 > used.allowed) {
         return false;
     }
+    if (arrival == retry_arrival::at_any_time &&
+        m_unsettled + 1 > arriving_at_any_time_share * used.allowed) {
+        return false;
+    }
     ++m_unsettled;
     return true;
 }
--- /dev/null
+++ b/src/gateway/retry_ledger.cpp
@@ -0,0 +1,264 @@
+#include "siskindrift/gateway/retry_ledger.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace siskindrift::gateway {
+
+bool retry_ledger::try_retry(request_key request, const upstream_run& run, core::time_point now,
+                             double share)
+{
+    expire(now);
+    auto& sends = m_requests[request];
+    const auto arrival = sends.unanswered > 0 || is_silent(run, now) ? retry_arrival::at_any_time
+                                                                     : retry_arrival::soon;
+    if (!m_budget.try_consume(now, share, arrival)) {
+        remove_if_done(request);
+        return false;
+    }
+    ++sends.retries;
+    return true;
+}
+
+void retry_ledger::record_sent(request_key request, const upstream_run& run, core::time_point now)
+{
+    auto& sends = m_requests[request];
+    sends.open = run;
+    sends.open_since = now;
+    auto& state = m_runs[run];
+    ++state.open;
+    state.waiting_since = state.waiting_since.value_or(now);
+}
+
+void retry_ledger::record_answer(request_key request, core::time_point now)
+{
+    const auto found = m_requests.find(request);
+    if (found == m_requests.end() || !found->second.open) {
+        return;
+    }
+    auto& sends = found->second;
+    const auto run = *std::exchange(sends.open, std::nullopt);
+    auto& state = m_runs[run];
+    --state.open;
+    const auto sent = sends.open_since;
+    state.answered_sent = std::max(state.answered_sent, sent);
+    record_sign_of_life(state, now);
+    settle(sends, now);
+    settle_unanswered(state, now, [&](const unanswered_send& send) { return send.sent <= sent; });
+    remove_if_done(request);
+    remove_if_idle(run);
+}
+
+void retry_ledger::record_not_sent(request_key request)
+{
+    const auto found = m_requests.find(request);
+    if (found == m_requests.end() || !found->second.open) {
+        return;
+    }
+    auto& sends = found->second;
+    const auto run = *std::exchange(sends.open, std::nullopt);
+    auto& state = m_runs[run];
+    --state.open;
+    if (state.open == 0 && !is_silent(run, sends.open_since)) {
+        state.waiting_since.reset();
+    }
+    if (sends.retries > 0) {
+        --sends.retries;
+        m_budget.refund();
+    }
+    remove_if_done(request);
+    remove_if_idle(run);
+}
+
+bool retry_ledger::record_unanswered(request_key request, send_end how, core::time_point now)
+{
+    const auto found = m_requests.find(request);
+    if (found == m_requests.end() || !found->second.open) {
+        return false;
+    }
+    auto& sends = found->second;
+    const auto run = *std::exchange(sends.open, std::nullopt);
+    auto& state = m_runs[run];
+    const bool silent = is_silent(run, now);
+    --state.open;
+    // A run that is known to read its requests has read this one, or is about to.
+    const bool reads =
+        how == send_end::peer_closed ? !silent : state.answered_sent >= sends.open_since && !silent;
+    if (reads) {
+        if (how == send_end::peer_closed) {
+            record_sign_of_life(state, now);
+        }
+        settle(sends, now + fleet::late_arrival_limit);
+    }
+    else {
+        ++sends.unanswered;
+        state.unanswered.push_back({request, sends.open_since, now});
+        if (state.open == 0 && !silent) {
+            state.waiting_since.reset(); // it had no time to answer
+        }
+    }
+    remove_if_done(request);
+    remove_if_idle(run);
+    return !reads;
+}
+
+void retry_ledger::record_end(request_key request, bool shared)
+{
+    if (const auto found = m_requests.find(request); found != m_requests.end()) {
+        auto& sends = found->second;
+        if (shared && sends.arrived == 0 && sends.unanswered > 0) {
+            sends.arrived = 1;
+            ++sends.retries;
+            m_budget.consume();
+        }
+        sends.ended = true;
+        remove_if_done(request);
+    }
+}
+
+void retry_ledger::record_activity(const upstream_run& run, core::time_point now)
+{
+    if (const auto found = m_runs.find(run); found != m_runs.end()) {
+        record_sign_of_life(found->second, now);
+    }
+}
+
+void retry_ledger::record_announcement(const upstream_run& run, core::time_point announced,
+                                       core::time_point now)
+{
+    const auto found = m_runs.find(run);
+    if (found == m_runs.end() || is_silent(run, now)) {
+        return;
+    }
+    settle_unanswered(found->second, now,
+                      [&](const unanswered_send& send) { return send.sent <= announced; });
+    remove_if_idle(run);
+}
+
+void retry_ledger::record_run_end(const upstream_run& run, core::time_point now)
+{
+    if (const auto found = m_runs.find(run); found != m_runs.end()) {
+        auto& state = found->second;
+        settle_unanswered(state, now, [](const unanswered_send&) { return true; });
+        record_sign_of_life(state, now);
+        remove_if_idle(run);
+    }
+}
+
+std::vector<upstream_run> retry_ledger::unanswering_runs() const
+{
+    std::vector<upstream_run> runs;
+    for (const auto& [run, state] : m_runs) {
+        if (!state.unanswered.empty()) {
+            runs.push_back(run);
+        }
+    }
+    return runs;
+}
+
+std::set<std::string> retry_ledger::silent_upstreams(core::time_point now) const
+{
+    std::set<std::string> upstreams;
+    for (const auto& [run, state] : m_runs) {
+        if (is_silent(run, now)) {
+            upstreams.insert(run.upstream);
+        }
+    }
+    return upstreams;
+}
+
+core::duration retry_ledger::longest_silence(core::time_point now) const
+{
+    core::duration longest{};
+    for (const auto& [run, state] : m_runs) {
+        if (!state.unanswered.empty()) {
+            longest = std::max(longest, now - state.waiting_since.value_or(now));
+        }
+    }
+    return longest;
+}
+
+bool retry_ledger::is_silent(const upstream_run& run, core::time_point now) const
+{
+    const auto found = m_runs.find(run);
+    return found != m_runs.end() && found->second.waiting_since &&
+           now - *found->second.waiting_since > m_options.silence_limit;
+}
+
+std::size_t retry_ledger::unanswered() const
+{
+    std::size_t number = 0;
+    for (const auto& [request, sends] : m_requests) {
+        number += sends.retries > 0 ? sends.unanswered : 0;
+    }
+    return number;
+}
+
+// Counts a send as arrived. The first of a request to arrive is no retry.
+void retry_ledger::settle(request_sends& sends, core::time_point arrived_by)
+{
+    ++sends.arrived;
+    if (sends.arrived > 1 && sends.retries > 0) {
+        --sends.retries;
+        m_budget.settle(arrived_by);
+    }
+}
+
+// Settles those unanswered sends that the run has read, or will never read.
+void retry_ledger::settle_unanswered(run_state& run, core::time_point now,
+                                     const std::function<bool(const unanswered_send&)>& arrived)
+{
+    std::erase_if(run.unanswered, [&](const unanswered_send& send) {
+        if (!arrived(send)) {
+            return false;
+        }
+        if (const auto found = m_requests.find(send.request); found != m_requests.end()) {
+            --found->second.unanswered;
+            settle(found->second, now + fleet::late_arrival_limit);
+            remove_if_done(send.request);
+        }
+        return true;
+    });
+}
+
+void retry_ledger::record_sign_of_life(run_state& run, core::time_point now) const
+{
+    run.waiting_since = run.open > 0 ? std::optional{now} : std::nullopt;
+}
+
+// Unanswered sends of a request without a counted retry are its first arrival or none.
+void retry_ledger::remove_if_done(request_key request)
+{
+    const auto found = m_requests.find(request);
+    if (found != m_requests.end() && found->second.ended && found->second.retries == 0 &&
+        !found->second.open) {
+        m_requests.erase(found);
+    }
+}
+
+void retry_ledger::remove_if_idle(const upstream_run& run)
+{
+    const auto found = m_runs.find(run);
+    if (found != m_runs.end() && found->second.open == 0 && found->second.unanswered.empty() &&
+        !found->second.waiting_since) {
+        m_runs.erase(found);
+    }
+}
+
+void retry_ledger::expire(core::time_point now)
+{
+    for (auto run = m_runs.begin(); run != m_runs.end();) {
+        auto& state = run->second;
+        settle_unanswered(state, now, [&](const unanswered_send& send) {
+            return now - send.ended > m_options.max_unanswered;
+        });
+        if (state.open == 0 && state.unanswered.empty()) {
+            run = m_runs.erase(run);
+        }
+        else {
+            ++run;
+        }
+    }
+}
+
+} // namespace siskindrift::gateway
--- a/src/gateway/upstream_pool.cpp
+++ b/src/gateway/upstream_pool.cpp
@@ -353,7 +353,8 @@
 pool_choice upstream_pool::choose(const std::string& service, const adapter_name& wanted,
                                   const std::set<std::string>& tried, core::time_point now,
                                   const std::string& permitted,
-                                  const std::optional<software_pin>& pin, bool repeatable)
+                                  const std::optional<software_pin>& pin, bool repeatable,
+                                  const std::set<std::string>& silent)
 {
     std::optional<core::duration> retry_after; // of upstreams that have used up their limits
     bool any_unlimited = false;
@@ -421,9 +422,10 @@
             any_full = true;
             continue;
         }
-        candidates.push_back({&entry, version, load(entry, stats, !wanted.first.empty(), now),
-                              unreachable || !usable || is_ejected(stats, now),
-                              admission.result == send_admission::kind::needs_permit, refuses});
+        candidates.push_back(
+            {&entry, version, load(entry, stats, !wanted.first.empty(), now),
+             unreachable || !usable || is_ejected(stats, now) || silent.contains(id),
+             admission.result == send_admission::kind::needs_permit, refuses});
     }
     // One that has rejected this request works too.
     const bool any_sound =
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -5,10 +5,12 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <charconv>
+#include <linux/sockios.h>
 #include <map>
 #include <mutex>
 #include <netinet/in.h>
 #include <optional>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <vector>
 
@@ -219,12 +221,26 @@
         asio::post(m_executor, [self = shared_from_this()] {
             self->m_cancelled = true;
             if (self->m_stream) {
-                self->m_stream->close();
+                self->close_connection();
             }
         });
     }
 
 private:
+    // Closes the connection. What the peer hasn't acknowledged is dropped, so that the kernel
+    // doesn't deliver a request later that nobody waits for any more.
+    void close_connection()
+    {
+        int unacknowledged = 0;
+        auto& socket = m_stream->socket();
+        if (socket.is_open() && ::ioctl(socket.native_handle(), SIOCOUTQ, &unacknowledged) == 0 &&
+            unacknowledged > 0) {
+            error_code ignored;
+            socket.set_option(tcp::socket::linger{true, 0}, ignored);
+        }
+        m_stream->close();
+    }
+
     void open()
     {
         if (m_reused) {
@@ -245,6 +261,7 @@
         m_stream->expires_after(m_call.connect_timeout);
         m_stream->async_connect(*endpoint, [self = shared_from_this()](error_code error) {
             if (error) {
+                self->m_refused = error == asio::error::connection_refused;
                 self->end(call_result::not_sent, error.message());
                 return;
             }
@@ -473,10 +490,11 @@
                                  stated_idle_lifetime(keep_alive));
         }
         else {
-            m_stream->close();
+            close_connection();
         }
         if (!m_cancelled) {
-            m_owner->handler().on_end(m_call.id, {how, framing(), std::move(error), m_answered});
+            m_owner->handler().on_end(m_call.id,
+                                      {how, framing(), std::move(error), m_answered, m_refused});
         }
     }
 
@@ -501,6 +519,7 @@
     bool m_mismatched = false; ///< The response being read belongs to another request.
     int m_mismatched_responses = 0;
     bool m_cancelled = false;
+    bool m_refused = false;
     bool m_ended = false;
 };
 
