Hand over no request whose caller has left

The server looked for a closed connection only after the request had been handed over. It looks before now.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -263,6 +263,14 @@
 
     void on_body(error_code error);
 
+    [[nodiscard]] bool has_caller_left()
+    {
+        char byte = 0;
+        const auto got =
+            ::recv(m_stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        return got == 0 || (got < 0 && errno != EAGAIN && errno != EINTR);
+    }
+
     // Detects a caller that disconnects while its request is processed: its stream reaches the end.
     void watch_caller()
     {
@@ -272,10 +280,7 @@
                 if (error || exchange != self->m_exchange || !self->m_responding) {
                     return;
                 }
-                char byte = 0;
-                const auto got = ::recv(self->m_stream.socket().native_handle(), &byte, 1,
-                                        MSG_PEEK | MSG_DONTWAIT);
-                if (got == 0 || (got < 0 && errno != EAGAIN && errno != EINTR)) {
+                if (self->has_caller_left()) {
                     self->close();
                 }
                 // Otherwise the caller pipelined its next request, which is read after this
@@ -488,6 +493,11 @@
         refuse(error, true);
         return;
     }
+    // After a pause of this process the request may be old, and may have been sent elsewhere.
+    if (has_caller_left()) {
+        close();
+        return;
+    }
     m_stream.expires_never();
     auto message = m_parser->release();
     server_request request;
--- a/src/http/server_test.cpp
+++ b/src/http/server_test.cpp
@@ -23,6 +23,7 @@
     void on_request(std::uint64_t, server_request request,
                     std::shared_ptr<responder> response) override
     {
+        ++requests;
         if (request.target == "/stream" || request.target == "/broken") {
             response->begin(200, {});
             response->write_chunk("part");
@@ -47,6 +48,7 @@
     static constexpr std::size_t large_bytes = 32UL * 1024 * 1024; // more than sockets buffer
     const server* observed = nullptr;
     std::atomic<std::size_t> pending_after_respond{0};
+    std::atomic<int> requests{0};
     std::atomic<core::reason> last_rejection{core::reason::none};
 };
 
@@ -191,6 +193,19 @@
     CHECK_TRUE_TEXT(broken.ends_with("4\r\npart\r\n"), broken.c_str());
 }
 
+TEST(Server, HandsOverNoRequestWhoseCallerLeftWhileTheProcessStoodStill)
+{
+    asio::post(context, [] { std::this_thread::sleep_for(std::chrono::milliseconds{300}); });
+    {
+        asio::io_context own;
+        asio::ip::tcp::socket socket{own};
+        socket.connect(*net::parse_address(address));
+        asio::write(socket, asio::buffer(std::string{"GET / HTTP/1.1\r\nHost: x\r\n\r\n"}));
+    }
+    expect_alive();
+    LONGS_EQUAL(1, handler.requests);
+}
+
 TEST(Server, SendsNoChunksToAnHttp10Caller)
 {
     boost::system::error_code ended;
