Don't use a retry share twice while upstreams hold what a former process sent

A gateway that starts again uses its share of the extra retries eleven seconds later, for the retries of its former process have arrived then.

A gateway whose VM had a share before it started waits for eleven seconds from the last moment at which an upstream was silent, didn't announce itself, or could be unknown to coordinators that started late, and for a minute at most. A gateway without a predecessor doesn't wait.

--- a/include/siskindrift/gateway/retry_share.h
+++ b/include/siskindrift/gateway/retry_share.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 
 #include "siskindrift/core/clock.h"
 #include "siskindrift/fleet/retry_timing.h"
@@ -15,10 +16,15 @@
     /// @param started start of this process, whose predecessor may have sent retries until then.
     /// @param window sliding window of the retry budget.
     retry_share(core::time_point started, core::duration window)
-        : m_usable_from(started + fleet::retry_quarantine(window))
+        : m_window(window), m_started(started),
+          m_usable_from(started + fleet::retry_quarantine(window))
     {
     }
 
+    /// Records that an upstream is silent, or that nobody knows whether one is. It may still
+    /// receive what the predecessor of this process sent to it, if there was one.
+    void record_silent_upstream(core::time_point now);
+
     /// Applies an answer or an announcement of the leader.
     /// @return whether it changed the share, so that the leader waits for a new query.
     bool apply(const wire::retry_share_t& share, core::time_point now);
@@ -31,11 +37,15 @@
     [[nodiscard]] std::uint32_t holders() const { return m_holders; }
 
 private:
+    core::duration m_window;
+    core::time_point m_started;
     core::time_point m_usable_from;
     core::time_point m_valid_until{};
     std::uint64_t m_generation = 0;
     std::uint32_t m_holders = 0;
     bool m_usable = false;
+    /// Whether a former process of this gateway had a share; unknown before the first answer.
+    std::optional<bool> m_has_predecessor;
 };
 
 } // namespace siskindrift::gateway
--- a/src/apps/gateway_guards.cpp
+++ b/src/apps/gateway_guards.cpp
@@ -19,6 +19,11 @@
 // Combines what many requests show at the same time in one message.
 constexpr core::milliseconds evidence_interval{50};
 constexpr core::milliseconds refusal_report_interval{500};
+// An upstream that is silent for longer after a send stands still, or its link does.
+constexpr core::milliseconds suspicious_silence{3000};
+// Coordinators that have known the fleet for so long before a gateway started have heard of all
+// upstreams that its former process may have used.
+constexpr core::milliseconds max_unannounced_time{20'000};
 
 core::reason reason_for(const gateway::blocked_request& blocked)
 {
@@ -484,6 +489,24 @@
     }
 }
 
+// Looks for upstreams that may still receive what a former process of this gateway sent. One that
+// stands still doesn't announce itself.
+void gateway_process::watch_silent_upstreams()
+{
+    const auto now = m_clock.now();
+    const auto& entries = m_roster.entries();
+    const bool unannounced = std::any_of(entries.begin(), entries.end(), [&](const auto& item) {
+        return item.second.info.state == wire::fleet_state::ready &&
+               !m_roster.usable(item.second, now);
+    });
+    const bool silent = std::any_of(m_retries.begin(), m_retries.end(), [&](const auto& item) {
+        return item.second.longest_silence(now) > suspicious_silence;
+    });
+    if (unannounced || silent || m_fleet_known_since > m_started_at - max_unannounced_time) {
+        m_retry_share.record_silent_upstream(now);
+    }
+}
+
 // Finds out what became of sends without an answer. They end with the run that they were sent to:
 // when it starts again, or another upstream starts at its address.
 void gateway_process::resolve_unanswered_sends()
--- a/src/apps/gateway_process.cpp
+++ b/src/apps/gateway_process.cpp
@@ -490,7 +490,9 @@
     }
     divide_places_of_new_runs();
     if (update.full) {
-        m_software.on_contact(now - core::milliseconds{update.history_ms}, now);
+        const auto known_since = now - core::milliseconds{update.history_ms};
+        m_software.on_contact(known_since, now);
+        m_fleet_known_since = std::min(m_fleet_known_since, known_since);
     }
     update_registrars();
     for (const auto& item : update.named) {
@@ -501,6 +503,7 @@
     m_roster.take_changed_copies(now);
     m_pool.remove_departed();
     request_document();
+    watch_silent_upstreams();
     resolve_unanswered_sends();
     if (changed) {
         dispatch_waiting();
--- a/src/apps/gateway_process.h
+++ b/src/apps/gateway_process.h
@@ -309,6 +309,7 @@
     void record_unanswered_send(const exchange& item, gateway::send_end how);
     void record_relay_outcome(const exchange& item);
     void resolve_unanswered_sends();
+    void watch_silent_upstreams();
     bool refuse_blocked(exchange& item);
     void refuse_newly_blocked();
     void record_answer(exchange& item, bool success);
@@ -389,6 +390,9 @@
     std::map<std::string, gateway::retry_ledger> m_retries;    ///< By service.
     std::map<std::string, gateway::prompt_mix> m_prompt_mixes; ///< By service.
     gateway::retry_share m_retry_share;
+    core::time_point m_started_at = m_clock.now();
+    /// Since when a coordinator has heard of the upstreams.
+    core::time_point m_fleet_known_since = core::time_point::max();
     gateway::prompt_guard m_prompt_guard;
     core::time_point m_fleet_heard_at{};   ///< Last news of upstreams and documents.
     core::time_point m_engines_heard_at{}; ///< Last news of what engines hold.
--- a/src/control/retry_share_manager.cpp
+++ b/src/control/retry_share_manager.cpp
@@ -103,6 +103,7 @@
     share.generation = shares.generation;
     share.holders = static_cast<std::uint32_t>(shares.holders.size());
     const auto holder = shares.holders.find(vm);
+    share.holder = holder != shares.holders.end();
     share.usable = holder != shares.holders.end() && holder->second.usable;
     share.asked_ms = asked_ms;
     return share;
--- a/src/gateway/retry_share.cpp
+++ b/src/gateway/retry_share.cpp
@@ -6,6 +6,9 @@
 
 bool retry_share::apply(const wire::retry_share_t& share, core::time_point now)
 {
+    if (share.asked_ms != 0 && !m_has_predecessor) {
+        m_has_predecessor = share.holder;
+    }
     // An announcement that was delayed may describe an earlier state.
     if (share.generation < m_generation && now < m_valid_until) {
         return false;
@@ -21,6 +24,13 @@
     return changed;
 }
 
+void retry_share::record_silent_upstream(core::time_point now)
+{
+    if (m_has_predecessor.value_or(true) && now - m_started <= fleet::max_unanswered_time) {
+        m_usable_from = std::max(m_usable_from, now + fleet::retry_quarantine(m_window));
+    }
+}
+
 double retry_share::fraction(core::time_point now) const
 {
     const bool valid = m_usable && m_holders > 0 && now >= m_usable_from && now < m_valid_until;
--- a/src/gateway/retry_share_test.cpp
+++ b/src/gateway/retry_share_test.cpp
@@ -59,3 +59,35 @@
     DOUBLES_EQUAL(0.125, share.fraction(clock.now()), 0);
     LONGS_EQUAL(5, share.generation());
 }
+
+TEST(RetryShare, IsNotUsedWhileAnUpstreamMayStillReceiveWhatAPredecessorSent)
+{
+    auto told = message(1, 4, true);
+    told.holder = true;
+    share.apply(told, clock.now());
+    clock.advance(window);
+    share.record_silent_upstream(clock.now());
+    clock.advance(window);
+    DOUBLES_EQUAL(0, share.fraction(clock.now()), 0);
+    clock.advance(core::milliseconds{1000});
+    DOUBLES_EQUAL(0.25, share.fraction(clock.now()), 0);
+}
+
+TEST(RetryShare, IsUsedBesideASilentUpstreamByAGatewayThatHasNoPredecessor)
+{
+    share.apply(message(1, 4, true), clock.now());
+    clock.advance(window + fleet::late_arrival_limit);
+    share.record_silent_upstream(clock.now());
+    DOUBLES_EQUAL(0.25, share.fraction(clock.now()), 0);
+}
+
+TEST(RetryShare, IsUsedAgainAMinuteAfterTheStartWhateverUpstreamsAreSilent)
+{
+    auto told = message(1, 4, true);
+    told.holder = true;
+    share.apply(told, clock.now());
+    clock.advance(fleet::max_unanswered_time + window + fleet::late_arrival_limit);
+    share.record_silent_upstream(clock.now());
+    share.apply(message(1, 4, true), clock.now());
+    DOUBLES_EQUAL(0.25, share.fraction(clock.now()), 0);
+}
--- a/tests/retry_budget_test.cpp
+++ b/tests/retry_budget_test.cpp
@@ -47,6 +47,25 @@
     }
 }
 
+TEST(SharedRetryBudget, HoldsInAnyWindowWhileUpstreamsStandStillAndReceiveLate)
+{
+    for (int i = 0; i < runs(); ++i) {
+        const auto seed = first_seed + static_cast<std::uint64_t>(i);
+        retry_budget_world_options options;
+        options.gateways = 2 + static_cast<std::size_t>(i) % 12;
+        options.requests_per_s = i % 3 == 0 ? 8 : 60;
+        options.added_gateways = 0;
+        options.faults = false;
+        options.freeze_upstreams = true;
+        options.restart_gateways = i % 4 == 3;
+        retry_budget_world world{seed, options};
+        world.run();
+        const auto text = "seed " + std::to_string(seed) + ": " +
+                          std::to_string(world.worst_excess()) + " too many";
+        CHECK_TRUE_TEXT(world.worst_excess() <= 0, text.c_str());
+    }
+}
+
 TEST(SharedRetryBudget, CanBeUsedOnACalmFleet)
 {
     retry_budget_world_options options;
--- a/tests/retry_budget_world.cpp
+++ b/tests/retry_budget_world.cpp
@@ -9,6 +9,10 @@
 
 constexpr core::milliseconds step_length{10};
 constexpr core::milliseconds query_interval{3000};
+constexpr core::milliseconds announcement_interval{1200};
+constexpr core::milliseconds announcement_timeout{3700};
+constexpr core::milliseconds suspicious_silence{3000};
+constexpr unsigned max_attempts = 3;
 
 std::ptrdiff_t count_between(const std::vector<core::time_point>& times, core::time_point begin,
                              core::time_point end)
@@ -33,6 +37,9 @@
         start(m_gateways[i]);
     }
     m_leader.begin_term(m_now);
+    for (std::size_t i = 0; i < m_options.upstreams; ++i) {
+        m_upstreams.push_back({{"upstream-" + std::to_string(i), 1}, {}, {}});
+    }
 }
 
 core::duration retry_budget_world::random_ms(std::int64_t low, std::int64_t high)
@@ -61,7 +68,7 @@
         at.clock_offset = random_ms(0, 1'000'000);
         at.clock_rate = 1 + max_drift * (2 * uniform() - 1);
     }
-    at.budget = std::make_unique<gateway::retry_budget>(m_options.budget);
+    at.ledger = std::make_unique<gateway::retry_ledger>(m_options.budget);
     at.share = std::make_unique<gateway::retry_share>(local_time(at), m_options.budget.window);
     at.next_query = m_now + random_ms(0, 300);
 }
@@ -103,14 +110,21 @@
     if (m_options.faults) {
         inject_faults();
     }
+    if (m_options.freeze_upstreams) {
+        disturb_upstreams();
+    }
     while (!m_messages.empty() && m_messages.begin()->first <= m_now) {
         const auto deliver = m_messages.extract(m_messages.begin()).mapped();
         deliver();
     }
     run_leader();
+    announce_upstreams();
     for (std::size_t i = 0; i < m_gateways.size(); ++i) {
         auto& at = m_gateways[i];
         const bool runs = at.down_until <= m_now && at.frozen_until <= m_now;
+        if (runs) {
+            tell_of_silent_upstreams(at);
+        }
         if (runs && at.next_query <= m_now) {
             query_share(i);
         }
@@ -134,42 +148,205 @@
         }
         m_requests.push_back(m_now);
         if (at.down_until <= m_now && at.frozen_until <= m_now) {
-            at.budget->record_request(local_time(at));
-            send_retry(index);
+            at.ledger->record_request(local_time(at));
+            m_sent.push_back({index, at.process, 0, false, 0, {}});
+            send_attempt(m_sent.size() - 1);
         }
     }
 }
 
-void retry_budget_world::send_retry(std::size_t index)
+std::size_t retry_budget_world::choose_upstream(const simulated_request& request)
 {
-    auto& at = m_gateways[index];
+    const auto& at = m_gateways[request.gateway];
+    const auto silent = request.attempts == 0 ? std::set<std::string>{}
+                                              : at.ledger->silent_upstreams(local_time(at));
+    std::vector<std::size_t> answering;
+    std::vector<std::size_t> others;
+    for (std::size_t i = 0; i < m_upstreams.size(); ++i) {
+        if (std::find(request.tried.begin(), request.tried.end(), i) == request.tried.end()) {
+            (silent.contains(m_upstreams[i].run.upstream) ? others : answering).push_back(i);
+        }
+    }
+    const auto& list = answering.empty() ? others : answering;
+    return list[core::uniform_below(m_random, list.size())];
+}
+
+void retry_budget_world::send_attempt(std::uint64_t id)
+{
+    auto& request = m_sent[id];
+    auto& at = m_gateways[request.gateway];
     const auto now = local_time(at);
-    if (!at.budget->try_consume(now, at.share->fraction(now))) {
+    const gateway::request_key key{id};
+    const auto upstream = choose_upstream(request);
+    const auto run = m_upstreams[upstream].run;
+    if (request.attempts > 0 && !at.ledger->try_retry(key, run, now, at.share->fraction(now))) {
+        at.ledger->record_end(key, false);
         return;
     }
+    at.ledger->record_sent(key, run, now);
+    request.open = true;
+    request.tried.push_back(upstream);
+    const auto attempt = ++request.attempts;
     const double fate = uniform();
     if (fate < 0.05) {
-        at.budget->refund(); // no connection was made
+        at.ledger->record_not_sent(key); // no connection was made
+        at.ledger->record_end(key, false);
+        request.open = false;
         return;
     }
-    if (fate < 0.15) {
-        // Given up at once, and received as late as possible, also if the process ends meanwhile.
-        at.budget->settle_late(now);
-        schedule(m_now + random_ms(1, 980), [this] { m_arrivals.push_back(m_now); });
+    const bool given_up = fate < 0.15;
+    const auto delay = given_up      ? random_ms(1, 980)
+                       : fate < 0.25 ? random_ms(1, 6000)
+                                     : random_ms(1, 40);
+    schedule(m_now + delay,
+             [this, id, attempt, upstream, run] { arrive(id, attempt, upstream, run); });
+    // Some are given up early and sent elsewhere.
+    const bool trouble = m_options.faults || m_options.freeze_upstreams;
+    const bool retry = trouble && uniform() < 0.3;
+    const bool short_deadline = trouble && uniform() < 0.9;
+    schedule(m_now + (given_up         ? step_length
+                      : retry          ? random_ms(600, 1400)
+                      : short_deadline ? random_ms(1500, 1500)
+                                       : random_ms(6100, 6500)),
+             [this, id, attempt, retry] { give_up(id, attempt, retry); });
+}
+
+retry_budget_world::simulated_gateway* retry_budget_world::waiting_gateway(std::uint64_t id,
+                                                                           unsigned attempt)
+{
+    const auto& request = m_sent[id];
+    auto& at = m_gateways[request.gateway];
+    const bool waits = request.open && request.attempts == attempt && at.process == request.process;
+    return waits ? &at : nullptr;
+}
+
+void retry_budget_world::give_up(std::uint64_t id, unsigned attempt, bool retry)
+{
+    auto* at = waiting_gateway(id, attempt);
+    if (at == nullptr) {
         return;
     }
-    const auto slow = fate < 0.25 ? random_ms(1, 6000) : random_ms(1, 40);
-    schedule(m_now + slow, [this, index, process = at.process] {
-        auto& sender = m_gateways[index];
-        if (sender.process != process && m_now - sender.started > fleet::late_arrival_limit) {
-            return; // the connections of a process end with it
-        }
+    if (at->frozen_until > m_now) {
+        schedule(at->frozen_until, [this, id, attempt, retry] { give_up(id, attempt, retry); });
+        return;
+    }
+    m_sent[id].open = false;
+    at->ledger->record_unanswered(gateway::request_key{id}, gateway::send_end::given_up,
+                                  local_time(*at));
+    if (retry && attempt < max_attempts) {
+        send_attempt(id);
+        return;
+    }
+    at->ledger->record_end(gateway::request_key{id}, false);
+}
+
+// An upstream that stands still receives what was sent to it when it goes on, whether or not the
+// sender still waits.
+void retry_budget_world::arrive(std::uint64_t id, unsigned attempt, std::size_t upstream,
+                                gateway::upstream_run run)
+{
+    auto& at = m_upstreams[upstream];
+    if (at.run != run) {
+        return; // its connections ended with it
+    }
+    if (at.frozen_until > m_now) {
+        schedule(at.frozen_until + random_ms(1, 300),
+                 [this, id, attempt, upstream, run] { arrive(id, attempt, upstream, run); });
+        return;
+    }
+    if (m_sent[id].arrivals++ > 0) {
         m_arrivals.push_back(m_now);
-        send(index, [this, index] {
-            auto& receiver = m_gateways[index];
-            receiver.budget->settle(local_time(receiver));
+    }
+    const bool answered = !m_options.faults || uniform() < 0.8;
+    const auto back =
+        std::max(m_now + random_ms(1, 5), m_gateways[m_sent[id].gateway].frozen_until);
+    schedule(back, [this, id, attempt, answered] { end_attempt(id, attempt, answered); });
+}
+
+void retry_budget_world::end_attempt(std::uint64_t id, unsigned attempt, bool answered)
+{
+    auto* at = waiting_gateway(id, attempt);
+    if (at == nullptr) {
+        return;
+    }
+    if (at->frozen_until > m_now) {
+        schedule(at->frozen_until,
+                 [this, id, attempt, answered] { end_attempt(id, attempt, answered); });
+        return;
+    }
+    m_sent[id].open = false;
+    const gateway::request_key key{id};
+    if (answered) {
+        at->ledger->record_answer(key, local_time(*at));
+    }
+    else {
+        at->ledger->record_unanswered(key, gateway::send_end::peer_closed, local_time(*at));
+    }
+    if (attempt < max_attempts) {
+        send_attempt(id);
+        return;
+    }
+    at->ledger->record_end(key, false);
+}
+
+void retry_budget_world::disturb_upstreams()
+{
+    if (m_options.restart_gateways && uniform() < 0.0005) {
+        for (auto& at : m_gateways) {
+            at.down_until = m_now + random_ms(10, 1000);
+            start(at);
+            at.next_query = at.down_until;
+        }
+    }
+    if (uniform() < 0.001) {
+        auto& at = m_upstreams[core::uniform_below(m_random, m_upstreams.size())];
+        if (at.frozen_until <= m_now) {
+            at.frozen_since = m_now;
+            at.frozen_until = m_now + random_ms(500, 20'000);
+        }
+    }
+    if (uniform() < 0.0003) {
+        auto& at = m_upstreams[core::uniform_below(m_random, m_upstreams.size())];
+        const auto ended = at.run;
+        ++at.run.born_ms;
+        at.frozen_until = m_now;
+        for (std::size_t i = 0; i < m_gateways.size(); ++i) {
+            send(i, [this, i, ended] {
+                m_gateways[i].ledger->record_run_end(ended, local_time(m_gateways[i]));
+            });
+        }
+    }
+}
+
+void retry_budget_world::announce_upstreams()
+{
+    if (m_now < m_next_announcement) {
+        return;
+    }
+    m_next_announcement = m_now + announcement_interval;
+    for (const auto& upstream : m_upstreams) {
+        if (upstream.frozen_until > m_now) {
+            continue;
+        }
+        for (std::size_t i = 0; i < m_gateways.size(); ++i) {
+            send(i, [this, i, run = upstream.run, announced = local_time(m_gateways[i])] {
+                auto& at = m_gateways[i];
+                at.ledger->record_announcement(run, announced, local_time(at));
+            });
+        }
+    }
+}
+
+// An upstream that stands still doesn't announce itself.
+void retry_budget_world::tell_of_silent_upstreams(simulated_gateway& at)
+{
+    const bool announced =
+        std::none_of(m_upstreams.begin(), m_upstreams.end(), [&](const simulated_upstream& one) {
+            return one.frozen_until > m_now && m_now - one.frozen_since > announcement_timeout;
         });
-    });
+    if (!announced || at.ledger->longest_silence(local_time(at)) > suspicious_silence) {
+        at.share->record_silent_upstream(local_time(at));
+    }
 }
 
 void retry_budget_world::query_share(std::size_t index)
--- a/tests/retry_budget_world.h
+++ b/tests/retry_budget_world.h
@@ -13,7 +13,7 @@
 #include "siskindrift/control/retry_share_manager.h"
 #include "siskindrift/core/clock.h"
 #include "siskindrift/core/random.h"
-#include "siskindrift/gateway/retry_budget.h"
+#include "siskindrift/gateway/retry_ledger.h"
 #include "siskindrift/gateway/retry_share.h"
 
 namespace siskindrift::tests {
@@ -26,12 +26,16 @@
     /// Fraction of the requests that the first gateway receives; the others share the rest.
     double first_gateway_share = 0;
     bool faults = true;
+    std::size_t upstreams = 9;
+    /// Upstreams stand still for up to 20 s, and then receive what was sent meanwhile.
+    bool freeze_upstreams = false;
+    bool restart_gateways = false; ///< All at once while upstreams stand still.
     core::duration length = std::chrono::seconds{150};
     gateway::retry_budget_options budget{0.2, 50, core::milliseconds{10'000}};
 };
 
-/// Runs gateways, their leader and the messages between them, one step after the other. Every
-/// request is retried as often as the budget allows.
+/// Runs gateways, their leader and the messages between them, one step after the other. Upstreams
+/// reject every request, which is retried as often as the budget allows.
 class retry_budget_world {
 public:
     retry_budget_world(std::uint64_t seed, retry_budget_world_options options);
@@ -53,7 +57,7 @@
         std::uint64_t process =
             0; ///< Incremented by each start; messages to earlier ones are lost.
         core::time_point started{}; ///< When the current process started, and the one before ended.
-        std::unique_ptr<gateway::retry_budget> budget;
+        std::unique_ptr<gateway::retry_ledger> ledger;
         std::unique_ptr<gateway::retry_share> share;
         core::time_point down_until{};
         core::time_point frozen_until{};
@@ -61,6 +65,21 @@
         core::time_point next_query{};
     };
 
+    struct simulated_upstream {
+        gateway::upstream_run run;
+        core::time_point frozen_since{};
+        core::time_point frozen_until{};
+    };
+
+    struct simulated_request {
+        std::size_t gateway = 0;
+        std::uint64_t process = 0; ///< Of the gateway that received it.
+        unsigned attempts = 0;
+        bool open = false;
+        std::uint32_t arrivals = 0;
+        std::vector<std::size_t> tried;
+    };
+
     [[nodiscard]] core::time_point local_time(const simulated_gateway& at) const;
     void start(simulated_gateway& at);
     void step();
@@ -68,7 +87,17 @@
     void disturb(simulated_gateway& at);
     void move_callers();
     void receive_requests(std::size_t index);
-    void send_retry(std::size_t index);
+    void send_attempt(std::uint64_t id);
+    void give_up(std::uint64_t id, unsigned attempt, bool retry);
+    void arrive(std::uint64_t id, unsigned attempt, std::size_t upstream,
+                gateway::upstream_run run);
+    void end_attempt(std::uint64_t id, unsigned attempt, bool answered);
+    [[nodiscard]] std::size_t choose_upstream(const simulated_request& request);
+    /// Returns the gateway that waits for an attempt, or null.
+    [[nodiscard]] simulated_gateway* waiting_gateway(std::uint64_t id, unsigned attempt);
+    void disturb_upstreams();
+    void announce_upstreams();
+    void tell_of_silent_upstreams(simulated_gateway& at);
     void query_share(std::size_t index);
     void tell_share(std::size_t index, std::uint64_t asked_ms);
     void run_leader();
@@ -95,6 +124,9 @@
     core::time_point m_leaderless_until{};
     std::uint64_t m_announced = 0;
 
+    std::vector<simulated_upstream> m_upstreams;
+    core::time_point m_next_announcement{};
+    std::vector<simulated_request> m_sent; ///< By the number of the request.
     std::vector<core::time_point> m_requests;
     std::vector<core::time_point> m_arrivals; ///< Of retries, sorted at the end of the run.
 };
