--- a/tests/retry_traffic.py
+++ b/tests/retry_traffic.py
@@ -1,6 +1,7 @@
 """Callers of several gateways, whose retries are counted where they arrive.
 
-SEED seeds the faults of a test, KEEP_LOGS keeps the logs of its processes.
+SEED seeds the faults of a test, KEEP_LOGS keeps the logs of its processes; GATEWAYS, PLAIN and
+ENGINES are the numbers of processes and upstreams.
 """
 
 import asyncio
@@ -19,7 +20,9 @@
                               request_headers)
 from retry_budget_test import START_S, excess_retries, find_retries
 
-GATEWAYS = 4
+GATEWAYS = int(os.environ.get("GATEWAYS", "4"))
+PLAIN = int(os.environ.get("PLAIN", "6"))
+ENGINES = int(os.environ.get("ENGINES", "3"))
 REQUESTS_PER_S = 30.0  # to each service
 DEADLINE_S = 1.5
 PATHS = {"desk": "/safe/x", "models": "/stream/x"}
@@ -41,8 +44,8 @@
     async def asyncSetUp(self):
         self.folder = tempfile.mkdtemp(prefix="retry-traffic-")
         self.random = random.Random(SEED)
-        self.platform = PlatformFixture(self.folder, seed=SEED, gateways=GATEWAYS, plain=6,
-                                        engines=3)
+        self.platform = PlatformFixture(self.folder, seed=SEED, gateways=GATEWAYS, plain=PLAIN,
+                                        engines=ENGINES)
         self.request_times = {service: [] for service in PATHS}
         self.statuses = []
         self.calls = set()
