Wait with a restarted gateway's share only once its predecessor is known

The share of a gateway was put off by silence before the leader's first answer had told whether it had a predecessor; now both are kept and looked at together. Sends without an answer expire also while nothing is retried, so that they don't pile up.

--- a/include/siskindrift/gateway/retry_ledger.h
+++ b/include/siskindrift/gateway/retry_ledger.h
@@ -89,6 +89,8 @@
                              core::time_point now);
     /// Records that a run has ended, so that nothing reaches it any more.
     void record_run_end(const upstream_run& run, core::time_point now);
+    /// Settles sends that have been without an answer for too long.
+    void remove_expired(core::time_point now);
     /// Returns the runs that have not answered all sends.
     [[nodiscard]] std::vector<upstream_run> unanswering_runs() const;
     /// Returns the upstreams that are silent.
@@ -135,7 +137,6 @@
     void record_sign_of_life(run_state& run, core::time_point now) const;
     void remove_if_done(request_key request);
     void remove_if_idle(const upstream_run& run);
-    void expire(core::time_point now);
 
     retry_budget m_budget;
     retry_ledger_options m_options;
--- a/include/siskindrift/gateway/retry_share.h
+++ b/include/siskindrift/gateway/retry_share.h
@@ -44,6 +44,7 @@
     std::uint64_t m_generation = 0;
     std::uint32_t m_holders = 0;
     bool m_usable = false;
+    std::optional<core::time_point> m_upstream_silent_at;
     /// Whether a former process of this gateway had a share; unknown before the first answer.
     std::optional<bool> m_has_predecessor;
 };
--- a/src/apps/gateway_exchanges.cpp
+++ b/src/apps/gateway_exchanges.cpp
@@ -593,7 +593,7 @@
     }
     item->response_head = head;
     apply_relay_head(*item, *item->response_head);
-    record_relay_outcome(*item);
+    record_answered_send(*item);
     item->response_metadata = platform::decode_response(*item->response_head);
     if (item->relay_verdict) {
         item->response_metadata.not_executed = *item->relay_verdict == core::verdict::not_run;
--- a/src/apps/gateway_guards.cpp
+++ b/src/apps/gateway_guards.cpp
@@ -476,8 +476,9 @@
                                       {"age_ms", core::to_ms(now - item.sent_at)}});
 }
 
-// Records what a helper's answer says of the sends that the helper made or didn't make.
-void gateway_process::record_relay_outcome(const exchange& item)
+// Records that the current attempt was answered. A helper that failed goes on counting its own
+// sends, so that an answer of its own settles this one too.
+void gateway_process::record_answered_send(const exchange& item)
 {
     auto& retries = m_retries[item.service];
     const gateway::request_key request{item.id};
@@ -513,6 +514,7 @@
 {
     const auto now = m_clock.now();
     for (auto& [service, retries] : m_retries) {
+        retries.remove_expired(now);
         for (const auto& run : retries.unanswering_runs()) {
             const auto* entry = m_roster.find(run.upstream);
             if (entry == nullptr) {
--- a/src/apps/gateway_process.h
+++ b/src/apps/gateway_process.h
@@ -307,7 +307,7 @@
     [[nodiscard]] static gateway::upstream_run run_of(const exchange& item);
     [[nodiscard]] bool try_retry(const exchange& item, const gateway::upstream_run& run);
     void record_unanswered_send(const exchange& item, gateway::send_end how);
-    void record_relay_outcome(const exchange& item);
+    void record_answered_send(const exchange& item);
     void resolve_unanswered_sends();
     void watch_silent_upstreams();
     bool refuse_blocked(exchange& item);
--- a/src/gateway/retry_ledger.cpp
+++ b/src/gateway/retry_ledger.cpp
@@ -8,7 +8,7 @@
 bool retry_ledger::try_retry(request_key request, const upstream_run& run, core::time_point now,
                              double share)
 {
-    expire(now);
+    remove_expired(now);
     auto& sends = m_requests[request];
     const auto arrival = sends.unanswered > 0 || is_silent(run, now) ? retry_arrival::at_any_time
                                                                      : retry_arrival::soon;
@@ -245,7 +245,7 @@
     }
 }
 
-void retry_ledger::expire(core::time_point now)
+void retry_ledger::remove_expired(core::time_point now)
 {
     for (auto run = m_runs.begin(); run != m_runs.end();) {
         auto& state = run->second;
--- a/src/gateway/retry_share.cpp
+++ b/src/gateway/retry_share.cpp
@@ -26,14 +26,17 @@
 
 void retry_share::record_silent_upstream(core::time_point now)
 {
-    if (m_has_predecessor.value_or(true) && now - m_started <= fleet::max_unanswered_time) {
-        m_usable_from = std::max(m_usable_from, now + fleet::retry_quarantine(m_window));
+    if (now - m_started <= fleet::max_unanswered_time) {
+        m_upstream_silent_at = now;
     }
 }
 
 double retry_share::fraction(core::time_point now) const
 {
-    const bool valid = m_usable && m_holders > 0 && now >= m_usable_from && now < m_valid_until;
+    const bool may_arrive = m_has_predecessor.value_or(true) && m_upstream_silent_at &&
+                            now < *m_upstream_silent_at + fleet::retry_quarantine(m_window);
+    const bool valid =
+        !may_arrive && m_usable && m_holders > 0 && now >= m_usable_from && now < m_valid_until;
     return valid ? 1.0 / m_holders : 0.0;
 }
 
