Test the shared retry budget in all kinds of trouble at once

Frozen upstreams, held links, gateways that stand still, are killed or cut off from upstreams, coordinators that are killed, upstreams that crash and answers that are lost, one over the other, judged by what upstreams receive.

--- a/tests/late_arrival_test.py
+++ b/tests/late_arrival_test.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import os
+import signal
 import time
 import unittest
 
@@ -50,6 +51,59 @@
         await self.disturb_some(set_held(True), set_held(False))
         await self.check_budget()
 
+    async def repeat_until(self, end, pause_s, act):
+        """Calls `act` again and again, after pauses of random length."""
+        while True:
+            await asyncio.sleep(self.random.uniform(*pause_s))
+            if time.monotonic() >= end:
+                return
+            await act()
+
+    async def stop_and_continue(self, names, length_s):
+        name = self.random.choice(names)
+        self.platform.signal(name, signal.SIGSTOP)
+        await asyncio.sleep(self.random.uniform(*length_s))
+        self.platform.signal(name, signal.SIGCONT)
+
+    async def kill_and_start(self, names):
+        name = self.random.choice(names)
+        self.platform.signal(name, signal.SIGKILL)
+        await self.platform.wait_for_exit(name, 5)
+        self.platform.start(name)
+
+    async def cut_gateway_off(self):
+        """Cuts a gateway off from some upstreams, so that others pass its requests on."""
+        source = self.platform.source_address(self.random.randrange(len(self.platform.gateways)))
+        links = [upstream.link for upstream in self.platform.upstreams]
+        chosen = self.random.sample(links, self.random.choice((3, len(links))))
+        old = self.random.choice(("silent", "reset", "live"))
+        for link in chosen:
+            link.block([source], old)
+        await asyncio.sleep(self.random.uniform(1.0, 8.0))
+        for link in chosen:
+            link.unblock()
+
+    async def test_retries_stay_within_the_budget_in_all_kinds_of_trouble_at_once(self):
+        end = time.monotonic() + TROUBLE_S
+        gateways, coordinators = self.platform.gateways, self.platform.coordinators
+        for upstream in self.platform.upstreams:
+            upstream.refusing = self.random.random() < 0.9
+            upstream.lost_response_share = self.random.choice((0.0, 0.6))
+
+        async def crash():
+            await self.random.choice(self.platform.upstreams).crash(1.5)
+        await asyncio.gather(
+            self.disturb_some(lambda upstream: setattr(upstream, "frozen", True),
+                              lambda upstream: setattr(upstream, "frozen", False)),
+            self.disturb_some(lambda upstream: setattr(upstream.link, "held", True),
+                              lambda upstream: setattr(upstream.link, "held", False)),
+            self.repeat_until(end, (1, 4), lambda: self.stop_and_continue(gateways[:2], (1, 6))),
+            self.repeat_until(end, (4, 10), lambda: self.kill_and_start(gateways[2:])),
+            self.repeat_until(end, (4, 10), lambda: self.kill_and_start(coordinators)),
+            self.repeat_until(end, (2, 6), self.cut_gateway_off),
+            self.repeat_until(end, (3, 8), crash))
+        await self.check_budget()
+
     async def test_retries_are_usable_beside_one_frozen_upstream(self):
         self.refuse_requests()
         self.platform.upstreams[0].frozen = True
