--- a/src/apps/gateway_exchanges.cpp
+++ b/src/apps/gateway_exchanges.cpp
@@ -361,6 +361,7 @@
     ++item.sends;
     ++item.may_have_run;
     item.helper.clear();
+    item.helper_sent = false;
     item.relay_verdict.reset();
     item.relay_upstream.clear();
     item.response_head.reset();
--- a/src/apps/gateway_guards.cpp
+++ b/src/apps/gateway_guards.cpp
@@ -482,7 +482,8 @@
 {
     auto& retries = m_retries[item.service];
     const gateway::request_key request{item.id};
-    if (item.relay_verdict == core::verdict::not_run) {
+    // An upstream that rejected the request has received it, although it has not run.
+    if (item.relay_verdict == core::verdict::not_run && !item.helper_sent) {
         retries.record_not_sent(request);
     }
     else {
--- a/src/apps/gateway_process.h
+++ b/src/apps/gateway_process.h
@@ -153,8 +153,9 @@
         std::uint64_t call_id = 0;       ///< 0 if no attempt is open.
         std::uint64_t events_before = 0; ///< Events of earlier attempts.
         bool answer_recorded =
-            false;          ///< The prompt guard knows that the attempt is being answered.
-        std::string helper; ///< Gateway that the attempt goes through, or empty.
+            false;                ///< The prompt guard knows that the attempt is being answered.
+        std::string helper;       ///< Gateway that the attempt goes through, or empty.
+        bool helper_sent = false; ///< The helper has sent the request to an upstream.
         std::optional<core::verdict> relay_verdict; ///< Of an answer of the helper's own.
         core::reason relay_reason = core::reason::none;
         std::string relay_upstream; ///< Upstream that the helper chose, for logs.
--- a/src/apps/gateway_relays.cpp
+++ b/src/apps/gateway_relays.cpp
@@ -113,6 +113,7 @@
         item.relay_reason = core::reason::answer_incomplete;
         return;
     }
+    item.helper_sent = answer->attempts_sent >= item.attempts_sent;
     item.attempts_sent = std::max(item.attempts_sent - 1, answer->attempts_sent);
     item.may_have_run = answer->may_have_run;
     item.software_version = answer->software_version;
--- a/tests/late_arrival_test.py
+++ b/tests/late_arrival_test.py
@@ -104,6 +104,13 @@
             self.repeat_until(end, (3, 8), crash))
         await self.check_budget()
 
+    async def test_retries_through_other_gateways_stay_within_the_budget(self):
+        self.refuse_requests()
+        for upstream in self.platform.upstreams:
+            upstream.link.block([self.platform.source_address(0)], "reset")
+        await asyncio.sleep(RETRY_WINDOW_S + 2)
+        await self.check_budget()
+
     async def test_retries_are_usable_beside_one_frozen_upstream(self):
         self.refuse_requests()
         self.platform.upstreams[0].frozen = True
