Settle a retry whose earlier sends were made by another gateway

A gateway that helps one of the former build counts the first send of a request as a retry, since the other one doesn't. The ledger took that send for the first of its request, which is none, and kept the counted retry for good: with each such request the gateway had one retry less until it ended. Two builds side by side were not run as processes.

--- a/include/siskindrift/gateway/retry_ledger.h
+++ b/include/siskindrift/gateway/retry_ledger.h
@@ -45,9 +45,9 @@
 /// Closing a connection doesn't take back what the kernel of the peer has accepted: an upstream
 /// that stands still reads it whenever it goes on. So a send that got no answer may arrive at any
 /// time, until the same run answers a later send, announces itself without having been silent, or
-/// has ended. Of the sends of a request all but
-/// the first to arrive are retries, whichever was sent first. The retries of a request therefore
-/// leave the budget one by one, as its second, third and further send has certainly arrived.
+/// has ended. Of the sends of a request all but the first to arrive are retries, whichever was sent
+/// first. The retries of a request therefore leave the budget one by one, as its second, third and
+/// further send has certainly arrived.
 class retry_ledger {
 public:
     explicit retry_ledger(retry_budget_options budget = {}, retry_ledger_options options = {})
--- a/src/gateway/retry_ledger.cpp
+++ b/src/gateway/retry_ledger.cpp
@@ -16,6 +16,9 @@
         remove_if_done(request);
         return false;
     }
+    if (sends.retries == 0 && sends.arrived == 0 && sends.unanswered == 0) {
+        sends.arrived = 1; // another gateway made the first send
+    }
     ++sends.retries;
     return true;
 }
--- a/src/gateway/retry_ledger_test.cpp
+++ b/src/gateway/retry_ledger_test.cpp
@@ -212,3 +212,14 @@
     ledger.record_announcement(frozen, clock.now(), clock.now());
     LONGS_EQUAL(1, ledger.unanswered());
 }
+
+TEST(RetryLedger, SettlesARetryWhoseEarlierSendsWereMadeByAnotherGateway)
+{
+    const auto request = begin();
+    CHECK_TRUE(retry(request, sound));
+    ledger.record_answer(request, clock.now());
+    ledger.record_end(request, true);
+    DOUBLES_EQUAL(1, counted(), 0);
+    clock.advance(core::milliseconds{11'500});
+    DOUBLES_EQUAL(0, counted(), 0);
+}
