Tell the retry ledger of answers ten times a second, not of each part

Since each part of each answer made two strings and searched a map for the sake of the silence of its upstream.

--- a/src/apps/gateway_exchanges.cpp
+++ b/src/apps/gateway_exchanges.cpp
@@ -30,6 +30,8 @@
 constexpr std::uint16_t first_redirect_status = 300;
 constexpr std::uint16_t service_unavailable = 503;
 constexpr std::size_t max_counted_rejections = 256;
+// A fraction of the time after which an upstream counts as silent.
+constexpr core::milliseconds activity_interval{100};
 constexpr std::string_view too_large_to_keep = "the response is too large to keep";
 
 // Returns the length of the body that a head states, or 0.
@@ -677,8 +679,13 @@
         return;
     }
     if (item->helper.empty()) {
-        m_pool.record_activity(item->upstream_id, m_clock.now(), item->opened_at);
-        m_retries[item->service].record_activity(run_of(*item), m_clock.now());
+        const auto now = m_clock.now();
+        m_pool.record_activity(item->upstream_id, now, item->opened_at);
+        // A fast answer comes in thousands of parts.
+        if (now - item->activity_recorded_at >= activity_interval) {
+            item->activity_recorded_at = now;
+            m_retries[item->service].record_activity(run_of(*item), now);
+        }
     }
     if (item->forwarding) {
         forward_stream_data(*item, bytes);
--- a/src/apps/gateway_process.h
+++ b/src/apps/gateway_process.h
@@ -165,7 +165,9 @@
         std::string software_version;       ///< Of the upstream, empty if it is unknown.
         core::time_point sent_at{};
         core::time_point opened_at{}; ///< The attempt's connection was opened then or later.
-        bool uses_permit = false;     ///< Is sent under the upstream's limit.
+        core::time_point
+            activity_recorded_at{}; ///< When the retry ledger last heard of its answer.
+        bool uses_permit = false;   ///< Is sent under the upstream's limit.
         std::uint32_t unprocessed_prompt_tokens =
             0; ///< Prompt tokens the upstream has yet to process.
         std::optional<http::client_head> response_head;
