Believe of a send only what its upstream has answered

Cause: two beliefs about sends that nobody has answered. - An announcement of the upstream settled what had been sent before it, unless the upstream had been silent for half a second after a send that was still open. A send whose caller leaves sooner is never that old. But announcements take another path, which may be open while the gateway's own is held, and reports may be seconds old. - Half of what was allowed might wait at upstreams that stand still. Beside one of three this is what callers lose; after a burst of requests it is more than what is allowed when it arrives.

Now only an answer to a later send, the end of the run or a minute settles a send. What may arrive at any time is limited to the part of the budget that is allowed without requests, too: the share of the extra retries. An upstream that has sent nothing for three times the usual time of an answer is overdue: retries go there last, and a twentieth of the allowed may wait there. To make up for the announcements, first sends prefer, of equally loaded upstreams, one whose answer settles earlier sends, and an answer to a later send settles a retry that is still open.

--- a/include/siskindrift/gateway/retry_budget.h
+++ b/include/siskindrift/gateway/retry_budget.h
@@ -26,7 +26,8 @@
 /// When a retry that is about to be sent reaches its upstream.
 enum class retry_arrival : std::uint8_t {
     soon,        ///< The upstream answers its requests.
-    at_any_time, ///< The request has an unanswered send, or the upstream is silent.
+    at_any_time, ///< An earlier send of the request is unanswered, and may come last.
+    overdue,     ///< The upstream doesn't answer in the usual time, and may stand still.
 };
 
 /// One gateway's part of the retry budget of one service. Performs no I/O.
@@ -46,11 +47,14 @@
     /// Counts a retry that is about to be sent, if the budget allows it. The retry counts in every
     /// window from now on until `settle`, `settle_late` or `refund` is called for it.
     /// @param share fraction of the extra retries that this gateway may send, from 0 to 1.
-    /// @param arrival retries that may arrive at any time can use only a part of the budget, since
-    /// fewer may be allowed when they arrive.
+    /// @param arrival retries that may arrive at any time can use only what is allowed however few
+    /// requests there are then, and those at upstreams that may stand still only a small part of
+    /// that, so that the rest can be used elsewhere.
+    /// @param uncertain retries counted so far that may arrive at any time.
     /// @return false if the budget is exhausted.
     [[nodiscard]] bool try_consume(core::time_point now, double share,
-                                   retry_arrival arrival = retry_arrival::soon);
+                                   retry_arrival arrival = retry_arrival::soon,
+                                   std::uint32_t uncertain = 0);
     /// Counts a retry that was sent already, whether or not the budget allows it.
     void consume() { ++m_unsettled; }
     /// Records that an upstream has received a retry.
--- a/include/siskindrift/gateway/retry_ledger.h
+++ b/include/siskindrift/gateway/retry_ledger.h
@@ -35,6 +35,10 @@
 struct retry_ledger_options {
     /// Time without an answer to any of its requests after which an upstream counts as silent.
     core::duration silence_limit = core::milliseconds{500};
+    /// An upstream is overdue after this multiple of the time in which upstreams of the service
+    /// answer, and after `min_overdue_time` at the earliest.
+    double overdue_factor = 3;
+    core::duration min_overdue_time = core::milliseconds{50};
     /// Time after which an unanswered send counts as arrived although nothing showed it.
     core::duration max_unanswered = fleet::max_unanswered_time;
 };
@@ -44,10 +48,10 @@
 ///
 /// Closing a connection doesn't take back what the kernel of the peer has accepted: an upstream
 /// that stands still reads it whenever it goes on. So a send that got no answer may arrive at any
-/// time, until the same run answers a later send, announces itself without having been silent, or
-/// has ended. Of the sends of a request all but the first to arrive are retries, whichever was sent
-/// first. The retries of a request therefore leave the budget one by one, as its second, third and
-/// further send has certainly arrived.
+/// time, until the same run answers a later send or has ended. An announcement shows nothing: it
+/// takes another path, and may be older than it seems. Of the sends of a request all but the first
+/// to arrive are retries, whichever was sent first. The retries of a request therefore leave the
+/// budget one by one, as its second, third and further send has certainly arrived.
 class retry_ledger {
 public:
     explicit retry_ledger(retry_budget_options budget = {}, retry_ledger_options options = {})
@@ -82,24 +86,25 @@
 
     /// Records that bytes of an answer came from a run.
     void record_activity(const upstream_run& run, core::time_point now);
-    /// Records that a run announced itself. This says nothing of a run that is silent to this
-    /// gateway: the path to it may hold what was sent.
-    /// @param announced when the run sent the announcement.
-    void record_announcement(const upstream_run& run, core::time_point announced,
-                             core::time_point now);
     /// Records that a run has ended, so that nothing reaches it any more.
     void record_run_end(const upstream_run& run, core::time_point now);
     /// Settles sends that have been without an answer for too long.
     void remove_expired(core::time_point now);
     /// Returns the runs that have not answered all sends.
     [[nodiscard]] std::vector<upstream_run> unanswering_runs() const;
-    /// Returns the upstreams that are silent.
-    [[nodiscard]] std::set<std::string> silent_upstreams(core::time_point now) const;
+    /// Returns the upstreams whose answers are overdue, at which a retry may arrive at any time.
+    [[nodiscard]] std::set<std::string> overdue_upstreams(core::time_point now) const;
+    /// Returns the upstreams whose answer to another send would settle earlier ones, and that
+    /// aren't overdue.
+    [[nodiscard]] std::set<std::string> unsettled_upstreams(core::time_point now) const;
     /// Returns for how long the run has been silent that has been silent longest, of those that
     /// haven't answered all sends that have ended.
     [[nodiscard]] core::duration longest_silence(core::time_point now) const;
     /// Returns whether a run has been silent for too long after a send.
     [[nodiscard]] bool is_silent(const upstream_run& run, core::time_point now) const;
+    /// Returns whether a run has been silent after a send for longer than upstreams of the service
+    /// take to answer.
+    [[nodiscard]] bool is_overdue(const upstream_run& run, core::time_point now) const;
 
     /// Returns the use of the budget, as `retry_budget::usage` does.
     [[nodiscard]] retry_usage usage(core::time_point now, double share) const
@@ -108,6 +113,8 @@
     }
     /// Returns the sends of retried requests that may arrive at any time.
     [[nodiscard]] std::size_t unanswered() const;
+    /// Returns the counted retries that may arrive at any time.
+    [[nodiscard]] std::uint32_t uncertain_retries(core::time_point now) const;
 
 private:
     struct request_sends {
@@ -116,6 +123,7 @@
         std::uint32_t unanswered = 0; ///< Sends that may arrive at any time.
         std::optional<upstream_run> open;
         core::time_point open_since{};
+        bool open_arrived = false; ///< The run has answered a later send.
         bool ended = false;
     };
     struct unanswered_send {
@@ -124,17 +132,25 @@
         core::time_point ended;
     };
     struct run_state {
-        std::uint32_t open = 0; ///< Open sends.
-        /// First send since the last sign of life; none if none has waited for long since.
+        std::set<request_key> open; ///< Requests with an open send.
+        /// First send since the last sign of life; none if it left nothing unanswered.
         std::optional<core::time_point> waiting_since;
         core::time_point answered_sent{}; ///< Latest send that it has answered.
         std::vector<unanswered_send> unanswered;
     };
 
+    /// Ends the open send of a request, and returns the state of its run.
+    run_state& end_open_send(request_key request, request_sends& sends, upstream_run& run);
     void settle(request_sends& sends, core::time_point arrived_by);
-    void settle_unanswered(run_state& run, core::time_point now,
+    void settle_unanswered(run_state& run, core::time_point arrived_by,
                            const std::function<bool(const unanswered_send&)>& arrived);
+    void settle_earlier(run_state& run, core::time_point answered_sent, bool was_silent,
+                        core::time_point now);
     void record_sign_of_life(run_state& run, core::time_point now) const;
+    void record_answer_time(core::duration time);
+    [[nodiscard]] core::duration overdue_time() const;
+    [[nodiscard]] bool waits_longer_than(const upstream_run& run, core::duration limit,
+                                         core::time_point now) const;
     void remove_if_done(request_key request);
     void remove_if_idle(const upstream_run& run);
 
@@ -142,6 +158,7 @@
     retry_ledger_options m_options;
     std::map<request_key, request_sends> m_requests;
     std::map<upstream_run, run_state> m_runs;
+    core::duration m_answer_time{}; ///< Moving average; zero before the first answer.
 };
 
 } // namespace siskindrift::gateway
--- a/include/siskindrift/gateway/upstream_pool.h
+++ b/include/siskindrift/gateway/upstream_pool.h
@@ -136,6 +136,12 @@
     shortage lacks = shortage::none; ///< If there is no upstream to send to.
 };
 
+/// Which upstreams a request is rather sent to.
+struct send_preference {
+    std::set<std::string> avoided;   ///< Chosen only if there is no other.
+    std::set<std::string> preferred; ///< Chosen from those with equal load.
+};
+
 /// Tracks the load, the adapters and the failures of the upstreams, including the requests that
 /// this gateway sent to them, and chooses upstreams by them. Performs no I/O.
 ///
@@ -165,13 +171,13 @@
     /// chosen if there is one, because another request may not come before the permit expires.
     /// @param pin set for a stream that has begun: only upstreams that it allows are chosen.
     /// @param repeatable whether the request may be executed more than once.
-    /// @param silent upstreams that are chosen only if there is no other.
+    /// @param preference which upstreams are chosen before others.
     [[nodiscard]] pool_choice choose(const std::string& service, const adapter_name& wanted,
                                      const std::set<std::string>& tried, core::time_point now,
                                      const std::string& permitted = {},
                                      const std::optional<software_pin>& pin = {},
                                      bool repeatable = true,
-                                     const std::set<std::string>& silent = {});
+                                     const send_preference& preference = {});
 
     /// Records that a request was sent to @p upstream.
     /// @param tokens prompt tokens that the upstream has to process before the first token.
@@ -275,6 +281,7 @@
         bool ejected;
         bool needs_permit;
         bool refuses;
+        bool preferred;
     };
     struct engine_state {
         std::uint64_t born_ms = 0;  ///< Start time, which identifies one run of the engine.
--- a/src/apps/gateway_exchanges.cpp
+++ b/src/apps/gateway_exchanges.cpp
@@ -237,12 +237,9 @@
     if (refuse_unsendable(item) || refuse_blocked(item)) {
         return;
     }
-    const bool retry = item.attempts_sent > item.attempts_counted;
-    const auto silent =
-        retry ? m_retries[item.service].silent_upstreams(now) : std::set<std::string>{};
     const auto choice =
         m_pool.choose(item.service, item.adapter, item.tried_upstreams, now, item.permit_upstream,
-                      item.pin, item.route.repeatable(), silent);
+                      item.pin, item.route.repeatable(), preference_for(item));
     stop_awaiting_permit(item);
     m_awaiting_place.erase(item.id);
     item.lacks = choice.lacks;
--- a/src/apps/gateway_guards.cpp
+++ b/src/apps/gateway_guards.cpp
@@ -430,23 +430,35 @@
     return {item.upstream_id, item.upstream_born_ms};
 }
 
+// Keeps retries away from upstreams that may stand still, and lets first sends find out which do.
+gateway::send_preference gateway_process::preference_for(const exchange& item)
+{
+    const auto& retries = m_retries[item.service];
+    const auto now = m_clock.now();
+    if (item.attempts_sent > item.attempts_counted) {
+        return {retries.overdue_upstreams(now), {}};
+    }
+    return {{}, retries.unsettled_upstreams(now)};
+}
+
 // Counts the next attempt as a retry. Returns false if the budget doesn't allow it.
 bool gateway_process::try_retry(const exchange& item, const gateway::upstream_run& run)
 {
     const auto now = m_clock.now();
     const auto share = m_retry_share.fraction(now);
     auto& retries = m_retries[item.service];
-    const bool silent = retries.is_silent(run, now);
+    const bool overdue = retries.is_overdue(run, now);
     const bool allowed = retries.try_retry(gateway::request_key{item.id}, run, now, share);
     const auto usage = retries.usage(now, share);
     observe::info(allowed ? "retry_sent" : "retry_refused",
                   {{"request", item.metadata.request_id},
                    {"service", item.service},
                    {"upstream", run.upstream},
-                   {"silent", silent},
+                   {"overdue", overdue},
                    {"attempt", item.attempts_sent + 1},
                    {"counted", usage.retries},
                    {"unanswered", retries.unanswered()},
+                   {"uncertain", retries.uncertain_retries(now)},
                    {"allowed", usage.allowed},
                    {"share", share},
                    {"generation", m_retry_share.generation()}});
@@ -532,9 +544,6 @@
                               {{"service", service}, {"upstream", run.upstream}});
                 retries.record_run_end(run, now);
             }
-            else if (entry->info.born_ms == run.born_ms) {
-                retries.record_announcement(run, entry->last_heard, now);
-            }
         }
     }
 }
--- a/src/apps/gateway_process.h
+++ b/src/apps/gateway_process.h
@@ -308,6 +308,7 @@
 
     // Retry budget and prompt guard (gateway_guards.cpp).
     [[nodiscard]] static gateway::upstream_run run_of(const exchange& item);
+    [[nodiscard]] gateway::send_preference preference_for(const exchange& item);
     [[nodiscard]] bool try_retry(const exchange& item, const gateway::upstream_run& run);
     void record_unanswered_send(const exchange& item, gateway::send_end how);
     void record_answered_send(const exchange& item);
--- a/src/gateway/retry_budget.cpp
+++ b/src/gateway/retry_budget.cpp
@@ -9,8 +9,10 @@
 
 constexpr std::int64_t slices_per_window = 100;
 constexpr double windows_averaged = 3;
-// Of the retries that are allowed now, how many may arrive at any time.
-constexpr double arriving_at_any_time_share = 0.5;
+// Of the retries that are allowed, how many may wait at upstreams that may stand still, and how
+// many may arrive at any time while a gateway has no share of the extra ones.
+constexpr double overdue_share = 0.05;
+constexpr double uncertain_share = 0.1;
 
 // Sums of consecutive slices of a range, in constant time each.
 class range_sums {
@@ -141,15 +143,19 @@
     return tightest;
 }
 
-bool retry_budget::try_consume(core::time_point now, double share, retry_arrival arrival)
+bool retry_budget::try_consume(core::time_point now, double share, retry_arrival arrival,
+                               std::uint32_t uncertain)
 {
     remove_expired(now);
     const auto used = usage(now, share);
     if (used.retries + 1 > used.allowed) {
         return false;
     }
-    if (arrival == retry_arrival::at_any_time &&
-        m_unsettled + 1 > arriving_at_any_time_share * used.allowed) {
+    const double extra = share * m_options.extra_retries;
+    const double limit = arrival == retry_arrival::overdue ? overdue_share * used.allowed
+                         : extra > 0                       ? extra
+                                                           : uncertain_share * used.allowed;
+    if (arrival != retry_arrival::soon && uncertain + 1 > limit) {
         return false;
     }
     ++m_unsettled;
--- a/src/gateway/retry_ledger.cpp
+++ b/src/gateway/retry_ledger.cpp
@@ -4,15 +4,22 @@
 #include <utility>
 
 namespace siskindrift::gateway {
+namespace {
+
+// Weight of the latest answer in the moving average of the time of answers.
+constexpr double answer_time_weight = 0.05;
+
+} // namespace
 
 bool retry_ledger::try_retry(request_key request, const upstream_run& run, core::time_point now,
                              double share)
 {
     remove_expired(now);
     auto& sends = m_requests[request];
-    const auto arrival = sends.unanswered > 0 || is_silent(run, now) ? retry_arrival::at_any_time
-                                                                     : retry_arrival::soon;
-    if (!m_budget.try_consume(now, share, arrival)) {
+    const auto arrival = is_overdue(run, now)   ? retry_arrival::overdue
+                         : sends.unanswered > 0 ? retry_arrival::at_any_time
+                                                : retry_arrival::soon;
+    if (!m_budget.try_consume(now, share, arrival, uncertain_retries(now))) {
         remove_if_done(request);
         return false;
     }
@@ -28,8 +35,9 @@
     auto& sends = m_requests[request];
     sends.open = run;
     sends.open_since = now;
+    sends.open_arrived = false;
     auto& state = m_runs[run];
-    ++state.open;
+    state.open.insert(request);
     state.waiting_since = state.waiting_since.value_or(now);
 }
 
@@ -40,14 +48,17 @@
         return;
     }
     auto& sends = found->second;
-    const auto run = *std::exchange(sends.open, std::nullopt);
-    auto& state = m_runs[run];
-    --state.open;
+    upstream_run run;
+    auto& state = end_open_send(request, sends, run);
     const auto sent = sends.open_since;
+    record_answer_time(now - sent);
     state.answered_sent = std::max(state.answered_sent, sent);
+    const bool was_silent = is_silent(run, now);
     record_sign_of_life(state, now);
-    settle(sends, now);
-    settle_unanswered(state, now, [&](const unanswered_send& send) { return send.sent <= sent; });
+    if (!sends.open_arrived) {
+        settle(sends, now);
+    }
+    settle_earlier(state, sent, was_silent, now);
     remove_if_done(request);
     remove_if_idle(run);
 }
@@ -59,10 +70,9 @@
         return;
     }
     auto& sends = found->second;
-    const auto run = *std::exchange(sends.open, std::nullopt);
-    auto& state = m_runs[run];
-    --state.open;
-    if (state.open == 0 && !is_silent(run, sends.open_since)) {
+    upstream_run run;
+    auto& state = end_open_send(request, sends, run);
+    if (state.open.empty() && !is_overdue(run, sends.open_since)) {
         state.waiting_since.reset();
     }
     if (sends.retries > 0) {
@@ -80,14 +90,18 @@
         return false;
     }
     auto& sends = found->second;
-    const auto run = *std::exchange(sends.open, std::nullopt);
-    auto& state = m_runs[run];
+    upstream_run run;
+    auto& state = end_open_send(request, sends, run);
     const bool silent = is_silent(run, now);
-    --state.open;
+    const bool overdue = is_overdue(run, now);
     // A run that is known to read its requests has read this one, or is about to.
     const bool reads =
         how == send_end::peer_closed ? !silent : state.answered_sent >= sends.open_since && !silent;
-    if (reads) {
+    const bool arrived = sends.open_arrived || reads;
+    if (sends.open_arrived) {
+        // It is settled already.
+    }
+    else if (reads) {
         if (how == send_end::peer_closed) {
             record_sign_of_life(state, now);
         }
@@ -96,13 +110,13 @@
     else {
         ++sends.unanswered;
         state.unanswered.push_back({request, sends.open_since, now});
-        if (state.open == 0 && !silent) {
+        if (state.open.empty() && !overdue) {
             state.waiting_since.reset(); // it had no time to answer
         }
     }
     remove_if_done(request);
     remove_if_idle(run);
-    return !reads;
+    return !arrived;
 }
 
 void retry_ledger::record_end(request_key request, bool shared)
@@ -126,23 +140,12 @@
     }
 }
 
-void retry_ledger::record_announcement(const upstream_run& run, core::time_point announced,
-                                       core::time_point now)
-{
-    const auto found = m_runs.find(run);
-    if (found == m_runs.end() || is_silent(run, now)) {
-        return;
-    }
-    settle_unanswered(found->second, now,
-                      [&](const unanswered_send& send) { return send.sent <= announced; });
-    remove_if_idle(run);
-}
-
 void retry_ledger::record_run_end(const upstream_run& run, core::time_point now)
 {
     if (const auto found = m_runs.find(run); found != m_runs.end()) {
         auto& state = found->second;
-        settle_unanswered(state, now, [](const unanswered_send&) { return true; });
+        settle_unanswered(state, now + fleet::late_arrival_limit,
+                          [](const unanswered_send&) { return true; });
         record_sign_of_life(state, now);
         remove_if_idle(run);
     }
@@ -159,11 +162,22 @@
     return runs;
 }
 
-std::set<std::string> retry_ledger::silent_upstreams(core::time_point now) const
+std::set<std::string> retry_ledger::overdue_upstreams(core::time_point now) const
 {
     std::set<std::string> upstreams;
     for (const auto& [run, state] : m_runs) {
-        if (is_silent(run, now)) {
+        if (is_overdue(run, now)) {
+            upstreams.insert(run.upstream);
+        }
+    }
+    return upstreams;
+}
+
+std::set<std::string> retry_ledger::unsettled_upstreams(core::time_point now) const
+{
+    std::set<std::string> upstreams;
+    for (const auto& [run, state] : m_runs) {
+        if (!state.unanswered.empty() && !is_overdue(run, now)) {
             upstreams.insert(run.upstream);
         }
     }
@@ -182,10 +196,48 @@
 }
 
 bool retry_ledger::is_silent(const upstream_run& run, core::time_point now) const
+{
+    return waits_longer_than(run, m_options.silence_limit, now);
+}
+
+bool retry_ledger::is_overdue(const upstream_run& run, core::time_point now) const
+{
+    return waits_longer_than(run, overdue_time(), now);
+}
+
+bool retry_ledger::waits_longer_than(const upstream_run& run, core::duration limit,
+                                     core::time_point now) const
 {
     const auto found = m_runs.find(run);
     return found != m_runs.end() && found->second.waiting_since &&
-           now - *found->second.waiting_since > m_options.silence_limit;
+           now - *found->second.waiting_since > limit;
+}
+
+core::duration retry_ledger::overdue_time() const
+{
+    if (m_answer_time == core::duration::zero()) {
+        return m_options.silence_limit;
+    }
+    return std::max(
+        std::chrono::duration_cast<core::duration>(m_answer_time * m_options.overdue_factor),
+        m_options.min_overdue_time);
+}
+
+void retry_ledger::record_answer_time(core::duration time)
+{
+    const auto before = m_answer_time == core::duration::zero() ? time : m_answer_time;
+    m_answer_time = std::chrono::duration_cast<core::duration>(before * (1 - answer_time_weight) +
+                                                               time * answer_time_weight);
+}
+
+std::uint32_t retry_ledger::uncertain_retries(core::time_point now) const
+{
+    std::uint32_t number = 0;
+    for (const auto& [request, sends] : m_requests) {
+        const bool uncertain = sends.unanswered > 0 || (sends.open && is_overdue(*sends.open, now));
+        number += uncertain ? sends.retries : 0;
+    }
+    return number;
 }
 
 std::size_t retry_ledger::unanswered() const
@@ -197,6 +249,15 @@
     return number;
 }
 
+retry_ledger::run_state& retry_ledger::end_open_send(request_key request, request_sends& sends,
+                                                     upstream_run& run)
+{
+    run = *std::exchange(sends.open, std::nullopt);
+    auto& state = m_runs[run];
+    state.open.erase(request);
+    return state;
+}
+
 // Counts a send as arrived. The first of a request to arrive is no retry.
 void retry_ledger::settle(request_sends& sends, core::time_point arrived_by)
 {
@@ -208,7 +269,7 @@
 }
 
 // Settles those unanswered sends that the run has read, or will never read.
-void retry_ledger::settle_unanswered(run_state& run, core::time_point now,
+void retry_ledger::settle_unanswered(run_state& run, core::time_point arrived_by,
                                      const std::function<bool(const unanswered_send&)>& arrived)
 {
     std::erase_if(run.unanswered, [&](const unanswered_send& send) {
@@ -217,16 +278,33 @@
         }
         if (const auto found = m_requests.find(send.request); found != m_requests.end()) {
             --found->second.unanswered;
-            settle(found->second, now + fleet::late_arrival_limit);
+            settle(found->second, arrived_by);
             remove_if_done(send.request);
         }
         return true;
     });
 }
 
+// Settles what was sent to a run before a send that it answered.
+void retry_ledger::settle_earlier(run_state& run, core::time_point answered_sent, bool was_silent,
+                                  core::time_point now)
+{
+    for (const auto request : run.open) {
+        auto& sends = m_requests.at(request);
+        // A run that stood still may not have read it yet; its own answer tells the time better.
+        if (!was_silent && !sends.open_arrived && sends.open_since <= answered_sent &&
+            now - sends.open_since >= fleet::late_arrival_limit) {
+            sends.open_arrived = true;
+            settle(sends, now);
+        }
+    }
+    settle_unanswered(run, now + fleet::late_arrival_limit,
+                      [&](const unanswered_send& send) { return send.sent <= answered_sent; });
+}
+
 void retry_ledger::record_sign_of_life(run_state& run, core::time_point now) const
 {
-    run.waiting_since = run.open > 0 ? std::optional{now} : std::nullopt;
+    run.waiting_since = !run.open.empty() ? std::optional{now} : std::nullopt;
 }
 
 // Unanswered sends of a request without a counted retry are its first arrival or none.
@@ -242,7 +320,7 @@
 void retry_ledger::remove_if_idle(const upstream_run& run)
 {
     const auto found = m_runs.find(run);
-    if (found != m_runs.end() && found->second.open == 0 && found->second.unanswered.empty() &&
+    if (found != m_runs.end() && found->second.open.empty() && found->second.unanswered.empty() &&
         !found->second.waiting_since) {
         m_runs.erase(found);
     }
@@ -252,10 +330,10 @@
 {
     for (auto run = m_runs.begin(); run != m_runs.end();) {
         auto& state = run->second;
-        settle_unanswered(state, now, [&](const unanswered_send& send) {
+        settle_unanswered(state, now + fleet::late_arrival_limit, [&](const unanswered_send& send) {
             return now - send.ended > m_options.max_unanswered;
         });
-        if (state.open == 0 && state.unanswered.empty()) {
+        if (state.open.empty() && state.unanswered.empty()) {
             run = m_runs.erase(run);
         }
         else {
--- a/src/gateway/upstream_pool.cpp
+++ b/src/gateway/upstream_pool.cpp
@@ -354,7 +354,7 @@
                                   const std::set<std::string>& tried, core::time_point now,
                                   const std::string& permitted,
                                   const std::optional<software_pin>& pin, bool repeatable,
-                                  const std::set<std::string>& silent)
+                                  const send_preference& preference)
 {
     std::optional<core::duration> retry_after; // of upstreams that have used up their limits
     bool any_unlimited = false;
@@ -424,8 +424,9 @@
         }
         candidates.push_back(
             {&entry, version, load(entry, stats, !wanted.first.empty(), now),
-             unreachable || !usable || is_ejected(stats, now) || silent.contains(id),
-             admission.result == send_admission::kind::needs_permit, refuses});
+             unreachable || !usable || is_ejected(stats, now) || preference.avoided.contains(id),
+             admission.result == send_admission::kind::needs_permit, refuses,
+             preference.preferred.contains(id)});
     }
     // One that has rejected this request works too.
     const bool any_sound =
@@ -473,8 +474,8 @@
         return one.needs_permit || one.entry->info.id != permitted;
     };
     const auto better = [&](const candidate& left, const candidate& right) {
-        return std::tuple{left.ejected, is_other(left), left.load} <
-               std::tuple{right.ejected, is_other(right), right.load};
+        return std::tuple{left.ejected, is_other(left), left.load, !left.preferred} <
+               std::tuple{right.ejected, is_other(right), right.load, !right.preferred};
     };
     const candidate least_loaded = *std::min_element(candidates.begin(), candidates.end(), better);
     // Many gateways with the same outdated view would all choose the same engine, so each of them
--- a/tests/late_arrival_test.py
+++ b/tests/late_arrival_test.py
@@ -14,6 +14,8 @@
 
 FREEZE_S = (2.0, 20.0)
 MIN_USED_SHARE = 0.9  # of the retries that are allowed
+CALM_REQUESTS_PER_S = 10.0
+SHORT_PATIENCE_S = 0.3
 BACK_S = 4.0          # time until an upstream that runs again is used
 TROUBLE_S = float(os.environ.get("LATE_ARRIVAL_S", "24"))
 
@@ -51,6 +53,14 @@
         await self.disturb_some(set_held(True), set_held(False))
         await self.check_budget()
 
+    async def test_retries_whose_callers_leave_early_stay_within_the_budget_on_held_links(self):
+        self.requests_per_s = CALM_REQUESTS_PER_S
+        self.patience_s = SHORT_PATIENCE_S
+        self.refuse_requests()
+        await self.disturb_some(lambda upstream: setattr(upstream.link, "held", True),
+                                lambda upstream: setattr(upstream.link, "held", False))
+        await self.check_budget()
+
     async def repeat_until(self, end, pause_s, act):
         """Calls `act` again and again, after pauses of random length."""
         while True:
