Take the answer of another gateway for no proof about other requests

A request that a gateway passes on is sent to an upstream that it doesn't know. It took each later answer of the other gateway, and the end of that process, for a proof that what it had passed on before had arrived, and let the retry leave the budget after eleven seconds. But the other gateway's upstream may stand still and hold the request while others answer.

Each request that is passed on now counts as a run of its own, which only its own answer or a minute settles. RetryLedger.IsNotToldOfARequestThatAnotherGatewayPassedOnByItsAnswerToAnotherOne fails with one run for all (as before).

--- a/include/siskindrift/gateway/retry_ledger.h
+++ b/include/siskindrift/gateway/retry_ledger.h
@@ -22,6 +22,16 @@
     auto operator<=>(const upstream_run&) const = default;
 };
 
+/// Returns the run that stands for a request that is passed on to another gateway. Each is one of
+/// its own: it isn't known where the other gateway sends a request, so what it answers says nothing
+/// of others.
+/// @param vm name of the other gateway.
+/// @param send number that no other send of this gateway has.
+[[nodiscard]] inline upstream_run relay_run(const std::string& vm, std::uint64_t send)
+{
+    return {"gateway " + vm, send};
+}
+
 /// Identifies a request within a gateway.
 enum class request_key : std::uint64_t {};
 
--- a/src/apps/gateway_guards.cpp
+++ b/src/apps/gateway_guards.cpp
@@ -421,11 +421,11 @@
     respond_with_error(item, 503, core::reason::upstream_limit, retry_after);
 }
 
-// Returns the run that the current attempt was sent to; of a helper it isn't known which run it is.
+// Returns the run that the current attempt was sent to.
 gateway::upstream_run gateway_process::run_of(const exchange& item)
 {
     if (!item.helper.empty()) {
-        return {"gateway " + item.helper, 0};
+        return gateway::relay_run(item.helper, item.call_id);
     }
     return {item.upstream_id, item.upstream_born_ms};
 }
@@ -473,6 +473,9 @@
 {
     const auto now = m_clock.now();
     auto& retries = m_retries[item.service];
+    if (!item.helper.empty()) {
+        how = gateway::send_end::given_up; // an upstream may hold what the helper sent
+    }
     const bool silent = retries.is_silent(run_of(item), now);
     const bool may_arrive = retries.record_unanswered(gateway::request_key{item.id}, how, now);
     if (item.response_head) {
--- a/src/apps/gateway_relays.cpp
+++ b/src/apps/gateway_relays.cpp
@@ -57,7 +57,7 @@
     if (!helper) {
         return false;
     }
-    if (item.attempts_sent > 0 && !try_retry(item, {"gateway " + helper->vm, 0})) {
+    if (item.attempts_sent > 0 && !try_retry(item, gateway::relay_run(helper->vm, m_next_call))) {
         fail_request(item, core::reason::retry_budget);
         return true;
     }
--- a/src/gateway/retry_ledger_test.cpp
+++ b/src/gateway/retry_ledger_test.cpp
@@ -279,3 +279,16 @@
     clock.advance(core::milliseconds{11'500});
     DOUBLES_EQUAL(0, counted(), 0);
 }
+
+TEST(RetryLedger, IsNotToldOfARequestThatAnotherGatewayPassedOnByItsAnswerToAnotherOne)
+{
+    const auto request = send_rejected();
+    CHECK_TRUE(retry(request, relay_run("helper", 1)));
+    clock.advance(core::milliseconds{1500});
+    give_up(request);
+    const auto later = begin();
+    send(later, relay_run("helper", 2));
+    ledger.record_answer(later, clock.now());
+    clock.advance(core::milliseconds{20'000});
+    DOUBLES_EQUAL(1, counted(), 0);
+}
