Try an upstream again that didn't accept a connection in time

Cause: the upstream stayed among those that the request had tried, and the request waited for another one, or for news that didn't come. What was never sent isn't tried. Now the upstreams that the request hasn't reached are tried again after 50 ms, until half of its time is over.

test_an_upstream_that_accepts_connections_late_is_tried_again: 503 before, 200 after, on /safe/x, /once/x and /stream/x.

--- a/src/apps/gateway_exchanges.cpp
+++ b/src/apps/gateway_exchanges.cpp
@@ -14,6 +14,8 @@
 constexpr core::milliseconds default_deadline{30'000};
 constexpr core::milliseconds response_margin{15};  // network time of the response to the caller
 constexpr core::milliseconds connect_timeout{400}; // several round trips
+// Time until an upstream is tried again that didn't accept a connection.
+constexpr core::milliseconds connect_pause{50};
 // Upstreams keep idle connections open longer.
 constexpr core::milliseconds max_reusable_idle{800};
 constexpr core::milliseconds default_retry_after{300}; // loading an adapter, or an ejection's end
@@ -417,23 +419,34 @@
     return true;
 }
 
+// Returns when a request is refused that waits for an upstream.
+core::time_point gateway_process::wait_end(const exchange& item)
+{
+    const auto total =
+        std::min<core::duration>(item.deadline - item.arrived_at, item.route.stream_idle_timeout);
+    return item.arrived_at +
+           std::chrono::duration_cast<core::duration>(total * upstream_wait_share);
+}
+
 void gateway_process::wait_for_upstream(exchange& item)
 {
+    // Of those that it was sent to, an engine may have room later.
+    const bool connect_again = item.tried_upstreams.size() > item.reached_upstreams.size();
     if (!item.tried_upstreams.empty() && !item.adapter.first.empty()) {
         m_overloaded_adapters[wish_of(item)].since = m_clock.now();
         item.tried_upstreams.clear();
     }
-    const auto total =
-        std::min<core::duration>(item.deadline - item.arrived_at, item.route.stream_idle_timeout);
-    const auto max_wait = std::chrono::duration_cast<core::duration>(total * upstream_wait_share) -
-                          (m_clock.now() - item.arrived_at);
+    else if (connect_again) {
+        item.tried_upstreams = item.reached_upstreams;
+    }
     if (!item.waiting) {
         if (!item.adapter.second.empty()) {
             m_unserved.record_requests(item.adapter, item.arrived_at, m_clock.now());
         }
         item.waiting = true;
         m_waiting.insert(item.id);
-        arm_timer(item, std::max(max_wait, core::duration::zero()));
+        const auto left = std::max(wait_end(item) - m_clock.now(), core::duration::zero());
+        arm_timer(item, connect_again ? std::min<core::duration>(left, connect_pause) : left);
     }
     schedule_report();
 }
@@ -531,6 +544,12 @@
         dispatch(item);
         return;
     }
+    if (item.waiting && m_clock.now() < wait_end(item)) {
+        item.waiting = false;
+        m_waiting.erase(id);
+        dispatch(item);
+        return;
+    }
     auto reason = core::reason::deadline_passed;
     if (m_awaiting_document.contains(id)) {
         reason = core::reason::config_unconfirmed;
--- a/src/apps/gateway_process.h
+++ b/src/apps/gateway_process.h
@@ -233,6 +233,7 @@
     void dispatch(exchange& item);
     void send_attempt(exchange& item, const gateway::pool_choice& choice);
     void wait_for_upstream(exchange& item);
+    [[nodiscard]] static core::time_point wait_end(const exchange& item);
     bool refuse_unplaceable(exchange& item);
     void dispatch_waiting();
     void dispatch_loaded(const wire::engine_update_t& update);
--- a/tests/endless_answer_test.py
+++ b/tests/endless_answer_test.py
@@ -25,6 +25,7 @@
 KINDS = ("head", "garbage", "trickling_head", "body", "trickling_body", "chunk_header", "event",
          "trickling_event")
 TRICKLE_S = 0.02
+CONNECT_LATE_S = 0.5      # longer than a gateway waits for a connection
 
 
 class EndlessUpstream(Upstream):
@@ -168,6 +169,18 @@
                 EndlessUpstream.kind = None
                 await asyncio.sleep(2.5)  # until the upstreams are used again
 
+    async def test_an_upstream_that_accepts_connections_late_is_tried_again(self):
+        for path in PATHS[1:]:
+            with self.subTest(path=path):
+                for upstream in self.platform.upstreams:
+                    upstream.link.block([self.platform.source_address(0)], "reset")
+                call = asyncio.create_task(self.call(path))
+                await asyncio.sleep(CONNECT_LATE_S)
+                for upstream in self.platform.upstreams:
+                    upstream.link.unblock()
+                _, answer = await call
+                self.assertEqual(200, answer.status)
+
     async def test_many_large_requests_under_way_stay_within_the_memory(self):
         """Guards against the end of a gateway by bodies that it keeps twice while they are run."""
         plain = self.platform.document
