Limit the permits whose requests nobody has seen answered

An upstream that names a limit and stands still, or whose link does, got all that was sent to it under permits meanwhile when it went on: 25 and 24 requests in 4 s at a limit of 2 a second, of 17 that are allowed, 14 s of standing still, four gateways (upstream_limit_test and a trial of it on the code before).

The leader took a permit for used within half a second of its grant, and gave out the next ones at the limit's rate, whether or not the upstream read anything.

Gateways now tell with their wishes how many requests under permits are unanswered, up to which grant, and whether the upstream has answered one since. The leader lets those of a second of the limit and one more be on their way over all gateways. Beyond that one more goes after 6 s, later 12 s; at once when the upstream announces itself again after a gap, which is a reason to try and no proof; and one from each gateway when the upstream answers any of them. A former build tells nothing and is limited as before; what gateways sent to a run ends with it.

After: test_an_upstream_that_stood_still_gets_no_more_than_its_limit_at_once holds, the upstream is used again within 3 s, and gateways use what limits allow as before (upstream_limit_test).

--- a/include/siskindrift/control/upstream_limit_manager.h
+++ b/include/siskindrift/control/upstream_limit_manager.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "siskindrift/core/clock.h"
 #include "siskindrift/core/request_rate.h"
@@ -29,6 +30,25 @@
     /// Longest time after which refused callers are told to return.
     core::duration max_retry_after = core::milliseconds{10'000};
     std::size_t max_limits = 1024;
+    /// Requests that may be on their way without an answer: so many, and those of so much time of
+    /// the limit. An upstream that stood still receives them all at once.
+    double unanswered = 1;
+    core::duration unanswered_time = core::milliseconds{1000};
+    /// Time until one more is permitted when there are so many; it doubles with each. Once the
+    /// upstream answers again, each gateway gets one at once, for its own path may still be held.
+    core::duration first_trial_pause = core::milliseconds{6000};
+    core::duration max_trial_pause = core::milliseconds{12'000};
+    /// Upstreams announce themselves more often; one that does so again may have stood still.
+    core::duration announcement_gap = core::milliseconds{2500};
+    /// Time after which a gateway asks again that is refused because too many are unanswered.
+    core::duration unanswered_retry = core::milliseconds{500};
+};
+
+/// Who asks for permits.
+struct permit_sender {
+    std::string vm;             ///< Empty for a sender that doesn't tell what is unanswered.
+    std::uint64_t asked_ms = 0; ///< Time of the query, by the sender's clock.
+    core::time_point heard{};   ///< When the upstream announced itself last.
 };
 
 /// Keeps on the leader the limits that upstreams name, and gives out permits to send requests to
@@ -37,7 +57,9 @@
 /// All permits of an upstream come from one token bucket, which is empty at the begin of a term, so
 /// all gateways together keep to the limit for any number of them. A permit is used within its
 /// lifetime or not at all, and the lifetime begins when it is asked for. So a gateway that was cut
-/// off or frozen can't use permits beside those that others got in its place.
+/// off or frozen can't use permits beside those that others got in its place. An upstream that
+/// stands still, or whose link does, receives later what was sent to it meanwhile. So the permits
+/// whose requests no gateway has seen answered are limited, too.
 class upstream_limit_manager {
 public:
     /// Returns the start time of the current run of an upstream, or none if it is not known.
@@ -63,7 +85,9 @@
     /// Gives out permits.
     [[nodiscard]] wire::send_permit_t grant(const wire::send_permit_wish_t& wish,
                                             const state::upstream_limits& limits,
-                                            core::time_point now);
+                                            core::time_point now, const permit_sender& sender = {});
+    /// Returns the permits of an upstream whose requests may not have arrived.
+    [[nodiscard]] std::uint32_t unanswered(const std::string& upstream) const;
 
 private:
     /// Latest observation of this term.
@@ -72,15 +96,43 @@
         std::optional<core::request_rate> rate; ///< None if no limit is named any more.
         core::time_point at{};
     };
+    /// When a request may be sent although too many are unanswered.
+    struct trial_schedule {
+        core::time_point next{};
+        core::time_point last{};
+        core::duration pause{};
+    };
+    struct grant_record {
+        std::uint64_t asked_ms;
+        std::uint32_t permits;
+    };
+    struct unanswered_sends {
+        std::uint32_t told = 0; ///< As the gateway told last.
+        core::time_point told_at{};
+        std::vector<grant_record> granted; ///< Since the grants that it has told of.
+        trial_schedule trials;
+    };
     struct bucket {
         double tokens = 0;
         core::time_point refilled{};
         core::time_point next_return{}; ///< When the last refused caller was told to return.
+        std::uint64_t born_ms = 0;      ///< Run that the unanswered requests were sent to.
+        std::map<std::string, unanswered_sends> senders; ///< By gateway.
+        trial_schedule trials;
+        core::time_point answered_at{};
+        core::time_point heard{};
     };
 
     [[nodiscard]] std::optional<core::request_rate>
     rate_of(const std::string& upstream, const state::upstream_limits& limits) const;
     void refill(bucket& item, core::request_rate rate, core::time_point now) const;
+    void record_unanswered(bucket& item, const wire::send_permit_wish_t& wish,
+                           const permit_sender& sender, core::time_point now) const;
+    [[nodiscard]] static std::uint32_t count_unanswered(const bucket& item);
+    /// Returns how many more requests may be on their way.
+    [[nodiscard]] std::uint32_t take_room(bucket& item, core::request_rate rate,
+                                          const std::string& vm, core::time_point now) const;
+    [[nodiscard]] bool take_trial(trial_schedule& trials, core::time_point now) const;
 
     upstream_limit_options m_options;
     core::time_point m_term_began{};
--- a/include/siskindrift/gateway/upstream_limits.h
+++ b/include/siskindrift/gateway/upstream_limits.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "siskindrift/core/clock.h"
 #include "siskindrift/core/request_rate.h"
@@ -75,8 +76,13 @@
     /// Returns whether a request may be sent to a run of an upstream.
     [[nodiscard]] send_admission admission(const std::string& upstream, std::uint64_t born_ms,
                                            core::time_point now) const;
-    /// Uses up a permit, if the upstream has a limit.
+    /// Uses up a permit, if the upstream has a limit. The request counts as unanswered.
     void consume(const std::string& upstream, core::time_point now);
+    /// Records that the upstream answered a request, so that it has received all that was sent to
+    /// it before.
+    /// @param sent when the request was sent.
+    /// @return whether the leader should be told.
+    bool record_received(const std::string& upstream, core::time_point sent);
     /// Takes back a permit of a request that was not sent.
     void restore(const std::string& upstream);
 
@@ -95,7 +101,7 @@
     /// Records that the leader didn't answer in time, or that no leader is known.
     void record_silence(const std::string& upstream, core::time_point now);
     /// Tells a new leader what was observed here.
-    void report_again() { m_report_again = true; }
+    void report_again();
 
     [[nodiscard]] core::duration answer_timeout() const { return m_options.answer_timeout; }
     [[nodiscard]] std::size_t size() const { return m_limits.size(); }
@@ -123,6 +129,11 @@
         std::optional<core::time_point> asked_at; ///< Of the query that is not answered yet.
         core::time_point refused_until{};
         core::time_point retry_at{}; ///< When a refused caller should return.
+        /// When requests were sent that the upstream may not have received yet.
+        std::vector<core::time_point> unanswered;
+        std::uint64_t applied_ms = 0; ///< When the latest grant was asked for.
+        bool settled = false;         ///< Fewer are unanswered than the leader knows.
+        bool answered = false;        ///< The upstream has answered one since the last query.
     };
 
     [[nodiscard]] const known_limit* find(const std::string& upstream) const;
--- a/src/apps/coordinator_fleet.cpp
+++ b/src/apps/coordinator_fleet.cpp
@@ -623,12 +623,16 @@
         m_flush_requested = true;
     }
     for (const auto& wish : query.wishes) {
-        auto permit = m_upstream_limits.grant(*wish, limits, now);
-        observe::routine("send_permits", {{"upstream", permit.upstream},
-                                          {"gateway", query.vm},
-                                          {"waiting", wish->waiting},
-                                          {"granted", permit.granted},
-                                          {"next_ms", permit.next_ms}});
+        const auto* entry = m_roster.find(wish->upstream);
+        const auto heard = entry != nullptr ? entry->last_heard : core::time_point{};
+        auto permit = m_upstream_limits.grant(*wish, limits, now, {query.vm, query.sent_ms, heard});
+        observe::routine("send_permits",
+                         {{"upstream", permit.upstream},
+                          {"gateway", query.vm},
+                          {"waiting", wish->waiting},
+                          {"granted", permit.granted},
+                          {"unanswered", m_upstream_limits.unanswered(wish->upstream)},
+                          {"next_ms", permit.next_ms}});
         wire::append(grant.permits, std::move(permit));
     }
     m_mesh->reply(from, wire::make_envelope(std::move(grant)));
--- a/src/apps/gateway_exchanges.cpp
+++ b/src/apps/gateway_exchanges.cpp
@@ -633,6 +633,9 @@
             m_pool.record_load(item->upstream_id, *item->response_metadata.load);
         }
         record_limit(*item);
+        if (item->uses_permit && m_limits.record_received(item->upstream_id, item->sent_at)) {
+            schedule_place_report();
+        }
     }
     record_departure(*item);
     const auto media_type = head.header("Content-Type");
--- a/src/control/upstream_limit_manager.cpp
+++ b/src/control/upstream_limit_manager.cpp
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
+#include "siskindrift/fleet/retry_timing.h"
 #include "siskindrift/fleet/send_permits.h"
 
 namespace siskindrift::control {
@@ -141,9 +143,89 @@
     item.refilled = now;
 }
 
+// Applies what a gateway tells of the requests that it sent under its permits.
+void upstream_limit_manager::record_unanswered(bucket& item, const wire::send_permit_wish_t& wish,
+                                               const permit_sender& sender,
+                                               core::time_point now) const
+{
+    std::erase_if(item.senders, [&](const auto& known) {
+        return now - known.second.told_at > fleet::max_unanswered_time;
+    });
+    if (!wish.tells_unanswered || sender.vm.empty()) {
+        return;
+    }
+    auto& sends = item.senders[sender.vm];
+    sends.told = wish.unanswered;
+    sends.told_at = now;
+    std::erase_if(sends.granted,
+                  [&](const grant_record& grant) { return grant.asked_ms <= wish.applied_ms; });
+    if (item.heard != core::time_point{} &&
+        sender.heard - item.heard > m_options.announcement_gap) {
+        item.trials.next = now;
+    }
+    item.heard = sender.heard;
+    if (wish.answered) {
+        item.answered_at = now;
+        sends.trials = {};
+    }
+}
+
+std::uint32_t upstream_limit_manager::count_unanswered(const bucket& item)
+{
+    std::uint32_t number = 0;
+    for (const auto& [vm, sends] : item.senders) {
+        number += sends.told;
+        for (const auto& grant : sends.granted) {
+            number += grant.permits;
+        }
+    }
+    return number;
+}
+
+std::uint32_t upstream_limit_manager::unanswered(const std::string& upstream) const
+{
+    const auto found = m_buckets.find(upstream);
+    return found == m_buckets.end() ? 0 : count_unanswered(found->second);
+}
+
+bool upstream_limit_manager::take_trial(trial_schedule& trials, core::time_point now) const
+{
+    if (now < trials.next) {
+        return false;
+    }
+    trials.pause = std::clamp<core::duration>(trials.pause * 2, m_options.first_trial_pause,
+                                              m_options.max_trial_pause);
+    trials.next = now + trials.pause;
+    trials.last = now;
+    return true;
+}
+
+std::uint32_t upstream_limit_manager::take_room(bucket& item, core::request_rate rate,
+                                                const std::string& vm, core::time_point now) const
+{
+    const auto most = static_cast<std::uint32_t>(m_options.unanswered +
+                                                 rate.per_s * seconds(m_options.unanswered_time));
+    const auto number = count_unanswered(item);
+    if (number < most) {
+        item.trials = {now + m_options.first_trial_pause, now, m_options.first_trial_pause};
+        return most - number;
+    }
+    item.tokens = std::min(item.tokens, 1.0); // what waits there has used up the others
+    if (item.tokens < 1) {
+        return 0;
+    }
+    const auto sends = item.senders.find(vm);
+    const bool answers_again =
+        sends != item.senders.end() && sends->second.trials.last < item.answered_at;
+    if (answers_again && take_trial(sends->second.trials, now)) {
+        return 1;
+    }
+    return take_trial(item.trials, now) ? 1 : 0;
+}
+
 wire::send_permit_t upstream_limit_manager::grant(const wire::send_permit_wish_t& wish,
                                                   const state::upstream_limits& limits,
-                                                  core::time_point now)
+                                                  core::time_point now, const permit_sender& sender)
 {
     wire::send_permit_t permit;
     permit.upstream = wish.upstream;
@@ -155,15 +237,35 @@
     }
     const auto observed = m_observed.find(wish.upstream);
     const auto since = observed == m_observed.end() ? m_term_began : observed->second.at;
-    auto& item = m_buckets.try_emplace(wish.upstream, bucket{0, since, now}).first->second;
+    bucket fresh;
+    fresh.refilled = since;
+    fresh.next_return = now;
+    auto& item = m_buckets.try_emplace(wish.upstream, fresh).first->second;
     refill(item, *rate, now);
-    const auto available = static_cast<std::uint32_t>(item.tokens);
+    const auto* replicated = limits.find(wish.upstream);
+    const auto born_ms = observed != m_observed.end() ? observed->second.born_ms
+                         : replicated != nullptr      ? replicated->born_ms
+                                                      : item.born_ms;
+    if (std::exchange(item.born_ms, born_ms) != born_ms) {
+        item.senders.clear(); // the former run receives nothing any more
+    }
+    record_unanswered(item, wish, sender, now);
+    const auto room = waiting > 0 ? take_room(item, *rate, sender.vm, now) : 0;
+    const auto available = std::min(static_cast<std::uint32_t>(item.tokens), room);
     const auto spare = std::min(
         wish.spare, static_cast<std::uint32_t>(rate->per_s * seconds(m_options.spare_time)));
     permit.granted = std::min(available, waiting + std::min(spare, max_permits_per_wish));
     item.tokens -= permit.granted;
+    if (const auto sends = item.senders.find(sender.vm);
+        sends != item.senders.end() && permit.granted > 0) {
+        sends->second.granted.push_back({sender.asked_ms, permit.granted});
+    }
     if (permit.granted < waiting) {
-        permit.next_ms = ms_until(1 - item.tokens, *rate);
+        permit.next_ms =
+            room > permit.granted
+                ? ms_until(1 - item.tokens, *rate)
+                : std::max(ms_until(1 - item.tokens, *rate),
+                           static_cast<std::uint32_t>(core::to_ms(m_options.unanswered_retry)));
         // Each refused caller gets a time of its own, at the rate of the limit.
         const auto interval = std::chrono::duration_cast<core::duration>(
             std::chrono::duration<double>(1 / rate->per_s));
--- a/src/control/upstream_limit_manager_test.cpp
+++ b/src/control/upstream_limit_manager_test.cpp
@@ -12,6 +12,8 @@
     state::upstream_limits limits;
     upstream_limit_manager manager;
     std::uint64_t current_run = run;
+    core::time_point heard{};
+    bool answered = false;
 
     void setup() override
     {
@@ -50,6 +52,23 @@
         return true;
     }
 
+    /// Grants permits to a gateway that has applied all grants before.
+    /// @param announced whether the upstream has announced itself since.
+    std::uint32_t grant_to(const std::string& vm, std::uint32_t unanswered, bool announced,
+                           std::uint32_t waiting = 1)
+    {
+        const auto now_ms = static_cast<std::uint64_t>(core::to_ms(clock.now().time_since_epoch()));
+        wire::send_permit_wish_t wish;
+        wish.upstream = "a";
+        wish.waiting = waiting;
+        wish.tells_unanswered = true;
+        wish.unanswered = unanswered;
+        wish.applied_ms = now_ms;
+        wish.answered = answered;
+        heard = announced || heard == core::time_point{} ? clock.now() : heard;
+        return manager.grant(wish, limits, clock.now(), {vm, now_ms, heard}).granted;
+    }
+
     wire::send_permit_t grant(std::uint32_t waiting = 1)
     {
         wire::send_permit_wish_t wish;
@@ -149,6 +168,62 @@
     LONGS_EQUAL(1, grant().granted);
 }
 
+TEST(UpstreamLimitManager, GrantsFewPermitsWhoseRequestsNobodyHasSeenAnswered)
+{
+    observe(2);
+    apply_change();
+    clock.advance(core::milliseconds{2000});
+    std::uint32_t granted = 0;
+    for (int i = 0; i < 80; ++i) { // 20 s
+        clock.advance(core::milliseconds{250});
+        granted += grant_to("first", granted, false);
+    }
+    LONGS_EQUAL(3 + 2, granted); // those of a second, one more, and two trials
+    LONGS_EQUAL(5, manager.unanswered("a"));
+    LONGS_EQUAL(0, grant_to("second", 0, false));
+    LONGS_EQUAL(0, grant_to("first", 0, false, 0));
+    CHECK_TRUE(grant_to("second", 0, false) > 0);
+}
+
+TEST(UpstreamLimitManager, TriesAnUpstreamThatAnnouncesItselfAgain)
+{
+    observe(2);
+    apply_change();
+    clock.advance(core::milliseconds{2000});
+    std::uint32_t granted = 0;
+    for (int i = 0; i < 12; ++i) {
+        clock.advance(core::milliseconds{250});
+        granted += grant_to("first", granted, false);
+    }
+    LONGS_EQUAL(3, granted);
+    clock.advance(core::milliseconds{500});
+    LONGS_EQUAL(1, grant_to("first", granted, true));
+}
+
+TEST(UpstreamLimitManager, LetsEachGatewayTryAnUpstreamThatAnswersAgain)
+{
+    observe(2);
+    apply_change();
+    clock.advance(core::milliseconds{2000});
+    std::uint32_t first = 0;
+    std::uint32_t second = 0;
+    for (int i = 0; i < 12; ++i) {
+        clock.advance(core::milliseconds{250});
+        first += grant_to("first", first, false);
+        second += grant_to("second", second, false);
+    }
+    LONGS_EQUAL(3, first + second);
+    answered = true;
+    (void)grant_to("third", 0, false, 0);
+    answered = false;
+    LONGS_EQUAL(1, grant_to("second", second, false));
+    clock.advance(core::milliseconds{500});
+    answered = true;
+    (void)grant_to("third", 0, false, 0);
+    answered = false;
+    LONGS_EQUAL(0, grant_to("second", second + 1, false)); // its own path may be held
+}
+
 TEST(UpstreamLimitManager, TellsRefusedCallersToReturnOneAfterTheOther)
 {
     observe(2);
--- a/src/gateway/upstream_limits.cpp
+++ b/src/gateway/upstream_limits.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "siskindrift/fleet/retry_timing.h"
+
 namespace siskindrift::gateway {
 namespace {
 
@@ -36,6 +38,12 @@
         if (!same) {
             forget_refusal(item->upstream);
         }
+        const auto permits = m_permits.find(item->upstream);
+        if (permits != m_permits.end() && old != before.end() &&
+            old->second.born_ms != item->born_ms) {
+            permits->second.unanswered.clear(); // they ended with the former run
+            permits->second.settled = true;
+        }
     }
     // What was observed here either became known to all or was overruled by a newer answer.
     std::erase_if(m_observed, [&](const auto& item) {
@@ -146,10 +154,14 @@
 void upstream_limits::consume(const std::string& upstream, core::time_point now)
 {
     const auto found = m_permits.find(upstream);
-    if (found == m_permits.end() || found->second.held == 0) {
+    if (found == m_permits.end()) {
         return;
     }
     auto& own = found->second;
+    own.unanswered.push_back(now);
+    if (own.held == 0) {
+        return;
+    }
     if (--own.held == 0 && now - own.granted_at < m_options.batch_time) {
         own.batch = std::min(own.batch * 2 + 1, m_options.max_batch);
     }
@@ -158,7 +170,32 @@
 void upstream_limits::restore(const std::string& upstream)
 {
     if (const auto found = m_permits.find(upstream); found != m_permits.end()) {
-        ++found->second.held;
+        auto& own = found->second;
+        ++own.held;
+        if (!own.unanswered.empty()) {
+            own.unanswered.pop_back();
+        }
+    }
+}
+
+bool upstream_limits::record_received(const std::string& upstream, core::time_point sent)
+{
+    const auto found = m_permits.find(upstream);
+    if (found == m_permits.end()) {
+        return false;
+    }
+    auto& own = found->second;
+    const auto received = std::erase_if(own.unanswered, [&](auto at) { return at <= sent; });
+    own.settled = own.settled || received > 0;
+    own.answered = own.answered || received > 0;
+    return received > 0;
+}
+
+void upstream_limits::report_again()
+{
+    m_report_again = true;
+    for (auto& [upstream, own] : m_permits) {
+        own.settled = own.settled || !own.unanswered.empty();
     }
 }
 
@@ -188,15 +225,27 @@
     query.sent_ms = static_cast<std::uint64_t>(core::to_ms(now.time_since_epoch()));
     append_observations(query, now);
     for (auto& [upstream, own] : m_permits) {
+        own.settled =
+            std::erase_if(own.unanswered,
+                          [&](auto at) { return now - at > fleet::max_unanswered_time; }) > 0 ||
+            own.settled;
         const bool open = own.asked_at && now - *own.asked_at < m_options.answer_timeout;
-        if (own.wanted == 0 || open) {
+        if ((own.wanted == 0 && !own.settled) || open) {
             continue;
         }
-        own.asked_at = now;
+        own.settled = false;
         wire::send_permit_wish_t wish;
         wish.upstream = upstream;
-        wish.waiting = std::exchange(own.wanted, 0);
-        wish.spare = own.batch;
+        wish.tells_unanswered = true;
+        wish.answered = std::exchange(own.answered, false);
+        wish.unanswered = static_cast<std::uint32_t>(own.unanswered.size()) +
+                          (now < own.valid_until ? own.held : 0);
+        wish.applied_ms = own.applied_ms;
+        if (own.wanted > 0) {
+            own.asked_at = now;
+            wish.waiting = std::exchange(own.wanted, 0);
+            wish.spare = own.batch;
+        }
         wire::append(query.wishes, std::move(wish));
     }
     for (auto& wish : m_places.take_wishes(now)) {
@@ -216,6 +265,7 @@
     }
     for (const auto& item : grant.permits) {
         auto& own = m_permits[item->upstream];
+        own.applied_ms = std::max(own.applied_ms, grant.asked_ms);
         if (own.asked_at && *own.asked_at <= asked + core::milliseconds{1}) {
             own.asked_at.reset();
         }
--- a/src/gateway/upstream_limits_test.cpp
+++ b/src/gateway/upstream_limits_test.cpp
@@ -182,3 +182,24 @@
     clock.advance(core::milliseconds{500});
     CHECK_TRUE(admission() == kind::needs_permit);
 }
+
+TEST(UpstreamLimits, TellsTheLeaderHowManyRequestsAreUnanswered)
+{
+    tell(10);
+    limits.add_wish("a");
+    (void)limits.take_query(clock.now());
+    grant(3);
+    for (int i = 0; i < 2; ++i) {
+        limits.consume("a", clock.now());
+        clock.advance(core::milliseconds{10});
+    }
+    limits.add_wish("a");
+    auto query = limits.take_query(clock.now());
+    LONGS_EQUAL(3, query->wishes[0]->unanswered); // with the permit that is held
+    clock.advance(core::milliseconds{1000});
+    CHECK_TRUE(limits.record_received("a", clock.now()));
+    query = limits.take_query(clock.now());
+    LONGS_EQUAL(0, query->wishes[0]->unanswered);
+    LONGS_EQUAL(0, query->wishes[0]->waiting);
+    CHECK_FALSE(limits.take_query(clock.now()).has_value());
+}
--- a/tests/upstream_limit_test.py
+++ b/tests/upstream_limit_test.py
@@ -23,6 +23,8 @@
 MIN_USED_SHARE = 0.9   # of the limit
 TIMEOUT_S = 4.0        # of the route
 SERVED_AT_ONCE_S = 0.3
+STANDSTILL_S = 14.0
+BACK_S = 6.0           # time in which an upstream that runs again is used again
 
 
 def most_in_window(times):
@@ -105,6 +107,24 @@
                    for at, answer in self.answers if at >= begin]
         self.assertGreater(sum(at_once) / len(at_once), 0.99)
 
+    async def test_an_upstream_that_stood_still_gets_no_more_than_its_limit_at_once(self):
+        self.start_callers()
+        await asyncio.sleep(1.0)
+        limited = self.platform.upstreams[:LIMITED]
+        begin = self.name_limits(limited)
+        await asyncio.sleep(LEARNING_S + WINDOW_S)
+        for _ in range(2):
+            for upstream in limited:
+                upstream.frozen = True
+            await asyncio.sleep(STANDSTILL_S)
+            for upstream in limited:
+                upstream.frozen = False
+            await asyncio.sleep(BACK_S)
+            for upstream in limited:
+                self.assertTrue(self.arrivals_at(upstream, time.monotonic() - BACK_S / 2))
+        self.check_limits(limited, begin)
+        await self.stop_callers()
+
     async def test_requests_beyond_all_limits_are_refused_at_once(self):
         self.start_callers()
         await asyncio.sleep(1.0)
