Return the run of an open send with its state, and say who asks for permits

The branches of a send without an answer are told apart by what became of it, and the parameters of upstream_limit_manager::grant are described. unit_test and 20 runs of shared_retry_budget_test pass.

--- a/include/siskindrift/control/upstream_limit_manager.h
+++ b/include/siskindrift/control/upstream_limit_manager.h
@@ -83,6 +83,8 @@
                 core::time_point now);
 
     /// Gives out permits.
+    /// @param wish what a gateway asks for, and tells of the permits that it got before.
+    /// @param sender the gateway; without it nothing is counted as unanswered.
     [[nodiscard]] wire::send_permit_t grant(const wire::send_permit_wish_t& wish,
                                             const state::upstream_limits& limits,
                                             core::time_point now, const permit_sender& sender = {});
--- a/include/siskindrift/gateway/retry_ledger.h
+++ b/include/siskindrift/gateway/retry_ledger.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "siskindrift/core/clock.h"
@@ -149,8 +150,8 @@
         std::vector<unanswered_send> unanswered;
     };
 
-    /// Ends the open send of a request, and returns the state of its run.
-    run_state& end_open_send(request_key request, request_sends& sends, upstream_run& run);
+    /// Ends the open send of a request, and returns its run with the state of that.
+    std::pair<upstream_run, run_state&> end_open_send(request_key request, request_sends& sends);
     void settle(request_sends& sends, core::time_point arrived_by);
     void settle_unanswered(run_state& run, core::time_point arrived_by,
                            const std::function<bool(const unanswered_send&)>& arrived);
--- a/src/gateway/retry_ledger.cpp
+++ b/src/gateway/retry_ledger.cpp
@@ -48,8 +48,7 @@
         return;
     }
     auto& sends = found->second;
-    upstream_run run;
-    auto& state = end_open_send(request, sends, run);
+    auto [run, state] = end_open_send(request, sends);
     const auto sent = sends.open_since;
     record_answer_time(now - sent);
     state.answered_sent = std::max(state.answered_sent, sent);
@@ -70,8 +69,7 @@
         return;
     }
     auto& sends = found->second;
-    upstream_run run;
-    auto& state = end_open_send(request, sends, run);
+    auto [run, state] = end_open_send(request, sends);
     if (state.open.empty() && !is_overdue(run, sends.open_since)) {
         state.waiting_since.reset();
     }
@@ -90,30 +88,26 @@
         return false;
     }
     auto& sends = found->second;
-    upstream_run run;
-    auto& state = end_open_send(request, sends, run);
+    auto [run, state] = end_open_send(request, sends);
     const bool silent = is_silent(run, now);
     const bool overdue = is_overdue(run, now);
     // A run that is known to read its requests has read this one, or is about to.
     const bool reads =
         how == send_end::peer_closed ? !silent : state.answered_sent >= sends.open_since && !silent;
     const bool arrived = sends.open_arrived || reads;
-    if (sends.open_arrived) {
-        // It is settled already.
-    }
-    else if (reads) {
-        if (how == send_end::peer_closed) {
-            record_sign_of_life(state, now);
-        }
-        settle(sends, now + fleet::late_arrival_limit);
+    if (reads && how == send_end::peer_closed) {
+        record_sign_of_life(state, now);
     }
-    else {
+    if (!arrived) {
         ++sends.unanswered;
         state.unanswered.push_back({request, sends.open_since, now});
         if (state.open.empty() && !overdue) {
             state.waiting_since.reset(); // it had no time to answer
         }
     }
+    else if (!sends.open_arrived) {
+        settle(sends, now + fleet::late_arrival_limit);
+    }
     remove_if_done(request);
     remove_if_idle(run);
     return !arrived;
@@ -249,13 +243,13 @@
     return number;
 }
 
-retry_ledger::run_state& retry_ledger::end_open_send(request_key request, request_sends& sends,
-                                                     upstream_run& run)
+std::pair<upstream_run, retry_ledger::run_state&> retry_ledger::end_open_send(request_key request,
+                                                                              request_sends& sends)
 {
-    run = *std::exchange(sends.open, std::nullopt);
+    const auto run = *std::exchange(sends.open, std::nullopt);
     auto& state = m_runs[run];
     state.open.erase(request);
-    return state;
+    return {run, state};
 }
 
 // Counts a send as arrived. The first of a request to arrive is no retry.
