Count what a former process of a gateway sent under permits

A gateway that starts again told the leader that nothing of its requests under permits was unanswered, although an upstream that stands still may hold what its former process sent; and a grant that it hadn't told of counted until another leader came, if its clock began anew with its VM, so that others got fewer permits for good.

A wish that has applied an older grant than the one before comes from a new process: what the former one told, and was granted, counts until the upstream answers any gateway, or for a minute. Grants that nobody tells of count for a minute, too. UpstreamLimitManager.CountsWhatAFormerProcessOfAGatewaySentUntilTheUpstreamAnswers had 0 unanswered of 2 without the change.

--- a/include/siskindrift/control/upstream_limit_manager.h
+++ b/include/siskindrift/control/upstream_limit_manager.h
@@ -107,10 +107,14 @@
     struct grant_record {
         std::uint64_t asked_ms;
         std::uint32_t permits;
+        core::time_point at;
     };
     struct unanswered_sends {
         std::uint32_t told = 0; ///< As the gateway told last.
         core::time_point told_at{};
+        std::uint64_t applied_ms = 0;
+        std::uint32_t former = 0; ///< Left by a former process of the gateway.
+        core::time_point former_at{};
         std::vector<grant_record> granted; ///< Since the grants that it has told of.
         trial_schedule trials;
     };
--- a/src/control/upstream_limit_manager.cpp
+++ b/src/control/upstream_limit_manager.cpp
@@ -148,6 +148,14 @@
                                                const permit_sender& sender,
                                                core::time_point now) const
 {
+    for (auto& [vm, sends] : item.senders) {
+        std::erase_if(sends.granted, [&](const grant_record& grant) {
+            return now - grant.at > fleet::max_unanswered_time;
+        });
+        if (now - sends.former_at > fleet::max_unanswered_time) {
+            sends.former = 0;
+        }
+    }
     std::erase_if(item.senders, [&](const auto& known) {
         return now - known.second.told_at > fleet::max_unanswered_time;
     });
@@ -155,6 +163,15 @@
         return;
     }
     auto& sends = item.senders[sender.vm];
+    if (wish.applied_ms < sends.applied_ms) {
+        // A new process, which doesn't know what its predecessor sent.
+        sends.former += sends.told;
+        for (const auto& grant : std::exchange(sends.granted, {})) {
+            sends.former += grant.permits;
+        }
+        sends.former_at = now;
+    }
+    sends.applied_ms = wish.applied_ms;
     sends.told = wish.unanswered;
     sends.told_at = now;
     std::erase_if(sends.granted,
@@ -167,6 +184,10 @@
     if (wish.answered) {
         item.answered_at = now;
         sends.trials = {};
+        // The connections of former processes ended with them, so only the upstream held those.
+        for (auto& [vm, known] : item.senders) {
+            known.former = now - known.former_at > fleet::late_arrival_limit ? 0 : known.former;
+        }
     }
 }
 
@@ -174,7 +195,7 @@
 {
     std::uint32_t number = 0;
     for (const auto& [vm, sends] : item.senders) {
-        number += sends.told;
+        number += sends.told + sends.former;
         for (const auto& grant : sends.granted) {
             number += grant.permits;
         }
@@ -258,7 +279,7 @@
     item.tokens -= permit.granted;
     if (const auto sends = item.senders.find(sender.vm);
         sends != item.senders.end() && permit.granted > 0) {
-        sends->second.granted.push_back({sender.asked_ms, permit.granted});
+        sends->second.granted.push_back({sender.asked_ms, permit.granted, now});
     }
     if (permit.granted < waiting) {
         permit.next_ms =
--- a/src/control/upstream_limit_manager_test.cpp
+++ b/src/control/upstream_limit_manager_test.cpp
@@ -14,6 +14,7 @@
     std::uint64_t current_run = run;
     core::time_point heard{};
     bool answered = false;
+    bool restarted = false;
 
     void setup() override
     {
@@ -57,7 +58,8 @@
     std::uint32_t grant_to(const std::string& vm, std::uint32_t unanswered, bool announced,
                            std::uint32_t waiting = 1)
     {
-        const auto now_ms = static_cast<std::uint64_t>(core::to_ms(clock.now().time_since_epoch()));
+        const auto now_ms =
+            restarted ? 0 : static_cast<std::uint64_t>(core::to_ms(clock.now().time_since_epoch()));
         wire::send_permit_wish_t wish;
         wish.upstream = "a";
         wish.waiting = waiting;
@@ -200,6 +202,24 @@
     LONGS_EQUAL(1, grant_to("first", granted, true));
 }
 
+TEST(UpstreamLimitManager, CountsWhatAFormerProcessOfAGatewaySentUntilTheUpstreamAnswers)
+{
+    observe(2);
+    apply_change();
+    clock.advance(core::milliseconds{2000});
+    LONGS_EQUAL(2, grant_to("first", 0, false, 2));
+    (void)grant_to("first", 2, false, 0);
+    restarted = true; // its clock, too
+    for (int i = 0; i < 8; ++i) {
+        clock.advance(core::milliseconds{250});
+        (void)grant_to("first", 0, false, 0);
+    }
+    LONGS_EQUAL(2, manager.unanswered("a"));
+    answered = true;
+    (void)grant_to("second", 0, false, 0);
+    LONGS_EQUAL(0, manager.unanswered("a"));
+}
+
 TEST(UpstreamLimitManager, LetsEachGatewayTryAnUpstreamThatAnswersAgain)
 {
     observe(2);
