--- a/src/apps/gateway_exchanges.cpp
+++ b/src/apps/gateway_exchanges.cpp
@@ -430,7 +430,8 @@
 
 void gateway_process::wait_for_upstream(exchange& item)
 {
-    // Of those that it was sent to, an engine may have room later.
+    // An upstream that didn't accept a connection may accept the next one, and an engine that
+    // rejected the request may have room later.
     const bool connect_again = item.tried_upstreams.size() > item.reached_upstreams.size();
     if (!item.tried_upstreams.empty() && !item.adapter.first.empty()) {
         m_overloaded_adapters[wish_of(item)].since = m_clock.now();
--- a/src/control/upstream_limit_manager.cpp
+++ b/src/control/upstream_limit_manager.cpp
@@ -231,7 +231,7 @@
         item.trials = {now + m_options.first_trial_pause, now, m_options.first_trial_pause};
         return most - number;
     }
-    item.tokens = std::min(item.tokens, 1.0); // what waits there has used up the others
+    item.tokens = std::min(item.tokens, 1.0); // none are saved up for the time after
     if (item.tokens < 1) {
         return 0;
     }
