--- a/tests/platform_fixture.py
+++ b/tests/platform_fixture.py
@@ -574,18 +574,21 @@
     """The processes, simulated upstreams and operator of one test run."""
 
     def __init__(self, folder, seed=1, coordinators=3, gateways=3, plain=2, engines=2,
-                 gateway_settings=None):
+                 gateway_settings=None, coordinator_settings=None):
         self.folder = pathlib.Path(folder).resolve()
         self.random = random.Random(seed)
         self.port = free_port_block(["127.7.1.1", "127.7.2.1", "127.7.3.1", "127.7.4.1"], 8)
         self.coordinators = [f"coordinator-{i + 1}" for i in range(coordinators)]
         self.gateways = [f"gateway-{i + 1}" for i in range(gateways)]
         self.control_addresses = [f"127.7.1.{i + 1}:{self.port + 3}" for i in range(coordinators)]
-        self.gateway_settings = gateway_settings or {}  # replace those of settings_for
+        # These replace those of settings_for.
+        self.gateway_settings = gateway_settings or {}
+        self.coordinator_settings = coordinator_settings or {}
         self.processes = {}
         self.started = set()
         self.starts = collections.Counter()  # by process name
         self.file_limits = {}  # RLIMIT_FSIZE in bytes, by process name; also applied at a restart
+        self.descriptor_limits = {}  # RLIMIT_NOFILE, by process name
         self.tasks = []
         self.executions = {}
         self.bodies = {}   # by request id
@@ -624,6 +627,20 @@
     def coordinator_metrics_address(self, i):
         return f"127.7.1.{i + 1}:{self.port + 6}"
 
+    def http_addresses(self, name):
+        """Returns all addresses at which a program serves HTTP."""
+        kind, _, number = name.rpartition("-")
+        i = int(number) - 1
+        if kind == "coordinator":
+            return [self.control_addresses[i], self.coordinator_metrics_address(i)]
+        return [self.caller_address(i), self.ready_address(i), self.directory_address(i),
+                self.metrics_address(i), f"127.7.2.{number}:{self.port + 5}"]
+
+    def inner_addresses(self, name):
+        """Returns the addresses at which a program takes frames of others."""
+        subnet = 1 if name.startswith("coordinator") else 2
+        return [f"127.7.{subnet}.{name.rpartition('-')[2]}:{self.port + 4}"]
+
     def settings_for(self, name):
         kind, _, number = name.rpartition("-")
         i = int(number) - 1
@@ -637,7 +654,8 @@
                     "metrics_address": self.coordinator_metrics_address(i),
                     "first_start": name not in self.started,
                     "losses_borne": (len(self.coordinators) - 1) // 2, "order_lease_ms": 3000,
-                    "upstreams_check_fences": True, "announcement_ms": int(ANNOUNCE_S * 1000)}
+                    "upstreams_check_fences": True, "announcement_ms": int(ANNOUNCE_S * 1000),
+                    **self.coordinator_settings}
         return {"vm": name, "failure_domain": "a", "caller_address": self.caller_address(i),
                 "readiness_address": self.ready_address(i),
                 "directory_address": self.directory_address(i),
@@ -665,7 +683,8 @@
         process = subprocess.Popen(
             [str(self.program_folder(name) / program), "--settings", str(settings)], stdin=subprocess.DEVNULL,
             stdout=subprocess.PIPE, stderr=subprocess.STDOUT,
-            preexec_fn=lambda: limit_file_size(self.file_limits.get(name)))
+            preexec_fn=lambda: limit_resources(self.file_limits.get(name),
+                                               self.descriptor_limits.get(name)))
         self.processes[name] = process
         # Logs go through a pipe, so that the file size limit does not apply to them.
         threading.Thread(target=copy_log, args=(process.stdout, folder / "log.jsonl"),
@@ -815,14 +834,16 @@
             log.flush()
 
 
-def limit_file_size(max_bytes):
-    """Limits file sizes in the child process, so that writes fail as on a full disk.
+def limit_resources(max_file_bytes, max_descriptors):
+    """Limits file sizes in the child process, so that writes fail as on a full disk, and descriptors.
 
     Ignoring SIGXFSZ makes the write return an error instead of ending the process.
     """
     signal.signal(signal.SIGXFSZ, signal.SIG_IGN)
-    if max_bytes is not None:
-        resource.setrlimit(resource.RLIMIT_FSIZE, (max_bytes, resource.RLIM_INFINITY))
+    if max_file_bytes is not None:
+        resource.setrlimit(resource.RLIMIT_FSIZE, (max_file_bytes, resource.RLIM_INFINITY))
+    if max_descriptors is not None:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (max_descriptors, max_descriptors))
 
 
 # --- requests and checks of their answers ---
