Count what is received before it is kept

Callers saw a gateway pass its memory, and end, when clients sent bodies that stop before their last byte, or many whole bodies at once: 60 of 1 MiB took one with 32 MB to 68 to 83 MB, 20 of 4 MiB took readiness, directory, metrics and control to 96 to 113 MB, and 20 that send further requests behind one that runs to 38 MB.

Each limit was for one request. The ledger of a process knew only what upstreams had sent and callers hadn't read; what clients send was counted nowhere, neither while it came nor while it was run, and the kernel's buffers grew.

A server now reserves bytes in the ledger before it reads them, a stated length at the head. If there is no room, requests that have been incomplete for over a second are refused, the slowest first; if there are none, the new one is, with 503, Retry-After and before it is read, so that the promise of 503 holds. Large requests leave a quarter to small ones; a whole request that waits for its answer isn't ended. All servers of a process share the ledger; readiness, directory and metrics take 64 KiB. Receive buffers have a set size and count while nobody reads them. Attempts share one copy of a body, and the allocator returns large blocks at once.

--- a/include/siskindrift/config/settings.h
+++ b/include/siskindrift/config/settings.h
@@ -25,6 +25,7 @@
     /// Requests are rejected when control last confirmed the configuration longer ago than this.
     core::duration config_bound = core::milliseconds{5000};
     std::uint32_t max_connections = 20'000;
+    std::uint64_t memory_bytes = 0; ///< Limit on the memory of the process; 0: unknown.
     std::uint32_t max_body_bytes = 4 * 1024 * 1024;
     core::duration header_timeout = core::milliseconds{10'000};
     core::duration idle_timeout = core::milliseconds{75'000};
@@ -39,6 +40,7 @@
     std::string data_folder;
     std::vector<std::string> operator_token_hashes;
     std::uint64_t compact_after = 4096; ///< Number of log entries between two snapshots.
+    std::uint64_t memory_bytes = 0;     ///< Limit on the memory of the process; 0: unknown.
     std::string log_level = "info";
 };
 
--- a/include/siskindrift/http/client.h
+++ b/include/siskindrift/http/client.h
@@ -59,6 +59,8 @@
     std::string method = "POST";
     std::string path;
     std::string body;
+    /// Sent instead of `body` if it is set, so that several calls share one body.
+    std::shared_ptr<const std::string> shared_body;
     header_list headers;
     /// The request may be repeated, so any idle connection may be used although the server may
     /// already have closed it.
--- a/include/siskindrift/http/server.h
+++ b/include/siskindrift/http/server.h
@@ -73,6 +73,12 @@
     std::size_t max_backlog_bytes = 1024 * 1024;
 };
 
+/// What a server shares with the rest of its process. Null: it isn't counted, and has no limit.
+struct server_resources {
+    /// Counts received requests until they are answered, and responses until they are read.
+    core::memory_ledger* memory = nullptr;
+};
+
 /// Receives requests. Called from any thread of the `io_context`.
 class server_handler {
 public:
@@ -96,10 +102,9 @@
 /// Accepts connections on one address. The context and the handler must outlive it.
 class server {
 public:
-    /// @param memory is told what connections keep for callers that read slowly, and closes those
-    /// that keep most when it is too much. It must outlive the context; null: it isn't counted.
+    /// @param resources must outlive the context.
     server(boost::asio::io_context& context, server_limits limits, server_handler& handler,
-           core::memory_ledger* memory = nullptr);
+           server_resources resources = {});
     ~server();
     server(const server&) = delete;
     server& operator=(const server&) = delete;
--- a/src/apps/coordinator_process.cpp
+++ b/src/apps/coordinator_process.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/post.hpp>
 
 #include "platform/deployment_codec.h"
+#include "resource_limits.h"
 #include "siskindrift/core/random.h"
 #include "siskindrift/observe/log.h"
 
@@ -72,11 +73,12 @@
 
 coordinator_process::coordinator_process(config::coordinator_settings settings,
                                          std::string settings_path)
-    : m_settings(std::move(settings)), m_settings_path(std::move(settings_path)), m_context(1),
+    : m_settings(std::move(settings)), m_settings_path(std::move(settings_path)),
+      m_memory(memory_limit(m_settings.memory_bytes)), m_context(1),
       m_signals(m_context, SIGTERM, SIGINT, SIGHUP), m_timer(m_context),
       m_mesh(std::make_shared<net::mesh>(m_context, net::mesh_options{}, *this)),
-      m_server(m_context, http::server_limits{}, *this), m_calls(m_context),
-      m_metrics_endpoint(m_context, m_metrics,
+      m_server(m_context, http::server_limits{}, *this, {&m_memory}), m_calls(m_context),
+      m_metrics_endpoint(m_context, m_metrics, {&m_memory},
                          [this](observe::metrics& metrics) { update_gauges(metrics); }),
       m_membership(membership_options(m_settings.losses_borne)),
       m_retry_shares(share_options(m_settings.retry_window))
@@ -499,6 +501,7 @@
 
 void coordinator_process::on_refused(core::reason reason)
 {
+    m_metrics.count_reason(reason);
     observe::warn("call_refused", {{"reason", core::to_string(reason)}});
 }
 
--- a/src/apps/entry_main.cpp
+++ b/src/apps/entry_main.cpp
@@ -2,6 +2,7 @@
 
 #include "entry_process.h"
 #include "options.h"
+#include "siskindrift/core/memory_ledger.h"
 #include "siskindrift/observe/log.h"
 
 int main(int argc, char** argv)
@@ -23,6 +24,7 @@
     if (options->check_only) {
         return 0;
     }
+    core::return_freed_memory();
     observe::start_log("entry", settings->vm, settings->log_level);
     exit_status = apps::entry_process{*settings}.run();
     observe::stop_log();
--- a/src/apps/entry_process.cpp
+++ b/src/apps/entry_process.cpp
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "announcement_json.h"
+#include "resource_limits.h"
 #include "siskindrift/core/random.h"
 #include "siskindrift/observe/log.h"
 #include "siskindrift/wire/frame.h"
@@ -39,6 +40,15 @@
     return options;
 }
 
+// Memory for requests and responses if the memory of the process isn't known.
+constexpr std::uint64_t default_kept_bodies = 16;
+
+std::uint64_t memory_limit_of(const config::entry_settings& settings)
+{
+    return settings.memory_bytes == 0 ? default_kept_bodies * settings.max_body_bytes
+                                      : memory_limit(settings.memory_bytes);
+}
+
 http::server_limits limits_of(const config::entry_settings& settings)
 {
     http::server_limits limits;
@@ -111,9 +121,10 @@
 } // namespace
 
 entry_process::entry_process(config::entry_settings settings)
-    : m_settings(std::move(settings)), m_signals(m_context, SIGTERM, SIGINT), m_timer(m_context),
+    : m_settings(std::move(settings)), m_memory(memory_limit_of(m_settings)),
+      m_signals(m_context, SIGTERM, SIGINT), m_timer(m_context),
       m_mesh(std::make_shared<net::mesh>(m_context, net::mesh_options{}, *this)),
-      m_server(m_context, limits_of(m_settings), *this), m_client(m_context, *this)
+      m_server(m_context, limits_of(m_settings), *this, {&m_memory}), m_client(m_context, *this)
 {
     const auto incarnation = core::random_nonzero();
     m_core = std::make_unique<requests::entry_core>(m_clock, *this, options_of(m_settings),
--- a/src/apps/gateway_exchanges.cpp
+++ b/src/apps/gateway_exchanges.cpp
@@ -135,6 +135,7 @@
     item.responder = std::move(responder);
     item.metadata = platform::decode_request(item.request);
     item.digest = gateway::request_digest(item.request);
+    item.body = std::make_shared<const std::string>(std::move(item.request.body));
     item.arrived_at = m_clock.now();
     m_exchanges[id] = std::move(new_exchange);
     if (item.relayed ? !accepts_relays() : !accepts_requests()) {
@@ -385,7 +386,7 @@
     call.address = item.upstream_address;
     call.method = item.request.method;
     call.path = item.request.target;
-    call.body = item.request.body;
+    call.shared_body = item.body;
     call.headers = platform::upstream_request_headers(item.request, added);
     call.repeatable = item.route.repeatable();
     call.max_idle_time = max_reusable_idle;
--- a/src/apps/gateway_process.cpp
+++ b/src/apps/gateway_process.cpp
@@ -4,6 +4,7 @@
 
 #include "platform/calls.h"
 #include "platform/deployment_codec.h"
+#include "resource_limits.h"
 #include "siskindrift/core/random.h"
 #include "siskindrift/fleet/entry_check.h"
 #include "siskindrift/gateway/adapter_wish.h"
@@ -36,14 +37,14 @@
 // All gateways have attached to a coordinator again, which may have restarted.
 constexpr core::milliseconds attach_time{1500};
 
-// Part of the memory for what is kept of responses. The rest holds the process itself, requests and
-// the buffers of connections.
-constexpr std::uint64_t memory_per_kept = 3;
-constexpr std::uint64_t default_kept_bytes = 48UL * 1024 * 1024;
+// Requests to these addresses have no body.
+constexpr std::size_t max_query_body_bytes = 64UL * 1024;
 
-std::uint64_t kept_limit(std::uint64_t memory_bytes)
+http::server_limits query_limits()
 {
-    return memory_bytes == 0 ? default_kept_bytes : memory_bytes / memory_per_kept;
+    http::server_limits limits;
+    limits.max_body_bytes = max_query_body_bytes;
+    return limits;
 }
 
 fleet::roster_options roster_options(core::duration announcement)
@@ -57,46 +58,51 @@
 
 void gateway_process::listener::on_refused(core::reason reason)
 {
+    m_metrics.count_reason(reason);
     observe::warn("request_refused", {{"reason", core::to_string(reason)}});
 }
 
 gateway_process::gateway_process(config::gateway_settings settings, std::string settings_path)
     : m_settings(std::move(settings)), m_settings_path(std::move(settings_path)),
-      m_memory(kept_limit(m_settings.memory_bytes)), m_context(1),
+      m_memory(memory_limit(m_settings.memory_bytes)), m_context(1),
       m_signals(m_context, SIGTERM, SIGINT, SIGHUP), m_stop_timer(m_context),
       m_report_timer(m_context), m_share_timer(m_context), m_path_timer(m_context),
       m_place_timer(m_context), m_evidence_timer(m_context),
       m_mesh(std::make_shared<net::mesh>(m_context, net::mesh_options{}, *this)),
       m_caller_listener(
+          m_metrics,
           [this](std::uint64_t id, http::server_request request,
                  std::shared_ptr<http::responder> responder) {
               handle_request(id, std::move(request), std::move(responder));
           },
           [this](std::uint64_t id) { handle_disconnect(id); }),
       m_readiness_listener(
+          m_metrics,
           [this](std::uint64_t, const http::server_request&,
                  const std::shared_ptr<http::responder>& responder) {
               respond_readiness(responder);
           },
           [](std::uint64_t) {}),
       m_directory_listener(
+          m_metrics,
           [this](std::uint64_t, const http::server_request& request,
                  const std::shared_ptr<http::responder>& responder) {
               respond_resolve(request, responder);
           },
           [](std::uint64_t) {}),
-      m_callers(m_context, http::server_limits{}, m_caller_listener, &m_memory),
-      m_readiness(m_context, http::server_limits{}, m_readiness_listener),
-      m_directory(m_context, http::server_limits{}, m_directory_listener),
+      m_callers(m_context, http::server_limits{}, m_caller_listener, {&m_memory}),
+      m_readiness(m_context, query_limits(), m_readiness_listener, {&m_memory}),
+      m_directory(m_context, query_limits(), m_directory_listener, {&m_memory}),
       m_relay_listener(
+          m_metrics,
           [this](std::uint64_t id, http::server_request request,
                  std::shared_ptr<http::responder> responder) {
               handle_relayed_request(id, std::move(request), std::move(responder));
           },
           [this](std::uint64_t id) { handle_relay_disconnect(id); }),
-      m_relays(m_context, http::server_limits{}, m_relay_listener, &m_memory),
+      m_relays(m_context, http::server_limits{}, m_relay_listener, {&m_memory}),
       m_client(m_context, *this, m_settings.source_address),
-      m_metrics_endpoint(m_context, m_metrics,
+      m_metrics_endpoint(m_context, m_metrics, {&m_memory},
                          [this](observe::metrics& metrics) { update_gauges(metrics); }),
       m_incarnation(core::random_nonzero()), m_roster(roster_options(m_settings.announcement)),
       m_limits(m_settings.vm), m_pool(m_roster, m_limits, core::random_nonzero()),
@@ -194,6 +200,7 @@
 {
     metrics.set("siskindrift_open_requests", static_cast<double>(m_exchanges.size()));
     metrics.set("siskindrift_waiting_requests", static_cast<double>(m_waiting.size()));
+    metrics.set("siskindrift_kept_bytes", static_cast<double>(m_memory.total()));
     metrics.set("siskindrift_caller_connections", static_cast<double>(m_callers.connections()));
     metrics.set("siskindrift_document_version",
                 static_cast<double>(m_deployment ? m_deployment->version : 0));
--- a/src/apps/gateway_process.h
+++ b/src/apps/gateway_process.h
@@ -61,8 +61,9 @@
         using request_function = std::function<void(std::uint64_t, http::server_request,
                                                     std::shared_ptr<http::responder>)>;
         using disconnect_function = std::function<void(std::uint64_t)>;
-        listener(request_function handle_request, disconnect_function handle_disconnect)
-            : m_handle_request(std::move(handle_request)),
+        listener(observe::metrics& metrics, request_function handle_request,
+                 disconnect_function handle_disconnect)
+            : m_metrics(metrics), m_handle_request(std::move(handle_request)),
               m_handle_disconnect(std::move(handle_disconnect))
         {
         }
@@ -78,6 +79,7 @@
         void on_refused(core::reason reason) override;
 
     private:
+        observe::metrics& m_metrics;
         request_function m_handle_request;
         disconnect_function m_handle_disconnect;
     };
@@ -114,7 +116,8 @@
     /// A request of a caller and the state of its forwarding.
     struct exchange {
         std::uint64_t id = 0;
-        http::server_request request;
+        http::server_request request; ///< Without its body.
+        std::shared_ptr<const std::string> body;
         std::shared_ptr<http::responder> responder;
         gateway::request_metadata metadata;
         std::string digest; ///< By which the request is recognized when it comes again.
@@ -340,7 +343,7 @@
     config::gateway_settings m_settings;
     std::string m_settings_path;
     core::boottime_clock m_clock;
-    core::memory_ledger m_memory; ///< Of what is kept of responses, and for slow callers.
+    core::memory_ledger m_memory; ///< Of requests, responses and messages.
     boost::asio::io_context m_context;
     boost::asio::signal_set m_signals;
     boost::asio::steady_timer m_stop_timer;
--- a/src/apps/metrics_endpoint.h
+++ b/src/apps/metrics_endpoint.h
@@ -14,8 +14,10 @@
 public:
     /// @param context runs the server; must outlive this object.
     /// @param metrics metrics to expose; must outlive this object.
+    /// @param resources what the server shares with the rest of the process.
     /// @param update_gauges sets the gauges before each response.
     metrics_endpoint(boost::asio::io_context& context, observe::metrics& metrics,
+                     http::server_resources resources,
                      std::function<void(observe::metrics&)> update_gauges);
 
     /// Starts listening.
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -182,6 +182,7 @@
     read(*object, "endpoints_ttl_ms", settings.endpoints_ttl);
     read(*object, "config_bound_ms", settings.config_bound);
     read(*object, "max_connections", settings.max_connections);
+    read_megabytes(*object, "memory_mb", settings.memory_bytes);
     read(*object, "max_body_bytes", settings.max_body_bytes);
     read(*object, "header_timeout_ms", settings.header_timeout);
     read(*object, "idle_timeout_ms", settings.idle_timeout);
@@ -208,6 +209,7 @@
     read(*object, "data_folder", settings.data_folder);
     read(*object, "operator_token_hashes", settings.operator_token_hashes);
     read(*object, "compact_after", settings.compact_after);
+    read_megabytes(*object, "memory_mb", settings.memory_bytes);
     read(*object, "log_level", settings.log_level);
     return settings;
 }
--- a/src/core/memory_ledger_test.cpp
+++ b/src/core/memory_ledger_test.cpp
@@ -51,3 +51,73 @@
     first_account.set(101);
     LONGS_EQUAL(2, first.released);
 }
+
+TEST_GROUP(IncompleteMessages)
+{
+    manual_clock time;
+    memory_ledger ledger{400, time};
+    counting_holder first;
+    counting_holder second;
+    counting_holder newcomer;
+    memory_account first_account{ledger, first};
+    memory_account second_account{ledger, second};
+    memory_account newcomer_account{ledger, newcomer};
+};
+
+TEST(IncompleteMessages, AreRefusedBeforeTheyPassTheLimit)
+{
+    CHECK_TRUE(first_account.reserve(400, memory_use::receiving));
+    CHECK_FALSE(second_account.reserve(1, memory_use::receiving));
+    UNSIGNED_LONGS_EQUAL(400, ledger.total());
+    LONGS_EQUAL(0, first.released);
+}
+
+TEST(IncompleteMessages, GiveWayWhenTheyAreOverdueTheSlowestFirst)
+{
+    CHECK_TRUE(first_account.reserve(200, memory_use::receiving, 200));
+    CHECK_TRUE(second_account.reserve(200, memory_use::receiving, 100));
+    time.advance(memory_ledger::patience);
+    CHECK_TRUE(newcomer_account.reserve(200, memory_use::receiving));
+    LONGS_EQUAL(0, first.released);
+    LONGS_EQUAL(1, second.released);
+    CHECK_FALSE(second_account.reserve(201, memory_use::receiving));
+}
+
+TEST(IncompleteMessages, GiveWayToResponsesWhenTheyAreOverdue)
+{
+    CHECK_TRUE(first_account.reserve(100, memory_use::receiving));
+    time.advance(memory_ledger::patience);
+    second_account.set(301);
+    LONGS_EQUAL(1, first.released);
+    LONGS_EQUAL(0, second.released);
+}
+
+TEST(IncompleteMessages, ComeAfterResponsesWithoutAKnownEndUntilThen)
+{
+    CHECK_TRUE(first_account.reserve(300, memory_use::receiving));
+    second_account.set(101);
+    LONGS_EQUAL(0, first.released);
+    LONGS_EQUAL(1, second.released);
+}
+
+TEST(IncompleteMessages, AreNeverReleasedOnceTheyAreComplete)
+{
+    CHECK_TRUE(first_account.reserve(400, memory_use::receiving));
+    CHECK_TRUE(first_account.reserve(400, memory_use::awaited));
+    time.advance(10 * memory_ledger::patience);
+    CHECK_FALSE(newcomer_account.reserve(1, memory_use::receiving));
+    second_account.set(1);
+    LONGS_EQUAL(0, first.released);
+    LONGS_EQUAL(1, second.released);
+}
+
+TEST(IncompleteMessages, LeaveAQuarterToSmallOnesWhenTheyAreLarge)
+{
+    constexpr auto small = memory_ledger::small_message_bytes;
+    memory_ledger large_ledger{8 * small, time};
+    memory_account large{large_ledger, first};
+    memory_account further{large_ledger, second};
+    CHECK_TRUE(large.reserve(6 * small, memory_use::receiving));
+    CHECK_FALSE(further.reserve(small + 1, memory_use::receiving));
+    CHECK_TRUE(further.reserve(small, memory_use::receiving));
+}
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -286,7 +286,10 @@
         if (m_request.find(beast::http::field::host) == m_request.end()) {
             m_request.set(beast::http::field::host, m_call.address);
         }
-        m_request.body() = std::move(m_call.body);
+        if (!m_call.shared_body) {
+            m_call.shared_body = std::make_shared<const std::string>(std::move(m_call.body));
+        }
+        m_request.body() = {m_call.shared_body->data(), m_call.shared_body->size()};
         m_request.prepare_payload();
         const auto now = clock::now();
         m_call_deadline = m_call.total_timeout > core::duration::zero() ? now + m_call.total_timeout
@@ -298,7 +301,8 @@
                                      // written completely.
                                      self->m_written = !error;
                                      self->m_write_error = error;
-                                     std::string{}.swap(self->m_request.body());
+                                     self->m_request.body() = {};
+                                     self->m_call.shared_body.reset();
                                  });
         read_head();
     }
@@ -510,7 +514,7 @@
     std::unique_ptr<beast::tcp_stream> m_stream;
     asio::any_io_executor m_executor;
     bool m_reused = false;
-    beast::http::request<beast::http::string_body> m_request;
+    beast::http::request<beast::http::span_body<const char>> m_request;
     std::optional<beast::http::response_parser<beast::http::buffer_body>> m_parser;
     beast::flat_buffer m_buffer{max_unparsed_bytes};
     std::string m_read_buffer;
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -26,6 +26,15 @@
 constexpr std::size_t max_kept_capacity = 64UL * 1024;
 constexpr std::size_t read_bytes = 4096; // holds most request headers
 constexpr std::size_t max_read_bytes = 64UL * 1024;
+// Limit for what the kernel keeps of a connection that isn't read; it doubles the value.
+constexpr int receive_buffer_bytes = 64 * 1024;
+constexpr std::size_t max_unread_bytes = 2UL * receive_buffer_bytes;
+// What a connection takes before it receives anything: its objects and the first buffer.
+constexpr std::size_t connection_bytes = 8UL * 1024;
+// Header fields are kept as received and again as strings.
+constexpr std::size_t copies_of_header = 2;
+// When a caller may return that was refused for lack of memory: incomplete requests are over then.
+constexpr std::string_view memory_retry_after_s = "1";
 
 std::string status_line(std::uint16_t status)
 {
@@ -66,7 +75,7 @@
 struct server_shared {
     server_limits limits;
     server_handler& handler;
-    core::memory_ledger* memory;
+    server_resources resources;
     std::atomic<bool> closing{false}; ///< Every connection closes after its next response.
     std::atomic<std::size_t> pending_responses{0};
     std::atomic<std::size_t> connections{0};
@@ -81,8 +90,9 @@
         : m_stream(std::move(socket)), m_shared(std::move(shared))
     {
         ++m_shared->connections;
-        if (m_shared->memory != nullptr) {
-            m_account.emplace(*m_shared->memory, *this);
+        if (m_shared->resources.memory != nullptr) {
+            m_account.emplace(*m_shared->resources.memory, *this);
+            m_incoming.emplace(*m_shared->resources.memory, m_incoming_holder);
         }
     }
     server_connection(const server_connection&) = delete;
@@ -95,8 +105,14 @@
         m_stream.socket().set_option(tcp::no_delay{true}, ignored);
         net::detect_dead_peer(m_stream.socket(), unacknowledged_timeout);
         m_remote = m_stream.socket().remote_endpoint(ignored).address().to_string(ignored);
-        asio::dispatch(m_stream.get_executor(),
-                       [self = shared_from_this()] { self->await_request(true); });
+        asio::dispatch(m_stream.get_executor(), [self = shared_from_this()] {
+            if (!self->reserve(0, core::memory_use::awaited)) {
+                self->m_shared->handler.on_refused(core::reason::memory_limit);
+                self->close();
+                return;
+            }
+            self->await_request(true);
+        });
     }
 
     // Called by responders from any thread.
@@ -155,14 +171,47 @@
         }
     }
 
+    // Refuses the request that is being received.
+    void release_incoming()
+    {
+        if (auto self = weak_from_this().lock()) {
+            asio::post(m_stream.get_executor(), [self = std::move(self)] {
+                if (!self->m_closed && !self->m_responding && !self->m_refused) {
+                    self->m_lacks_memory = true; // the read that ends now refuses it
+                    self->m_stream.cancel();
+                }
+            });
+        }
+    }
+
     [[nodiscard]] bool closing() const { return m_shared->closing; }
     [[nodiscard]] std::size_t backlog() const { return m_backlog; }
     [[nodiscard]] const server_limits& limits() const { return m_shared->limits; }
 
 private:
+    /// Tells the ledger of the request that is being received, apart from responses.
+    class incoming_holder final : public core::memory_holder {
+    public:
+        explicit incoming_holder(server_connection& owner) : m_owner(owner) {}
+        void release_memory() override { m_owner.release_incoming(); }
+
+    private:
+        server_connection& m_owner;
+    };
+
     void await_request(bool first)
     {
         m_parser.emplace();
+        m_head_bytes = 0;
+        m_body_bytes = 0;
+        m_received_bytes = 0;
+        if (m_buffer.size() == 0 && m_buffer.capacity() > read_bytes) {
+            m_buffer = beast::flat_buffer{};
+        }
+        // A connection without a request keeps its first buffer only.
+        if (m_buffer.size() == 0) {
+            set_incoming(connection_bytes);
+        }
         m_stream.expires_after(first ? m_shared->limits.header_timeout
                                      : m_shared->limits.idle_timeout);
         parse_header();
@@ -173,10 +222,12 @@
     void parse_header()
     {
         m_parser->header_limit(static_cast<std::uint32_t>(m_shared->limits.max_header_bytes));
-        m_parser->body_limit(m_shared->limits.max_body_bytes);
+        m_parser->body_limit(max_body_bytes());
         error_code error;
         if (m_buffer.size() > 0) {
-            m_buffer.consume(m_parser->put(m_buffer.data(), error));
+            const auto consumed = m_parser->put(m_buffer.data(), error);
+            m_head_bytes += copies_of_header * consumed;
+            m_buffer.consume(consumed);
         }
         if (error == beast::http::error::need_more) {
             error = {};
@@ -185,6 +236,11 @@
             on_header(error);
             return;
         }
+        // The first buffer is part of what every connection keeps.
+        if (m_buffer.size() > 0 && !reserve(read_bytes)) {
+            refuse_for_memory();
+            return;
+        }
         m_stream.async_read_some(m_buffer.prepare(read_bytes),
                                  [self = shared_from_this()](error_code failed, std::size_t bytes) {
                                      self->on_header_bytes(failed, bytes);
@@ -194,6 +250,11 @@
     void on_header_bytes(error_code error, std::size_t bytes)
     {
         m_buffer.commit(bytes);
+        m_received_bytes += bytes;
+        if (m_lacks_memory) {
+            refuse_for_memory();
+            return;
+        }
         if (error == asio::error::eof && m_parser->got_some()) {
             error = beast::http::error::partial_message;
         }
@@ -216,6 +277,11 @@
             refuse(beast::http::error::bad_transfer_encoding, false);
             return;
         }
+        // A body whose length is stated has its room before it comes, or is refused before it.
+        if (const auto length = m_parser->content_length(); length && !reserve(0)) {
+            refuse_for_memory();
+            return;
+        }
         if (beast::iequals(m_parser->get()[beast::http::field::expect], "100-continue")) {
             static const std::string continue_response = "HTTP/1.1 100 Continue\r\n\r\n";
             error_code ignored;
@@ -229,6 +295,10 @@
     // Parses what was received, and reads more while the body isn't complete.
     void read_body()
     {
+        if (m_parser->chunked() && !reserve_chunked_body()) {
+            refuse_for_memory();
+            return;
+        }
         error_code error;
         while (!error && !m_parser->is_done() && m_buffer.size() > 0) {
             m_buffer.consume(m_parser->put(m_buffer.data(), error));
@@ -248,6 +318,10 @@
         const auto left = m_parser->content_length_remaining();
         const auto size =
             std::clamp<std::size_t>(left ? *left : body_bytes(), read_bytes, max_read_bytes);
+        if (!reserve(size)) {
+            refuse_for_memory();
+            return;
+        }
         m_stream.async_read_some(m_buffer.prepare(size),
                                  [self = shared_from_this()](error_code failed, std::size_t bytes) {
                                      self->on_body_bytes(failed, bytes);
@@ -257,6 +331,11 @@
     void on_body_bytes(error_code error, std::size_t bytes)
     {
         m_buffer.commit(bytes);
+        m_received_bytes += bytes;
+        if (m_lacks_memory) {
+            refuse_for_memory();
+            return;
+        }
         if (error) {
             on_body(error == asio::error::eof ? beast::http::error::partial_message : error);
             return;
@@ -264,8 +343,55 @@
         read_body();
     }
 
+    // A body that the process never has the memory for is too large, whatever its limit says.
+    [[nodiscard]] std::size_t max_body_bytes() const
+    {
+        const auto* memory = m_shared->resources.memory;
+        const auto limit = m_shared->limits.max_body_bytes;
+        return memory == nullptr ? limit : std::min<std::size_t>(limit, memory->largest_message());
+    }
+
     [[nodiscard]] std::size_t body_bytes() { return m_parser->get().body().size(); }
 
+    // Grows the body of unknown length by doubling, once the ledger has room for the next size.
+    [[nodiscard]] bool reserve_chunked_body()
+    {
+        auto& body = m_parser->get().body();
+        const auto needed = body.size() + m_buffer.size();
+        if (needed <= body.capacity()) {
+            return true;
+        }
+        const auto capacity = std::max(std::min(2 * body.capacity(), max_body_bytes()), needed);
+        if (!reserve(capacity)) {
+            return false;
+        }
+        body.reserve(capacity);
+        return true;
+    }
+
+    // Reserves memory for what is kept of the request now and for @p further bytes.
+    [[nodiscard]] bool reserve(std::size_t further,
+                               core::memory_use use = core::memory_use::receiving)
+    {
+        if (!m_incoming) {
+            return true;
+        }
+        if (!m_responding && m_parser && m_parser->is_header_done()) {
+            m_body_bytes = std::max<std::size_t>(m_parser->get().body().capacity(),
+                                                 m_parser->content_length().value_or(0));
+        }
+        const auto bytes =
+            connection_bytes + m_head_bytes + m_body_bytes + m_buffer.capacity() + further;
+        return m_incoming->reserve(bytes, use, m_received_bytes);
+    }
+
+    void set_incoming(std::size_t bytes)
+    {
+        if (m_incoming) {
+            m_incoming->set(bytes, core::memory_use::awaited);
+        }
+    }
+
     void refuse(error_code error, bool in_body)
     {
         const bool quiet = error == beast::http::error::end_of_stream ||
@@ -279,26 +405,44 @@
         const bool large = error == beast::http::error::body_limit;
         const bool header = error == beast::http::error::header_limit;
         const auto why = large ? core::reason::body_too_large : core::reason::bad_request;
-        m_shared->handler.on_refused(why);
         if (error == beast::error::timeout) {
+            m_shared->handler.on_refused(why);
             close(); // the stream closed its socket on the timeout, so no response can be sent
             return;
         }
-        const std::uint16_t status = large ? 413 : header ? 431 : 400;
+        refuse(large ? 413 : header ? 431 : 400, why, error.message(), {});
+    }
+
+    // The request has not been handed over, so that its caller may send it again.
+    void refuse_for_memory()
+    {
+        constexpr std::uint16_t service_unavailable = 503;
+        refuse(service_unavailable, core::reason::memory_limit, "the process keeps too many bytes",
+               {{"Retry-After", std::string{memory_retry_after_s}}});
+    }
+
+    void refuse(std::uint16_t status, core::reason why, const std::string& message,
+                header_list headers)
+    {
+        m_refused = true;
+        m_shared->handler.on_refused(why);
+        m_parser.emplace();
+        m_buffer = beast::flat_buffer{};
+        m_head_bytes = m_body_bytes = 0;
+        set_incoming(0); // also ends a request of the ledger to release it
+        set_incoming(connection_bytes);
         const std::string body =
-            R"({"error":{"message":")" + error.message() +
-            R"(","type":"invalid_request_error","code":")" + std::string{core::to_string(why)} +
-            R"(","verdict":"not_run","reason":")" + std::string{core::to_string(why)} + "\"}}";
+            R"({"error":{"message":")" + message + R"(","type":"invalid_request_error","code":")" +
+            std::string{core::to_string(why)} + R"(","verdict":"not_run","reason":")" +
+            std::string{core::to_string(why)} + "\"}}";
         m_close_after = true;
         m_exchange = m_shared->next_exchange++;
-        queue(m_exchange,
-              render_head(status, {{"Content-Type", "application/json"},
-                                   {"Siskindrift-Verdict", "not_run"},
-                                   {"Siskindrift-Reason", std::string{core::to_string(why)}},
-                                   {"Connection", "close"},
-                                   {"Content-Length", std::to_string(body.size())}}) +
-                  "\r\n" + body,
-              true);
+        headers.insert(headers.end(), {{"Content-Type", "application/json"},
+                                       {"Siskindrift-Verdict", "not_run"},
+                                       {"Siskindrift-Reason", std::string{core::to_string(why)}},
+                                       {"Connection", "close"},
+                                       {"Content-Length", std::to_string(body.size())}});
+        queue(m_exchange, render_head(status, headers) + "\r\n" + body, true);
     }
 
     void on_body(error_code error);
@@ -322,9 +466,14 @@
                 }
                 if (self->has_caller_left()) {
                     self->close();
+                    return;
+                }
+                // The caller pipelined its next request, which is read after this response and
+                // waits in the socket until then.
+                if (!self->reserve(max_unread_bytes, core::memory_use::awaited)) {
+                    self->m_shared->handler.on_refused(core::reason::memory_limit);
+                    self->close();
                 }
-                // Otherwise the caller pipelined its next request, which is read after this
-                // response.
             });
     }
 
@@ -440,6 +589,7 @@
         m_closed = true;
         m_queue.clear();
         update_account();
+        set_incoming(0);
         error_code ignored;
         m_stream.socket().close(ignored);
         if (m_responding) {
@@ -464,7 +614,14 @@
     bool m_resets_on_close = false;
     bool m_breaking_off = false; ///< Closes after the queued bytes, without the response's end.
     bool m_closed = false;
-    std::optional<core::memory_account> m_account;
+    bool m_refused = false;       ///< The last request; the connection closes after the response.
+    bool m_lacks_memory = false;  ///< For the request that is being received.
+    std::size_t m_head_bytes = 0; ///< Kept of the header of the current request.
+    std::size_t m_body_bytes = 0; ///< Kept, or reserved, for its body.
+    std::size_t m_received_bytes = 0; ///< Of the current request.
+    incoming_holder m_incoming_holder{*this};
+    std::optional<core::memory_account> m_account;  ///< Of what the caller hasn't read.
+    std::optional<core::memory_account> m_incoming; ///< Of what was received.
 };
 
 namespace {
@@ -538,6 +695,13 @@
         close();
         return;
     }
+    if (m_buffer.size() == 0) {
+        m_buffer = beast::flat_buffer{};
+    }
+    if (!reserve(0, core::memory_use::awaited)) {
+        refuse_for_memory();
+        return;
+    }
     m_stream.expires_never();
     auto message = m_parser->release();
     server_request request;
@@ -563,9 +727,9 @@
 class server::implementation : public std::enable_shared_from_this<server::implementation> {
 public:
     implementation(asio::io_context& context, server_limits limits, server_handler& handler,
-                   core::memory_ledger* memory)
+                   server_resources resources)
         : m_context(context), m_acceptor(context),
-          m_shared(new server_shared{limits, handler, memory, {}, {}, {}, {1}})
+          m_shared(new server_shared{limits, handler, resources, {}, {}, {}, {1}})
     {
     }
 
@@ -579,6 +743,8 @@
         error_code code;
         m_acceptor.open(endpoint->protocol(), code);
         m_acceptor.set_option(tcp::acceptor::reuse_address{true}, code);
+        // Connections inherit it. Without it, their receive buffers grow by themselves.
+        m_acceptor.set_option(asio::socket_base::receive_buffer_size{receive_buffer_bytes}, code);
         m_acceptor.bind(*endpoint, code);
         if (!code) {
             m_acceptor.listen(4096, code);
@@ -630,8 +796,8 @@
 };
 
 server::server(asio::io_context& context, server_limits limits, server_handler& handler,
-               core::memory_ledger* memory)
-    : m_implementation(std::make_shared<implementation>(context, limits, handler, memory))
+               server_resources resources)
+    : m_implementation(std::make_shared<implementation>(context, limits, handler, resources))
 {
 }
 
--- a/src/http/server_test.cpp
+++ b/src/http/server_test.cpp
@@ -72,7 +72,8 @@
         limits.max_header_bytes = 2000;
         limits.header_timeout = std::chrono::milliseconds{300};
         limits.body_timeout = std::chrono::milliseconds{300};
-        tested = std::make_unique<server>(context, limits, handler, &memory);
+        tested =
+            std::make_unique<server>(context, limits, handler, server_resources{.memory = &memory});
         handler.observed = tested.get();
         std::string error;
         CHECK_TRUE_TEXT(tested->listen(address, error), error.c_str());
@@ -313,3 +314,42 @@
                                  "1;name=value\r\na\r\n1\r\nb\r\n0\r\nX-Trailer: value\r\n\r\n");
     CHECK_TRUE_TEXT(answer.starts_with("HTTP/1.1 200"), answer.c_str());
 }
+
+// Guards against a request that is refused with a promise, and runs.
+TEST(Server, RefusesARequestWithoutMemoryForItBeforeItsBodyComes)
+{
+    class unreleased final : public core::memory_holder {
+        void release_memory() override {}
+    } holder;
+    core::memory_account kept{memory, holder};
+    CHECK_TRUE(kept.reserve(memory.largest_message(), core::memory_use::awaited));
+    server_limits limits;
+    limits.max_body_bytes = memory.limit();
+    tested->set_limits(limits);
+    const auto answer = exchange("POST / HTTP/1.1\r\nContent-Length: 100000\r\n\r\n");
+    CHECK_TRUE_TEXT(answer.starts_with("HTTP/1.1 503"), answer.c_str());
+    CHECK_TRUE_TEXT(answer.find("Retry-After: ") != std::string::npos, answer.c_str());
+    LONGS_EQUAL(0, handler.requests);
+    expect_alive();
+}
+
+TEST(Server, RejectsABodyThatNeverFindsMemory)
+{
+    server_limits limits;
+    limits.max_body_bytes = 2 * memory.limit();
+    tested->set_limits(limits);
+    const auto answer = exchange(
+        "POST / HTTP/1.1\r\nContent-Length: " + std::to_string(memory.limit()) + "\r\n\r\n");
+    CHECK_TRUE_TEXT(answer.starts_with("HTTP/1.1 413"), answer.c_str());
+}
+
+TEST(Server, ForgetsWhatItKeptOnceConnectionsClose)
+{
+    exchange("POST / HTTP/1.1\r\nContent-Length: 900\r\nConnection: close\r\n\r\n" +
+             std::string(900, 'b'));
+    exchange("POST / HTTP/1.1\r\nContent-Length: 900\r\n\r\nincomplete");
+    for (int i = 0; i < 500 && memory.total() > 0; ++i) {
+        std::this_thread::sleep_for(std::chrono::milliseconds{10});
+    }
+    UNSIGNED_LONGS_EQUAL(0, memory.total());
+}
--- a/tests/client_limit_test.py
+++ b/tests/client_limit_test.py
@@ -38,17 +38,6 @@
 
 # Listed in KNOWN-RED.txt, issue 57; run with KNOWN_RED=1.
 KNOWN_RED_TESTS = (
-    "test_bodies_that_lack_their_last_byte",
-    "test_bodies_of_chunks_of_one_byte",
-    "test_whole_bodies_at_the_same_time",
-    "test_requests_behind_one_that_runs",
-    "test_chunked_bodies_without_last_chunk_at_callers",
-    "test_chunked_bodies_without_last_chunk_at_readiness",
-    "test_chunked_bodies_without_last_chunk_at_directory",
-    "test_chunked_bodies_without_last_chunk_at_metrics",
-    "test_chunked_bodies_without_last_chunk_at_relays",
-    "test_chunked_bodies_without_last_chunk_at_control",
-    "test_chunked_bodies_without_last_chunk_at_entry",
     "test_announced_frames_at_gateway",
     "test_announced_frames_at_coordinator",
     "test_announced_frames_at_entry",
