Limit the connections of a process by its descriptors

Callers couldn't connect while 600 clients held connections on which they sent nothing, or half a head: the process had 400 of its 400 descriptors open, had none left for upstreams, other processes or the disk, and kept a core busy.

The limit of connections was 20,000 for each server, whatever the descriptors. An accept that fails for want of a descriptor was tried again at once, and fails again.

core/connection_ledger counts the connections of all servers, between processes and to upstreams, against `max_descriptors`, by default the limit of the system, less 200 for files. At the limit a new connection takes the place of the one that has waited longest for a request, for over a second; those that never sent a whole one go first. External connections leave a quarter to others. An accept that fails is tried again after 100 ms. client_limit_test: 9 tests that failed before pass, with 214 descriptors or less.

--- a/include/siskindrift/config/settings.h
+++ b/include/siskindrift/config/settings.h
@@ -26,6 +26,8 @@
     core::duration config_bound = core::milliseconds{5000};
     std::uint32_t max_connections = 20'000;
     std::uint64_t memory_bytes = 0; ///< Limit on the memory of the process; 0: unknown.
+    /// Limit on the descriptors of the process; 0: that of the system.
+    std::uint32_t max_descriptors = 0;
     std::uint32_t max_body_bytes = 4 * 1024 * 1024;
     core::duration header_timeout = core::milliseconds{10'000};
     core::duration idle_timeout = core::milliseconds{75'000};
@@ -41,6 +43,8 @@
     std::vector<std::string> operator_token_hashes;
     std::uint64_t compact_after = 4096; ///< Number of log entries between two snapshots.
     std::uint64_t memory_bytes = 0;     ///< Limit on the memory of the process; 0: unknown.
+    /// Limit on the descriptors of the process; 0: that of the system.
+    std::uint32_t max_descriptors = 0;
     std::string log_level = "info";
 };
 
@@ -63,6 +67,8 @@
     core::duration stop_grace = core::milliseconds{8000};
     std::uint32_t endpoints_ttl_s = 2;
     std::uint64_t memory_bytes = 0; ///< Limit on the memory of the process; 0: unknown.
+    /// Limit on the descriptors of the process; 0: that of the system.
+    std::uint32_t max_descriptors = 0;
     /// Interval between two announcements of an upstream.
     core::duration announcement = core::milliseconds{1200};
     std::string metrics_address; ///< IP:port, or empty for none.
@@ -80,7 +86,9 @@
     bool first_start = false;       ///< Initial start of the deployment, with empty disks.
     std::uint32_t losses_borne = 1; ///< Number of coordinators that may fail at once.
     std::uint64_t memory_bytes = 0; ///< Limit on the memory of the process; 0: unknown.
-    std::uint64_t disk_bytes = 0;   ///< Size of the disk with `data_folder`; 0: unknown.
+    /// Limit on the descriptors of the process; 0: that of the system.
+    std::uint32_t max_descriptors = 0;
+    std::uint64_t disk_bytes = 0; ///< Size of the disk with `data_folder`; 0: unknown.
     /// A new leader waits this long, plus a margin for orders in transit, before its first order,
     /// unless it also led the preceding term or `upstreams_check_fences` is set.
     core::duration order_lease = core::milliseconds{3000};
--- a/include/siskindrift/core/verdict.h
+++ b/include/siskindrift/core/verdict.h
@@ -72,7 +72,8 @@
     X(stream_origin_unknown)                                                                       \
     X(software_version_gone)                                                                       \
     X(adapter_too_large)                                                                           \
-    X(memory_limit)
+    X(memory_limit)                                                                                \
+    X(connection_limit)
 
 /// Machine-readable reason of a refusal, a retry or a failure.
 enum class reason : std::uint16_t {
--- a/include/siskindrift/http/client.h
+++ b/include/siskindrift/http/client.h
@@ -10,6 +10,7 @@
 #include <string_view>
 
 #include "siskindrift/core/clock.h"
+#include "siskindrift/core/connection_ledger.h"
 #include "siskindrift/http/server.h"
 
 namespace siskindrift::http {
@@ -112,8 +113,9 @@
     /// @param context must outlive this object.
     /// @param handler must outlive this object.
     /// @param source_ip IP from which connections are opened, or empty: the system chooses it.
+    /// @param connections limits the open connections; must outlive the context; null: no limit.
     client(boost::asio::io_context& context, client_handler& handler,
-           const std::string& source_ip = {});
+           const std::string& source_ip = {}, core::connection_ledger* connections = nullptr);
     ~client();
     client(const client&) = delete;
     client& operator=(const client&) = delete;
--- a/include/siskindrift/http/server.h
+++ b/include/siskindrift/http/server.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "siskindrift/core/clock.h"
+#include "siskindrift/core/connection_ledger.h"
 #include "siskindrift/core/memory_ledger.h"
 #include "siskindrift/core/verdict.h"
 
@@ -77,6 +78,8 @@
 struct server_resources {
     /// Counts received requests until they are answered, and responses until they are read.
     core::memory_ledger* memory = nullptr;
+    core::connection_ledger* connections = nullptr;
+    core::connection_kind kind = core::connection_kind::external;
 };
 
 /// Receives requests. Called from any thread of the `io_context`.
--- a/include/siskindrift/net/mesh.h
+++ b/include/siskindrift/net/mesh.h
@@ -4,6 +4,7 @@
 #include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -14,6 +15,7 @@
 #include <vector>
 
 #include "siskindrift/core/clock.h"
+#include "siskindrift/core/connection_ledger.h"
 #include "siskindrift/core/memory_ledger.h"
 #include "siskindrift/core/verdict.h"
 #include "siskindrift/wire/messages.h"
@@ -45,6 +47,8 @@
     /// Counts messages that are being received, and replies until they are written. It must outlive
     /// the context; null: they aren't counted.
     core::memory_ledger* memory = nullptr;
+    /// Counts connections of both directions. It must outlive the context; null: not counted.
+    core::connection_ledger* connections = nullptr;
 };
 
 /// Identifies an accepted or opened connection of this process.
@@ -67,7 +71,8 @@
     virtual void on_closed(connection_id) {}
     /// A connection sent an invalid frame; it is closed.
     virtual void on_bad_frame(core::reason why) = 0;
-    /// A connection is closed because the process keeps too many bytes.
+    /// A connection is closed, or was not accepted, because the process has too many bytes or
+    /// connections.
     virtual void on_connection_refused(core::reason why) = 0;
     /// Messages were queued to be sent.
     /// @param kind name of the message's type.
@@ -83,7 +88,7 @@
 class mesh : public std::enable_shared_from_this<mesh> {
 public:
     mesh(boost::asio::io_context& context, mesh_options options, mesh_handler& handler)
-        : m_context(context), m_options(options), m_handler(handler)
+        : m_context(context), m_options(options), m_handler(handler), m_accept_timer(context)
     {
     }
 
@@ -128,6 +133,7 @@
     friend class mesh_connection;
 
     void accept();
+    void accept_later();
     std::shared_ptr<mesh_connection> connection_to(const std::string& address);
     std::shared_ptr<mesh_connection> add(boost::asio::ip::tcp::socket socket, std::string address);
     void on_connection_closed(connection_id id, const std::string& address);
@@ -138,6 +144,7 @@
     mesh_handler& m_handler;
     std::mutex m_mutex;
     std::unique_ptr<boost::asio::ip::tcp::acceptor> m_acceptor;
+    boost::asio::steady_timer m_accept_timer;
     std::map<connection_id, std::shared_ptr<mesh_connection>> m_connections;
     std::map<std::string, connection_id> m_by_address;
     std::map<std::string, bool> m_kept_connected;
--- a/src/apps/control_process.cpp
+++ b/src/apps/control_process.cpp
@@ -52,7 +52,8 @@
 
 control_process::control_process(config::control_settings settings)
     : m_settings(std::move(settings)), m_memory(memory_limit(m_settings.memory_bytes)),
-      m_mesh(std::make_shared<net::mesh>(m_context, mesh_options(m_memory), *this))
+      m_connections(connection_limit(m_settings.max_descriptors)),
+      m_mesh(std::make_shared<net::mesh>(m_context, mesh_options(m_memory, m_connections), *this))
 {
 }
 
--- a/src/apps/control_process.h
+++ b/src/apps/control_process.h
@@ -67,6 +67,7 @@
     config::control_settings m_settings;
     core::boottime_clock m_clock;
     core::memory_ledger m_memory; ///< Of requests, responses and messages.
+    core::connection_ledger m_connections;
     catalog_checker m_checker;
     boost::asio::io_context m_context;
     std::shared_ptr<net::mesh> m_mesh;
--- a/src/apps/coordinator_process.cpp
+++ b/src/apps/coordinator_process.cpp
@@ -74,11 +74,14 @@
 coordinator_process::coordinator_process(config::coordinator_settings settings,
                                          std::string settings_path)
     : m_settings(std::move(settings)), m_settings_path(std::move(settings_path)),
-      m_memory(memory_limit(m_settings.memory_bytes)), m_context(1),
+      m_memory(memory_limit(m_settings.memory_bytes)),
+      m_connections(connection_limit(m_settings.max_descriptors)), m_context(1),
       m_signals(m_context, SIGTERM, SIGINT, SIGHUP), m_timer(m_context),
-      m_mesh(std::make_shared<net::mesh>(m_context, mesh_options(m_memory), *this)),
-      m_server(m_context, http::server_limits{}, *this, {&m_memory}), m_calls(m_context),
-      m_metrics_endpoint(m_context, m_metrics, {&m_memory},
+      m_mesh(std::make_shared<net::mesh>(m_context, mesh_options(m_memory, m_connections), *this)),
+      m_server(m_context, http::server_limits{}, *this,
+               external_resources(m_memory, m_connections)),
+      m_calls(m_context),
+      m_metrics_endpoint(m_context, m_metrics, external_resources(m_memory, m_connections),
                          [this](observe::metrics& metrics) { update_gauges(metrics); }),
       m_membership(membership_options(m_settings.losses_borne)),
       m_retry_shares(share_options(m_settings.retry_window))
--- a/src/apps/entry_process.cpp
+++ b/src/apps/entry_process.cpp
@@ -122,9 +122,12 @@
 
 entry_process::entry_process(config::entry_settings settings)
     : m_settings(std::move(settings)), m_memory(memory_limit_of(m_settings)),
+      m_connections(connection_limit(m_settings.max_descriptors)),
       m_signals(m_context, SIGTERM, SIGINT), m_timer(m_context),
-      m_mesh(std::make_shared<net::mesh>(m_context, mesh_options(m_memory), *this)),
-      m_server(m_context, limits_of(m_settings), *this, {&m_memory}), m_client(m_context, *this)
+      m_mesh(std::make_shared<net::mesh>(m_context, mesh_options(m_memory, m_connections), *this)),
+      m_server(m_context, limits_of(m_settings), *this,
+               external_resources(m_memory, m_connections)),
+      m_client(m_context, *this, {}, &m_connections)
 {
     const auto incarnation = core::random_nonzero();
     m_core = std::make_unique<requests::entry_core>(m_clock, *this, options_of(m_settings),
--- a/src/apps/entry_process.h
+++ b/src/apps/entry_process.h
@@ -100,6 +100,7 @@
     config::entry_settings m_settings;
     core::boottime_clock m_clock;
     core::memory_ledger m_memory; ///< Of requests, responses and messages.
+    core::connection_ledger m_connections;
     observe::metrics m_metrics;
     boost::asio::io_context m_context;
     boost::asio::signal_set m_signals;
--- a/src/apps/gateway_process.cpp
+++ b/src/apps/gateway_process.cpp
@@ -64,11 +64,12 @@
 
 gateway_process::gateway_process(config::gateway_settings settings, std::string settings_path)
     : m_settings(std::move(settings)), m_settings_path(std::move(settings_path)),
-      m_memory(memory_limit(m_settings.memory_bytes)), m_context(1),
+      m_memory(memory_limit(m_settings.memory_bytes)),
+      m_connections(connection_limit(m_settings.max_descriptors)), m_context(1),
       m_signals(m_context, SIGTERM, SIGINT, SIGHUP), m_stop_timer(m_context),
       m_report_timer(m_context), m_share_timer(m_context), m_path_timer(m_context),
       m_place_timer(m_context), m_evidence_timer(m_context),
-      m_mesh(std::make_shared<net::mesh>(m_context, mesh_options(m_memory), *this)),
+      m_mesh(std::make_shared<net::mesh>(m_context, mesh_options(m_memory, m_connections), *this)),
       m_caller_listener(
           m_metrics,
           [this](std::uint64_t id, http::server_request request,
@@ -90,9 +91,12 @@
               respond_resolve(request, responder);
           },
           [](std::uint64_t) {}),
-      m_callers(m_context, http::server_limits{}, m_caller_listener, {&m_memory}),
-      m_readiness(m_context, query_limits(), m_readiness_listener, {&m_memory}),
-      m_directory(m_context, query_limits(), m_directory_listener, {&m_memory}),
+      m_callers(m_context, http::server_limits{}, m_caller_listener,
+                external_resources(m_memory, m_connections)),
+      m_readiness(m_context, query_limits(), m_readiness_listener,
+                  external_resources(m_memory, m_connections)),
+      m_directory(m_context, query_limits(), m_directory_listener,
+                  external_resources(m_memory, m_connections)),
       m_relay_listener(
           m_metrics,
           [this](std::uint64_t id, http::server_request request,
@@ -100,9 +104,10 @@
               handle_relayed_request(id, std::move(request), std::move(responder));
           },
           [this](std::uint64_t id) { handle_relay_disconnect(id); }),
-      m_relays(m_context, http::server_limits{}, m_relay_listener, {&m_memory}),
-      m_client(m_context, *this, m_settings.source_address),
-      m_metrics_endpoint(m_context, m_metrics, {&m_memory},
+      m_relays(m_context, http::server_limits{}, m_relay_listener,
+               {&m_memory, &m_connections, core::connection_kind::internal}),
+      m_client(m_context, *this, m_settings.source_address, &m_connections),
+      m_metrics_endpoint(m_context, m_metrics, external_resources(m_memory, m_connections),
                          [this](observe::metrics& metrics) { update_gauges(metrics); }),
       m_incarnation(core::random_nonzero()), m_roster(roster_options(m_settings.announcement)),
       m_limits(m_settings.vm), m_pool(m_roster, m_limits, core::random_nonzero()),
@@ -201,6 +206,7 @@
     metrics.set("siskindrift_open_requests", static_cast<double>(m_exchanges.size()));
     metrics.set("siskindrift_waiting_requests", static_cast<double>(m_waiting.size()));
     metrics.set("siskindrift_kept_bytes", static_cast<double>(m_memory.total()));
+    metrics.set("siskindrift_connections", static_cast<double>(m_connections.open()));
     metrics.set("siskindrift_caller_connections", static_cast<double>(m_callers.connections()));
     metrics.set("siskindrift_document_version",
                 static_cast<double>(m_deployment ? m_deployment->version : 0));
--- a/src/apps/gateway_process.h
+++ b/src/apps/gateway_process.h
@@ -345,6 +345,7 @@
     std::string m_settings_path;
     core::boottime_clock m_clock;
     core::memory_ledger m_memory; ///< Of requests, responses and messages.
+    core::connection_ledger m_connections;
     boost::asio::io_context m_context;
     boost::asio::signal_set m_signals;
     boost::asio::steady_timer m_stop_timer;
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -126,6 +126,7 @@
     read_seconds(*object, "stop_grace_s", settings.stop_grace);
     read(*object, "endpoints_ttl_s", settings.endpoints_ttl_s);
     read_megabytes(*object, "memory_mb", settings.memory_bytes);
+    read(*object, "max_descriptors", settings.max_descriptors);
     read(*object, "announcement_ms", settings.announcement);
     read(*object, "metrics_address", settings.metrics_address);
     read(*object, "log_level", settings.log_level);
@@ -153,6 +154,7 @@
     }
     read(*object, "losses_borne", settings.losses_borne);
     read_megabytes(*object, "memory_mb", settings.memory_bytes);
+    read(*object, "max_descriptors", settings.max_descriptors);
     read_megabytes(*object, "disk_mb", settings.disk_bytes);
     if (const auto* checked = object->if_contains("upstreams_check_fences")) {
         settings.upstreams_check_fences = checked->as_bool();
@@ -183,6 +185,7 @@
     read(*object, "config_bound_ms", settings.config_bound);
     read(*object, "max_connections", settings.max_connections);
     read_megabytes(*object, "memory_mb", settings.memory_bytes);
+    read(*object, "max_descriptors", settings.max_descriptors);
     read(*object, "max_body_bytes", settings.max_body_bytes);
     read(*object, "header_timeout_ms", settings.header_timeout);
     read(*object, "idle_timeout_ms", settings.idle_timeout);
@@ -210,6 +213,7 @@
     read(*object, "operator_token_hashes", settings.operator_token_hashes);
     read(*object, "compact_after", settings.compact_after);
     read_megabytes(*object, "memory_mb", settings.memory_bytes);
+    read(*object, "max_descriptors", settings.max_descriptors);
     read(*object, "log_level", settings.log_level);
     return settings;
 }
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -88,10 +88,38 @@
 
 class client_exchange;
 
+namespace {
+
+/// A connection with its place among those of the process.
+class counted_stream : public beast::tcp_stream {
+public:
+    using beast::tcp_stream::tcp_stream;
+    explicit counted_stream(beast::tcp_stream&& other) : beast::tcp_stream(std::move(other)) {}
+
+    /// Takes a place. Returns false if the process has too many connections.
+    [[nodiscard]] bool take_slot(core::connection_ledger* connections)
+    {
+        if (connections == nullptr) {
+            return true;
+        }
+        if (!connections->admit(core::connection_kind::internal)) {
+            return false;
+        }
+        m_slot.emplace(*connections, nullptr);
+        return true;
+    }
+
+private:
+    std::optional<core::connection_slot> m_slot;
+};
+
+} // namespace
+
 class client::implementation : public std::enable_shared_from_this<client::implementation> {
 public:
-    implementation(asio::io_context& context, client_handler& handler, const std::string& source_ip)
-        : m_context(context), m_handler(handler)
+    implementation(asio::io_context& context, client_handler& handler, const std::string& source_ip,
+                   core::connection_ledger* connections)
+        : m_context(context), m_handler(handler), m_connections(connections)
     {
         if (!source_ip.empty()) {
             m_source = tcp::endpoint{asio::ip::make_address(source_ip), 0};
@@ -129,7 +157,7 @@
 
     // Removes an open connection that was idle for less than @p longest from the pool; null when
     // there is none.
-    std::unique_ptr<beast::tcp_stream> take_idle(const std::string& address, core::duration longest)
+    std::unique_ptr<counted_stream> take_idle(const std::string& address, core::duration longest)
     {
         const std::lock_guard lock{m_mutex};
         auto& idle = m_idle[address];
@@ -144,7 +172,7 @@
         return nullptr;
     }
 
-    void return_idle(const std::string& address, std::unique_ptr<beast::tcp_stream> stream,
+    void return_idle(const std::string& address, std::unique_ptr<counted_stream> stream,
                      core::duration lifetime)
     {
         const std::lock_guard lock{m_mutex};
@@ -164,10 +192,11 @@
 
     [[nodiscard]] client_handler& handler() { return m_handler; }
     [[nodiscard]] asio::io_context& context() { return m_context; }
+    [[nodiscard]] core::connection_ledger* connections() { return m_connections; }
 
 private:
     struct idle_stream {
-        std::unique_ptr<beast::tcp_stream> stream;
+        std::unique_ptr<counted_stream> stream;
         core::time_point since;
         core::duration lifetime;
     };
@@ -182,6 +211,7 @@
 
     asio::io_context& m_context;
     client_handler& m_handler;
+    core::connection_ledger* m_connections;
     std::optional<tcp::endpoint> m_source;
     mutable std::mutex m_mutex;
     std::map<std::uint64_t, std::weak_ptr<client_exchange>> m_open;
@@ -206,7 +236,7 @@
         }
         m_reused = m_stream != nullptr;
         if (!m_reused) {
-            m_stream = std::make_unique<beast::tcp_stream>(asio::make_strand(m_owner->context()));
+            m_stream = std::make_unique<counted_stream>(asio::make_strand(m_owner->context()));
         }
         m_executor = m_stream->get_executor();
     }
@@ -252,6 +282,10 @@
             end(call_result::not_sent, "not an IP:port address: " + m_call.address);
             return;
         }
+        if (!m_stream->take_slot(m_owner->connections())) {
+            end(call_result::not_sent, "the process has too many connections");
+            return;
+        }
         error_code bind_error;
         m_owner->bind_source(m_stream->socket(), bind_error);
         if (bind_error) {
@@ -511,7 +545,7 @@
     bool m_head_begun = false;
     bool m_answered = false; ///< A byte of any response has come.
     std::size_t m_body_bytes = 0;
-    std::unique_ptr<beast::tcp_stream> m_stream;
+    std::unique_ptr<counted_stream> m_stream;
     asio::any_io_executor m_executor;
     bool m_reused = false;
     beast::http::request<beast::http::span_body<const char>> m_request;
@@ -574,15 +608,18 @@
                 stream->socket().set_option(tcp::no_delay{true}, ignored);
                 net::detect_dead_peer(stream->socket(), unacknowledged_timeout);
                 stream->expires_never();
-                self->return_idle(address, std::make_unique<beast::tcp_stream>(std::move(*stream)),
-                                  max_idle_lifetime);
+                auto kept = std::make_unique<counted_stream>(std::move(*stream));
+                if (kept->take_slot(self->m_connections)) {
+                    self->return_idle(address, std::move(kept), max_idle_lifetime);
+                }
             }
             done(!failed);
         });
 }
 
-client::client(asio::io_context& context, client_handler& handler, const std::string& source_ip)
-    : m_implementation(std::make_shared<implementation>(context, handler, source_ip))
+client::client(asio::io_context& context, client_handler& handler, const std::string& source_ip,
+               core::connection_ledger* connections)
+    : m_implementation(std::make_shared<implementation>(context, handler, source_ip, connections))
 {
 }
 
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -1,6 +1,7 @@
 #include "siskindrift/http/server.h"
 
 #include <atomic>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
@@ -33,6 +34,8 @@
 constexpr std::size_t connection_bytes = 8UL * 1024;
 // Header fields are kept as received and again as strings.
 constexpr std::size_t copies_of_header = 2;
+// Until connections are accepted again after a failure, such as a lack of descriptors.
+constexpr core::milliseconds accept_retry_interval{100};
 // When a caller may return that was refused for lack of memory: incomplete requests are over then.
 constexpr std::string_view memory_retry_after_s = "1";
 
@@ -84,6 +87,7 @@
 
 /// One connection. Its members are used on its strand only, except the atomic backlog.
 class server_connection final : public core::memory_holder,
+                                public core::connection_holder,
                                 public std::enable_shared_from_this<server_connection> {
 public:
     server_connection(tcp::socket socket, std::shared_ptr<server_shared> shared)
@@ -94,6 +98,9 @@
             m_account.emplace(*m_shared->resources.memory, *this);
             m_incoming.emplace(*m_shared->resources.memory, m_incoming_holder);
         }
+        if (m_shared->resources.connections != nullptr) {
+            m_slot.emplace(*m_shared->resources.connections, this);
+        }
     }
     server_connection(const server_connection&) = delete;
     server_connection& operator=(const server_connection&) = delete;
@@ -184,6 +191,18 @@
         }
     }
 
+    void close_waiting() override
+    {
+        if (auto self = weak_from_this().lock()) {
+            asio::post(m_stream.get_executor(), [self = std::move(self)] {
+                if (!self->m_closed && !self->m_responding) {
+                    self->m_shared->handler.on_refused(core::reason::connection_limit);
+                    self->close();
+                }
+            });
+        }
+    }
+
     [[nodiscard]] bool closing() const { return m_shared->closing; }
     [[nodiscard]] std::size_t backlog() const { return m_backlog; }
     [[nodiscard]] const server_limits& limits() const { return m_shared->limits; }
@@ -208,6 +227,9 @@
         if (m_buffer.size() == 0 && m_buffer.capacity() > read_bytes) {
             m_buffer = beast::flat_buffer{};
         }
+        if (m_slot) {
+            m_slot->begin_waiting();
+        }
         // A connection without a request keeps its first buffer only.
         if (m_buffer.size() == 0) {
             set_incoming(connection_bytes);
@@ -590,6 +612,7 @@
         m_queue.clear();
         update_account();
         set_incoming(0);
+        m_slot.reset();
         error_code ignored;
         m_stream.socket().close(ignored);
         if (m_responding) {
@@ -622,6 +645,7 @@
     incoming_holder m_incoming_holder{*this};
     std::optional<core::memory_account> m_account;  ///< Of what the caller hasn't read.
     std::optional<core::memory_account> m_incoming; ///< Of what was received.
+    std::optional<core::connection_slot> m_slot;
 };
 
 namespace {
@@ -702,6 +726,9 @@
         refuse_for_memory();
         return;
     }
+    if (m_slot) {
+        m_slot->end_waiting();
+    }
     m_stream.expires_never();
     auto message = m_parser->release();
     server_request request;
@@ -728,7 +755,7 @@
 public:
     implementation(asio::io_context& context, server_limits limits, server_handler& handler,
                    server_resources resources)
-        : m_context(context), m_acceptor(context),
+        : m_context(context), m_acceptor(context), m_accept_timer(context),
           m_shared(new server_shared{limits, handler, resources, {}, {}, {}, {1}})
     {
     }
@@ -779,19 +806,46 @@
                 if (error == asio::error::operation_aborted || !self->m_acceptor.is_open()) {
                     return;
                 }
-                const auto open = self->m_shared->connections.load();
-                if (!error && open < self->m_shared->limits.max_connections) {
-                    std::make_shared<server_connection>(std::move(socket), self->m_shared)->begin();
-                }
-                else if (!error) {
-                    self->m_shared->handler.on_refused(core::reason::queue_full);
+                if (error) {
+                    self->m_shared->handler.on_refused(core::reason::connection_limit);
+                    self->accept_later();
+                    return;
                 }
+                self->take(std::move(socket));
                 self->accept();
             });
     }
 
+    // Serves a new connection, or closes it if there are too many.
+    void take(tcp::socket socket)
+    {
+        const auto& resources = m_shared->resources;
+        if (m_shared->connections >= m_shared->limits.max_connections) {
+            m_shared->handler.on_refused(core::reason::queue_full);
+        }
+        else if (resources.connections != nullptr &&
+                 !resources.connections->admit(resources.kind)) {
+            m_shared->handler.on_refused(core::reason::connection_limit);
+        }
+        else {
+            std::make_shared<server_connection>(std::move(socket), m_shared)->begin();
+        }
+    }
+
+    // An accept that fails for want of a descriptor would fail again at once.
+    void accept_later()
+    {
+        m_accept_timer.expires_after(accept_retry_interval);
+        m_accept_timer.async_wait([self = shared_from_this()](error_code) {
+            if (self->m_acceptor.is_open()) {
+                self->accept();
+            }
+        });
+    }
+
     asio::io_context& m_context;
     tcp::acceptor m_acceptor;
+    asio::steady_timer m_accept_timer;
     std::shared_ptr<server_shared> m_shared;
 };
 
--- a/src/http/server_test.cpp
+++ b/src/http/server_test.cpp
@@ -353,3 +353,43 @@
     }
     UNSIGNED_LONGS_EQUAL(0, memory.total());
 }
+
+TEST(Server, ClosesTheConnectionThatHasWaitedLongestForANewOne)
+{
+    core::manual_clock time;
+    core::connection_ledger connections{4, time};
+    const auto limited_address = tests::unused_loopback_address();
+    server limited{context, server_limits{}, handler,
+                   server_resources{.memory = &memory, .connections = &connections}};
+    std::string error;
+    CHECK_TRUE_TEXT(limited.listen(limited_address, error), error.c_str());
+    asio::io_context own;
+    std::vector<asio::ip::tcp::socket> silent;
+    const auto open = [&] {
+        silent.emplace_back(own);
+        silent.back().connect(*net::parse_address(limited_address));
+        const auto before = connections.open();
+        for (int i = 0; i < 50 && connections.open() <= before && before < 3; ++i) {
+            std::this_thread::sleep_for(std::chrono::milliseconds{10});
+        }
+    };
+    open();
+    open();
+    open();
+    std::this_thread::sleep_for(std::chrono::milliseconds{50}); // until all of them wait
+    time.advance(core::connection_ledger::patience);
+    open();
+    char byte = 0;
+    boost::system::error_code closed;
+    asio::read(silent.front(), asio::buffer(&byte, 1), closed);
+    CHECK_TRUE(closed.failed());
+    CHECK_TRUE(handler.last_rejection == core::reason::connection_limit);
+    limited.stop_accepting();
+    for (auto& socket : silent) {
+        socket.close();
+    }
+    for (int i = 0; i < 500 && connections.open() > 0; ++i) {
+        std::this_thread::sleep_for(std::chrono::milliseconds{10});
+    }
+    UNSIGNED_LONGS_EQUAL(0, connections.open());
+}
--- a/src/net/mesh.cpp
+++ b/src/net/mesh.cpp
@@ -31,6 +31,8 @@
 // What a connection takes beside its messages, and a queued message beside its frame.
 constexpr std::size_t connection_bytes = 2048;
 constexpr std::size_t queue_entry_bytes = 128;
+// Until connections are accepted again after a failure, such as a lack of descriptors.
+constexpr core::milliseconds accept_retry_interval{100};
 // Limit for what the kernel keeps of an accepted connection that isn't read; it doubles the value.
 constexpr int receive_buffer_bytes = 256 * 1024;
 
@@ -72,6 +74,7 @@
 
 /// One connection. Its members are used on its strand only, except the atomic `m_queued_bytes`.
 class mesh_connection final : public core::memory_holder,
+                              public core::connection_holder,
                               public std::enable_shared_from_this<mesh_connection> {
 public:
     mesh_connection(std::shared_ptr<mesh> owner, tcp::socket socket, connection_id id,
@@ -84,6 +87,9 @@
             m_incoming.emplace(*options.memory, *this);
             m_outgoing.emplace(*options.memory, *this);
         }
+        if (options.connections != nullptr) {
+            m_slot.emplace(*options.connections, m_address.empty() ? this : nullptr);
+        }
     }
 
     /// Opens an outgoing connection.
@@ -135,6 +141,7 @@
     }
 
     void release_memory() override { refuse_later(core::reason::memory_limit); }
+    void close_waiting() override { refuse_later(core::reason::connection_limit); }
 
 private:
     struct queued_frame {
@@ -188,6 +195,9 @@
         error_code ignored;
         m_socket.set_option(tcp::no_delay{true}, ignored);
         m_connected = true;
+        if (m_slot) {
+            m_slot->begin_waiting();
+        }
         m_last_received = asio::steady_timer::clock_type::now();
         read_header();
         write_next();
@@ -274,6 +284,9 @@
             }
         }
         else {
+            if (m_slot) {
+                m_slot->end_waiting();
+            }
             m_owner->m_handler.on_message(m_id, std::move(*message));
         }
         read_header();
@@ -341,6 +354,7 @@
         if (m_incoming) {
             m_incoming->set(0);
         }
+        m_slot.reset();
         m_owner->on_connection_closed(m_id, m_address);
     }
 
@@ -356,6 +370,7 @@
     std::size_t m_outgoing_bytes = 0;               ///< Of `m_queue`, as counted in the ledger.
     std::optional<core::memory_account> m_incoming; ///< Of `m_payload`.
     std::optional<core::memory_account> m_outgoing; ///< Of `m_queue`.
+    std::optional<core::connection_slot> m_slot;
     std::atomic<std::size_t> m_queued_bytes{0};
     core::time_point m_last_received{};
     bool m_connected = false;
@@ -389,18 +404,38 @@
 
 void mesh::accept()
 {
-    m_acceptor->async_accept(asio::make_strand(m_context),
-                             [self = shared_from_this()](error_code error, tcp::socket socket) {
-                                 if (error == asio::error::operation_aborted) {
-                                     return;
-                                 }
-                                 if (!error) {
-                                     if (auto added = self->add(std::move(socket), {})) {
-                                         added->begin();
-                                     }
-                                 }
-                                 self->accept();
-                             });
+    m_acceptor->async_accept(
+        asio::make_strand(m_context),
+        [self = shared_from_this()](error_code error, tcp::socket socket) {
+            if (error == asio::error::operation_aborted) {
+                return;
+            }
+            if (error) {
+                self->m_handler.on_connection_refused(core::reason::connection_limit);
+                self->accept_later();
+                return;
+            }
+            auto* connections = self->m_options.connections;
+            if (connections != nullptr && !connections->admit(core::connection_kind::internal)) {
+                self->m_handler.on_connection_refused(core::reason::connection_limit);
+            }
+            else if (auto added = self->add(std::move(socket), {})) {
+                added->begin();
+            }
+            self->accept();
+        });
+}
+
+// An accept that fails for want of a descriptor would fail again at once.
+void mesh::accept_later()
+{
+    m_accept_timer.expires_after(accept_retry_interval);
+    m_accept_timer.async_wait([self = shared_from_this()](error_code) {
+        const std::lock_guard lock{self->m_mutex};
+        if (!self->m_stopped) {
+            self->accept();
+        }
+    });
 }
 
 std::shared_ptr<mesh_connection> mesh::add(tcp::socket socket, std::string address)
--- a/tests/client_limit_test.py
+++ b/tests/client_limit_test.py
@@ -38,15 +38,6 @@
 
 # Listed in KNOWN-RED.txt, issue 57; run with KNOWN_RED=1.
 KNOWN_RED_TESTS = (
-    "test_half_heads_at_callers",
-    "test_silent_connections_at_callers",
-    "test_silent_connections_at_readiness",
-    "test_silent_connections_at_directory",
-    "test_silent_connections_at_metrics",
-    "test_silent_connections_at_relays",
-    "test_silent_connections_at_control",
-    "test_silent_connections_at_inner_port_of_gateway",
-    "test_silent_connections_at_inner_port_of_coordinator",
     "test_a_body_one_byte_too_long_gets_its_answer",
 )
 
