Add clients beyond the limits to the soak

Beside the other faults, crowds send what client_limit_test sends to all addresses of random processes, whose memory is bound at 160 MB and whose descriptors at 400.

--- a/tests/fault_soak.py
+++ b/tests/fault_soak.py
@@ -16,7 +16,8 @@
 import tempfile
 import time
 
-from platform_fixture import (APPLY_S, Connection, GRACE_S, PlatformFixture, STREAM_PREFIXES,
+from client_crowd import CHUNKED, HEARTBEAT, MIB, ClientCrowd, frame_header, peak_resident_bytes
+from platform_fixture import (APPLY_S, Connection, GRACE_S, HOST, PlatformFixture, STREAM_PREFIXES,
                               call_once, check_answer, event_versions, request_headers)
 
 CALLERS = 12
@@ -33,6 +34,9 @@
 LIMIT_WINDOW_S = 4.0     # in which at most one and a half times the limit and 5 may arrive
 MIN_SERVED_SHARE = 0.9   # of RECOVERY_REQUESTS
 RECOVERY_REQUESTS = 60
+MEMORY_MB = 160          # limit of each program
+MAX_DESCRIPTORS = 400    # limit of each program
+CROWD_SEND_S = 2.0       # for what a crowd beyond the limits sends
 OVERHEAD_S = 90.0        # time limit of a run for start, recovery and stop, added to --seconds
 
 
@@ -315,6 +319,36 @@
             for upstream in self.platform.upstreams:
                 upstream.link.unblock()
 
+    async def leave_limits(self):
+        """Sends crowds of clients beyond the limits to all addresses beside the other faults."""
+        rng = random.Random(self.seed + 4)
+        end = time.monotonic() + self.seconds
+        head = f"POST /safe/x HTTP/1.1\r\nHost: {HOST}\r\n".encode() + CHUNKED.encode()
+        chunk = b"10000\r\n" + b"b" * 65536 + b"\r\n"
+        while time.monotonic() < end:
+            await asyncio.sleep(rng.uniform(0.2, 2.0))
+            name = rng.choice(self.platform.gateways + self.platform.coordinators)
+            kind, count, what = rng.choice([
+                ("extension", 3, (head + b"4;", b"e" * 65536, 400)),
+                ("trailers", 20, (head + b"0\r\n", b"X-Trailer: value\r\n" * 4096, 20)),
+                ("unfinished bodies", 60, (head, chunk, 15)), ("silence", 200, (b"",)),
+                ("half heads", 200, (head[:-2],)), ("frames", 20, (frame_header(16 * MIB), b"\x10" * 65536, 64)),
+                ("echoes", 3, (HEARTBEAT, HEARTBEAT * 2048, 100))])
+            address = rng.choice(self.platform.inner_addresses(name) if kind in ("frames", "echoes")
+                                 else self.platform.http_addresses(name))
+            self.log_event(f"{count} clients send {kind} to {name} at {address}")
+            crowd = ClientCrowd()
+            await crowd.send_all(count, CROWD_SEND_S, address, *what)
+            await asyncio.sleep(rng.uniform(0.0, 2.0))
+            self.check_memory()
+            crowd.leave()
+
+    def check_memory(self):
+        for name, process in self.platform.processes.items():
+            peak = peak_resident_bytes(process.pid)
+            if peak > MEMORY_MB * MIB:
+                self.platform.report_violation(f"{name}: {peak // MIB} MB of {MEMORY_MB} resident")
+
     async def change_software(self):
         """Restarts engines with other software versions beside the other faults."""
         rng = random.Random(self.seed + 3)
@@ -387,7 +421,7 @@
         background.append(asyncio.create_task(self.read_documents()))
         background.append(asyncio.create_task(self.restart_exited()))
         await asyncio.gather(self.inject_faults(), self.break_responses(), self.name_limits(),
-                             self.cut_paths(), self.change_software())
+                             self.cut_paths(), self.change_software(), self.leave_limits())
         for upstream in self.platform.upstreams:
             upstream.crashing_parts = set()
             upstream.crashing_requests = set()
@@ -398,6 +432,7 @@
         await asyncio.sleep(0.5)  # late executions at upstreams are checked as well
         for request_id, path, answer, first in self.answers:
             check_answer(self.platform, request_id, path, answer, STREAM_EVENTS, first)
+        self.check_memory()
         for name in self.platform.gateways + self.platform.coordinators:
             self.platform.signal(name, signal.SIGTERM)
         for name in self.platform.gateways + self.platform.coordinators:
@@ -438,7 +473,10 @@
 
 
 def run_seed(seed, seconds, folder):
-    platform = PlatformFixture(folder, seed=seed)
+    memory = {"memory_mb": MEMORY_MB}
+    platform = PlatformFixture(folder, seed=seed, gateway_settings=memory, coordinator_settings=memory)
+    for name in platform.gateways + platform.coordinators:
+        platform.descriptor_limits[name] = MAX_DESCRIPTORS
     if seed % 2:
         for upstream in platform.upstreams:
             upstream.announces_to = platform.control_addresses[0]
