--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -38,6 +38,8 @@
 // lose the response to a reset.
 constexpr core::milliseconds linger_timeout{2000};
 constexpr std::size_t max_linger_bytes = 8UL * 1024 * 1024;
+// What a request takes beside its body: its header, and the buffer that it is read into.
+constexpr std::uint64_t request_overhead_bytes = 256UL * 1024;
 // Until connections are accepted again after a failure, such as a lack of descriptors.
 constexpr core::milliseconds accept_retry_interval{100};
 // When a caller may return that was refused for lack of memory: incomplete requests are over then.
@@ -228,13 +230,10 @@
         m_head_bytes = 0;
         m_body_bytes = 0;
         m_received_bytes = 0;
-        if (m_buffer.size() == 0 && m_buffer.capacity() > read_bytes) {
-            m_buffer = beast::flat_buffer{};
-        }
+        give_back_buffer();
         if (m_slot) {
             m_slot->begin_waiting();
         }
-        // A connection without a request keeps its first buffer only.
         if (m_buffer.size() == 0) {
             set_incoming(connection_bytes);
         }
@@ -243,6 +242,14 @@
         parse_header();
     }
 
+    // Without a request, a connection keeps a small buffer only.
+    void give_back_buffer()
+    {
+        if (m_buffer.size() == 0 && m_buffer.capacity() > read_bytes) {
+            m_buffer = beast::flat_buffer{};
+        }
+    }
+
     // Parses what was received, and reads more while the header isn't complete. The limits are
     // those in force when the bytes arrive, not those of when the connection became idle.
     void parse_header()
@@ -374,7 +381,12 @@
     {
         const auto* memory = m_shared->resources.memory;
         const auto limit = m_shared->limits.max_body_bytes;
-        return memory == nullptr ? limit : std::min<std::size_t>(limit, memory->largest_message());
+        if (memory == nullptr) {
+            return limit;
+        }
+        const auto largest = memory->largest_message();
+        return std::min<std::size_t>(limit,
+                                     largest - std::min(largest / 2, request_overhead_bytes));
     }
 
     [[nodiscard]] std::size_t body_bytes() { return m_parser->get().body().size(); }
@@ -751,9 +763,7 @@
         close();
         return;
     }
-    if (m_buffer.size() == 0) {
-        m_buffer = beast::flat_buffer{};
-    }
+    give_back_buffer();
     if (!reserve(0, core::memory_use::awaited)) {
         refuse_for_memory();
         return;
