Limit the names of models and adapters in requests

Names of more than 512 bytes together are now answered with 400, before anything remembers them. The fixture of the test has an engine for it; its crowds and bounds stay.

--- a/src/apps/gateway_exchanges.cpp
+++ b/src/apps/gateway_exchanges.cpp
@@ -34,6 +34,10 @@
 constexpr std::size_t max_counted_rejections = 256;
 // A fraction of the time after which an upstream counts as silent.
 constexpr core::milliseconds activity_interval{100};
+// Limit for the names of a model and its adapter together. They are kept, here and at coordinators,
+// for a while after the request.
+constexpr std::size_t max_model_name_bytes = 512;
+constexpr std::uint16_t bad_request = 400;
 constexpr std::string_view too_large_to_keep = "the response is too large to keep";
 
 // Returns the length of the body that a head states, or 0.
@@ -162,6 +166,10 @@
         respond_with_error(item, 404, core::reason::unknown_route, std::nullopt);
         return;
     }
+    if (item.metadata.model.size() + item.metadata.adapter.size() > max_model_name_bytes) {
+        respond_with_error(item, bad_request, core::reason::bad_request, std::nullopt);
+        return;
+    }
     item.route = *found;
     item.service = gateway::route_table::choose_service(item.route, item.metadata.request_id);
     const auto& service = m_deployment->services.at(item.service);
--- a/tests/client_limit_test.py
+++ b/tests/client_limit_test.py
@@ -68,7 +68,7 @@
         self.folder = tempfile.mkdtemp(prefix="client-limit-test-")
         settings = {"memory_mb": self.memory_mb}
         self.platform = PlatformFixture(self.folder, seed=57, coordinators=1, gateways=1, plain=2,
-                                        engines=0, gateway_settings=settings,
+                                        engines=1, gateway_settings=settings,
                                         coordinator_settings=settings)
         self.platform.descriptor_limits = {"gateway-1": MAX_DESCRIPTORS, "coordinator-1": MAX_DESCRIPTORS}
         for upstream in self.platform.upstreams:
@@ -269,6 +269,17 @@
         await self.crowd(40, self.door("callers"), self.head(CHUNKED), b"10000\r\n" + b"b" * 65536 + b"\r\n", 100)
         await self.check()
 
+    async def test_names_of_models_as_long_as_a_head(self):
+        """A gateway and a coordinator remember for a while which adapters are asked for."""
+        async def call_in_turn(number):
+            connection = Connection(self.platform.caller_address(0))
+            for i in range(20):
+                headers = request_headers(f"{number:08x}{i:08x}", 0.1, f"{number}-{i}" + "n" * 15000)
+                await connection.call("POST", "/stream/x", headers, limit=1.0)
+            connection.close()
+        await asyncio.wait([asyncio.create_task(call_in_turn(i)) for i in range(100)], timeout=2 * SEND_S)
+        await self.check()
+
     # --- the inner port ---
     async def check_frames(self, door, count, announced, sent):
         await self.crowd(count, self.door(door), frame_header(announced) + b"\x10" * 8, b"\x10" * 65536,
