Let go of the messages that have stalled, not of those that came slowly

A caller that sends 4 MiB steadily over a slow link could lose its request, with 503, to clients that send as much at once, stop short and stay open: when the memory for requests was full, the message went first that had come with the lowest mean rate since its start, and what came in a burst has the higher mean for some seconds.

The ledger now notes when a message last went on by 64 KiB. One that did so within a second is never asked to go for a new request; among the others the one that stalled longest goes first. Connections between processes report each part of a frame, not only when its buffer grows.

--- a/include/siskindrift/core/memory_ledger.h
+++ b/include/siskindrift/core/memory_ledger.h
@@ -36,15 +36,17 @@
 class memory_account;
 
 /// The bytes of all accounts of a process, and their limit. When they exceed it, accounts are asked
-/// to release theirs until the rest is within the limit: first messages that have been incomplete
-/// for longer than `patience`, the slowest first; then, the largest first, responses without a
-/// known end, other incomplete messages and responses with a known end. What is awaited is never
-/// asked for. Thread-safe.
+/// to release theirs until the rest is within the limit: first incomplete messages of which no
+/// `progress_bytes` came within `patience`, the longest stalled first; then, the largest first,
+/// responses without a known end, other incomplete messages and responses with a known end. What is
+/// awaited is never asked for. Thread-safe.
 class memory_ledger {
 public:
     static constexpr std::uint64_t unlimited = std::numeric_limits<std::uint64_t>::max();
-    /// Incomplete messages are released for others only after this time.
+    /// Incomplete messages that stall for so long are released for others.
     static constexpr milliseconds patience{1000};
+    /// A message that comes in smaller steps counts as stalled.
+    static constexpr std::uint64_t progress_bytes = 64UL * 1024;
     /// Larger messages may use three quarters of the limit, so that small ones are still received.
     static constexpr std::uint64_t small_message_bytes = 64UL * 1024;
 
@@ -71,8 +73,8 @@
     void store(memory_account& account, std::uint64_t bytes, memory_use use);
     void enforce_limit();
     void release(memory_account& account);
-    /// Returns the overdue incomplete message that came slowest; null if there is none.
-    [[nodiscard]] memory_account* slowest_overdue(const memory_account* except) const;
+    /// Returns the incomplete message that has stalled longest; null if there is none.
+    [[nodiscard]] memory_account* longest_stalled(const memory_account* except) const;
     [[nodiscard]] memory_account* largest() const;
 
     std::uint64_t m_limit;
@@ -113,7 +115,7 @@
     }
 
     /// Reserves bytes before the holder keeps them. To make room, the ledger asks other holders to
-    /// release messages that have been incomplete for too long.
+    /// release messages that have stalled.
     /// @param bytes that the holder will keep in all.
     /// @param use of the bytes.
     /// @param received bytes of the incomplete message that have come so far.
@@ -131,9 +133,9 @@
     memory_holder& m_holder;
     std::uint64_t m_bytes = 0;
     memory_use m_use = memory_use::open_ended;
-    std::uint64_t m_received = 0;                 ///< Of an incomplete message.
-    std::optional<time_point> m_incomplete_since; ///< Set while a message is incomplete.
-    bool m_asked = false;                         ///< To release its bytes.
+    std::uint64_t m_received = 0;            ///< Of an incomplete message, at its last progress.
+    std::optional<time_point> m_progress_at; ///< Set while a message is incomplete.
+    bool m_asked = false;                    ///< To release its bytes.
 };
 
 /// Makes the allocator return large freed blocks to the system at once, so that freed bytes don't
--- a/src/core/memory_ledger.cpp
+++ b/src/core/memory_ledger.cpp
@@ -40,15 +40,18 @@
         const auto limit = bytes > small_message_bytes ? largest_message() : m_limit;
         const auto kept = [&] { return m_total - m_being_released - account.m_bytes; };
         while (kept() + bytes > limit) {
-            auto* overdue = slowest_overdue(&account);
-            if (overdue == nullptr) {
+            auto* stalled = longest_stalled(&account);
+            if (stalled == nullptr) {
                 return false;
             }
-            release(*overdue);
+            release(*stalled);
         }
     }
     store(account, bytes, use);
-    account.m_received = received;
+    if (account.m_progress_at && received >= account.m_received + progress_bytes) {
+        account.m_progress_at = m_clock.now();
+        account.m_received = received;
+    }
     return true;
 }
 
@@ -61,10 +64,11 @@
     account.m_bytes = bytes;
     account.m_use = use;
     if (bytes == 0 || use != memory_use::receiving) {
-        account.m_incomplete_since.reset();
+        account.m_progress_at.reset();
     }
-    else if (!account.m_incomplete_since) {
-        account.m_incomplete_since = m_clock.now();
+    else if (!account.m_progress_at) {
+        account.m_progress_at = m_clock.now();
+        account.m_received = 0;
     }
     if (bytes == 0) {
         account.m_asked = false;
@@ -78,7 +82,7 @@
 void memory_ledger::enforce_limit()
 {
     while (m_total - m_being_released > m_limit) {
-        auto* next = slowest_overdue(nullptr);
+        auto* next = longest_stalled(nullptr);
         next = next != nullptr ? next : largest();
         if (next == nullptr) {
             return;
@@ -94,27 +98,20 @@
     account.m_holder.release_memory();
 }
 
-memory_account* memory_ledger::slowest_overdue(const memory_account* except) const
+memory_account* memory_ledger::longest_stalled(const memory_account* except) const
 {
     const auto now = m_clock.now();
-    memory_account* slowest = nullptr;
-    double slowest_rate = 0;
+    memory_account* longest = nullptr;
     for (auto* account : m_accounts) {
-        if (account == except || account->m_asked || !account->m_incomplete_since) {
-            continue;
-        }
-        const auto age = now - *account->m_incomplete_since;
-        if (age < patience) {
+        if (account == except || account->m_asked || !account->m_progress_at ||
+            now - *account->m_progress_at < patience) {
             continue;
         }
-        const auto rate =
-            static_cast<double>(account->m_received) / std::chrono::duration<double>(age).count();
-        if (slowest == nullptr || rate < slowest_rate) {
-            slowest = account;
-            slowest_rate = rate;
+        if (longest == nullptr || *account->m_progress_at < *longest->m_progress_at) {
+            longest = account;
         }
     }
-    return slowest;
+    return longest;
 }
 
 memory_account* memory_ledger::largest() const
--- a/src/net/mesh.cpp
+++ b/src/net/mesh.cpp
@@ -251,6 +251,12 @@
             }
             m_payload.reserve(capacity);
         }
+        else if (received > 0 && m_incoming &&
+                 !m_incoming->reserve(connection_bytes + m_payload.capacity(),
+                                      core::memory_use::receiving, received)) {
+            refuse(core::reason::memory_limit);
+            return;
+        }
         m_payload.resize(received + next);
         asio::async_read(m_socket, asio::buffer(m_payload.data() + received, next),
                          [self = shared_from_this()](error_code error, std::size_t) {
