Log who votes when the leadership changes or a replica asks to join

The logs named neither the voters nor the replicas that had asked to join in vain, so a lost quorum, a replica that nobody admitted and a stopping leader looked the same.

`leadership_ended` names its cause and the members, `leadership_begun` and `membership_change` the members, `join_requested` and `joined` what a replica knows when it asks and when it counts again. No decision changes.

--- a/src/apps/coordinator_fleet.cpp
+++ b/src/apps/coordinator_fleet.cpp
@@ -706,6 +706,11 @@
         static_cast<double>(m_core ? m_prompt_judge.count_popular(
                                          m_core->state().current_blocked_parts(), m_clock.now())
                                    : 0));
+    const auto members = m_core ? m_core->raft().members() : consensus::member_list{};
+    metrics.set("siskindrift_members", static_cast<double>(members.size()));
+    metrics.set("siskindrift_voters",
+                static_cast<double>(std::count_if(members.begin(), members.end(),
+                                                  [](const auto& info) { return info.voter; })));
     metrics.set("siskindrift_placing_term", static_cast<double>(m_placement_term));
     metrics.set("siskindrift_open_engine_calls", static_cast<double>(m_calls.open_calls()));
 }
--- a/src/apps/coordinator_process.cpp
+++ b/src/apps/coordinator_process.cpp
@@ -69,6 +69,16 @@
                        platform::encode_error(text));
 }
 
+// Returns the addresses of the members for a log line. Learners are marked.
+std::string describe_members(const consensus::member_list& members)
+{
+    std::string text;
+    for (const auto& info : members) {
+        text += (text.empty() ? "" : " ") + info.address + (info.voter ? "" : "(learner)");
+    }
+    return text;
+}
+
 } // namespace
 
 coordinator_process::coordinator_process(config::coordinator_settings settings,
@@ -320,7 +330,7 @@
     }
     // Refused while another change is in progress; a later cycle tries again.
     if (m_core->change_members(*members)) {
-        observe::info("membership_change", {{"members", members->size()}});
+        observe::info("membership_change", {{"members", describe_members(*members)}});
         schedule_cycle();
     }
 }
@@ -334,6 +344,12 @@
     }
     const bool needs_to_join =
         raft.cluster() == 0 || now - m_leader_seen_at > leader_timeout || !raft.is_voter();
+    if (std::exchange(m_asks_to_join, needs_to_join) != needs_to_join) {
+        observe::info(needs_to_join ? "join_requested" : "joined",
+                      {{"votes", raft.is_voter()},
+                       {"leader", raft.leader_address()},
+                       {"members", describe_members(raft.members())}});
+    }
     if (!needs_to_join) {
         m_join_due = now + leader_timeout;
         return;
@@ -366,7 +382,15 @@
     m_flush_requested = true;
     if (term == 0) {
         m_placer.end_leadership();
-        observe::info("leadership_ended", {});
+        std::string_view cause = "no quorum replied, or another replica leads";
+        if (m_stopping) {
+            cause = "this process stops";
+        }
+        else if (m_storage->disk_full()) {
+            cause = "the disk is full";
+        }
+        observe::info("leadership_ended",
+                      {{"cause", cause}, {"members", describe_members(m_core->raft().members())}});
         return;
     }
     // A predecessor may have sent an order just now, unless this replica led the preceding term.
@@ -382,7 +406,9 @@
     m_announced_shares = 0;
     m_placer.begin_leadership(must_wait ? now + m_settings.order_lease + order_transit_margin
                                         : now);
-    observe::info("leadership_begun", {{"term", term}, {"waits", must_wait}});
+    observe::info("leadership_begun", {{"term", term},
+                                       {"waits", must_wait},
+                                       {"members", describe_members(m_core->raft().members())}});
     publish_engine_changes();
 }
 
--- a/src/apps/coordinator_process.h
+++ b/src/apps/coordinator_process.h
@@ -175,6 +175,7 @@
     int m_exit_status = 0;
     core::time_point m_stop_deadline{};
     core::time_point m_join_due{};
+    bool m_asks_to_join = false;
     core::time_point m_leader_seen_at{};     ///< When a leader was last known.
     std::uint64_t m_placement_term = 0;      ///< Term in which this replica places adapters, or 0.
     std::uint64_t m_last_placement_term = 0; ///< Latest nonzero `m_placement_term`.
