Admit replicas that know only others than the leader

Cause: a coordinator whose disk is lost, or that replaces another one, knows only the seeds of its settings, three of five coordinators, and sends its request to join to them alone. Only the leader used it; the others kept it and did nothing. Where the leader is no seed, the replica never joins: its former identity remains one of five voters, so the next two disks, as many as may be lost at once, leave two of five. Where three coordinators are all the seeds, as at the small deployments and in all tests so far, the leader always hears the request.

A replica now passes a request to join on to the leader that it knows, once. A replica at a new address still needs one seed that is a member.

--- a/src/apps/coordinator_process.cpp
+++ b/src/apps/coordinator_process.cpp
@@ -367,6 +367,29 @@
     }
 }
 
+// A replica that wants to join may know only others than the leader.
+void coordinator_process::handle_join_request(wire::join_request_t request)
+{
+    m_membership.record_join_request(request, m_clock.now());
+    const auto& raft = m_core->raft();
+    const auto leader = raft.leader_address();
+    if (request.forwarded || raft.is_leader() || leader.empty() || leader == request.address) {
+        return;
+    }
+    request.forwarded = true;
+    m_mesh->send(leader, wire::make_envelope(std::move(request)));
+}
+
+// The leader goes on sending to the former identity of a replica that has lost its disk.
+void coordinator_process::record_cluster_leader(const wire::envelope_t& message)
+{
+    const auto* request = message.body.Asappend_request();
+    if (request != nullptr && m_core->raft().cluster() == 0 &&
+        request->to != m_core->raft().self().value() && net::parse_address(request->address)) {
+        m_cluster_leader = request->address;
+    }
+}
+
 bool coordinator_process::is_leading() const
 {
     return m_core->raft().has_committed_in_term() && !m_stopping && !m_storage->disk_full();
@@ -458,11 +481,14 @@
         apply_peer_update(*update);
     }
     else if (const auto* join_request = message.body.Asjoin_request()) {
-        m_membership.record_join_request(*join_request, m_clock.now());
+        handle_join_request(*join_request);
     }
-    else if (!m_storage->disk_full()) {
+    else {
+        record_cluster_leader(message);
         // The replica takes no part in consensus until its last state is on disk.
-        m_core->on_peer(message);
+        if (!m_storage->disk_full()) {
+            m_core->on_peer(message);
+        }
     }
     schedule_cycle();
 }
