Let the survivors decide where half of the voters have lost their disks

Cause: the number of voters is even while a lost disk is replaced, and before all replicas have joined; a group may accept changes then. With two voters of three, or four of five, the loss of half of the disks leaves fewer than a majority, and the lost identities never vote again, so no leader is elected and none can change the members. All survivors have what was accepted, as a majority did.

A replica takes a member's disk for lost once another identity has asked to join from its address for a second. Where exactly half of the voters are lost, all others together are a quorum, for votes, commits, reads and the leader's own check; lost replicas count for nothing. Any two quorums share a survivor still: one of the majority kind has more than half of the voters, but only half are left. A request that was delayed is not repeated over a second, so it doesn't make a replica look lost; two replicas would have to be believed lost wrongly, each by the other, to do harm. Candidates go on writing to the former identity's address, so a replica that joins hears of them without a leader too.

--- a/include/siskindrift/consensus/raft_node.h
+++ b/include/siskindrift/consensus/raft_node.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -168,6 +169,11 @@
     ///     voter would change, or no voter would be left
     std::optional<std::uint64_t> propose_members(const member_list& members);
 
+    /// Sets the replicas whose disks are lost for good. They never vote or acknowledge anything
+    /// again. Where half of the voters are among them, all others together are a quorum: each
+    /// committed entry is on more than half of the voters, so on at least one of those.
+    void set_lost_replicas(std::set<std::uint64_t> lost);
+
     /// Requests a heartbeat round that confirms the leadership of this replica (ReadIndex).
     ///
     /// @returns the number of the round. Once `confirmed_round()` has reached it, a quorum has
@@ -267,8 +273,14 @@
     void recompute_members();
     [[nodiscard]] bool is_single_voter_change(const member_list& members) const;
 
-    [[nodiscard]] std::size_t voter_count() const;
-    [[nodiscard]] bool is_quorum(std::size_t votes) const { return votes * 2 > voter_count(); }
+    /// Returns the voters whose disks aren't known to be lost.
+    [[nodiscard]] std::vector<std::uint64_t> surviving_voters() const;
+    /// Returns how many of the surviving voters are a quorum.
+    [[nodiscard]] std::size_t quorum() const;
+    /// Returns the highest value that a quorum has reached, or 0 if there is none.
+    /// @param value_of returns the value of a replica.
+    template <class Function>
+    [[nodiscard]] std::uint64_t highest_of_quorum(Function value_of) const;
     [[nodiscard]] const wire::replica_info_t* find_member(std::uint64_t replica) const;
     [[nodiscard]] bool is_addressed_to_self(std::uint64_t cluster, std::uint64_t to) const;
 
@@ -295,6 +307,7 @@
     raft_log m_log;
     member_list m_members;
     member_list m_snapshot_members;
+    std::set<std::uint64_t> m_lost;    ///< Replicas whose disks are lost.
     std::uint64_t m_members_index = 0; ///< Index of the entry or snapshot with `m_members`.
     std::uint64_t m_commit_index = 0;
     std::uint64_t m_delivered_index = 0; ///< Last index passed to the driver as committed.
--- a/src/control/membership_manager_test.cpp
+++ b/src/control/membership_manager_test.cpp
@@ -122,3 +122,35 @@
     join(2, "b:1");
     CHECK_FALSE(manager.next_members(raft, clock.now()).has_value());
 }
+
+TEST(MembershipManager, TakesADiskForLostOnceAnotherIdentityHasAskedForASecond)
+{
+    become_leader();
+    join(2, "b:1");
+    apply();
+    join(3, "b:1");
+    CHECK_TRUE(manager.lost_replicas(raft.members(), clock.now()).empty());
+    clock.advance(core::milliseconds{1000});
+    const std::set<std::uint64_t> expected{2};
+    CHECK_TRUE(manager.lost_replicas(raft.members(), clock.now()) == expected);
+}
+
+TEST(MembershipManager, TakesNoDiskForLostWhenTheOtherIdentityAsksNoLonger)
+{
+    become_leader();
+    join(2, "b:1");
+    apply();
+    join(3, "b:1");
+    clock.advance(core::milliseconds{4000});
+    CHECK_TRUE(manager.lost_replicas(raft.members(), clock.now()).empty());
+}
+
+TEST(MembershipManager, TakesNoDiskForLostByItsOwnRequest)
+{
+    become_leader();
+    join(2, "b:1");
+    apply();
+    clock.advance(core::milliseconds{1000});
+    join(2, "b:1");
+    CHECK_TRUE(manager.lost_replicas(raft.members(), clock.now()).empty());
+}
--- a/tests/lost_disk_test.py
+++ b/tests/lost_disk_test.py
@@ -28,6 +28,7 @@
                          engines=0)
         self.substitute = self.coordinators.pop()
         self.seeds = {}  # by the name of the coordinator whose settings name others
+        self.frozen_at_start = None
 
     def settings_for(self, name):
         settings = super().settings_for(name)
@@ -37,6 +38,11 @@
     def control_address(self, name):
         return self.control_addresses[int(name.rpartition("-")[2]) - 1]
 
+    def start(self, name):
+        super().start(name)
+        if name == self.frozen_at_start:
+            self.signal(name, signal.SIGSTOP)
+
     async def find_leader(self):
         """Returns the name of the coordinator that answers reads itself, or None."""
         for name in self.coordinators:
@@ -59,6 +65,8 @@
         self.folder = tempfile.mkdtemp(prefix="lost-disk-test-")
         self.random = random.Random(SEED)
         self.platform = CoordinatorFixture(self.folder)
+        if "frozen_at_the_start" in self._testMethodName:
+            self.platform.frozen_at_start = self.platform.coordinators[-1]
         try:
             await self.platform.start_all()
             await asyncio.sleep(CATCH_UP_S)
@@ -153,6 +161,20 @@
         await self.lose_disks_and_power([n for n in self.platform.coordinators if n != substitute])
         await self.check_document()
 
+    async def test_lost_disks_are_replaced_where_another_coordinator_was_frozen_at_the_start(self):
+        frozen = self.platform.frozen_at_start
+        self.platform.frozen_at_start = None
+        self.assertTrue(await self.platform.put_document(limit=10))
+        lost = self.random.sample(self.platform.coordinators[:-1], LOSSES_BORNE)
+        for name in lost:
+            await self.platform.lose_disk(name)
+        await asyncio.sleep(DOWN_S)
+        for name in lost:
+            self.platform.start(name)
+        self.platform.signal(frozen, signal.SIGCONT)
+        await self.check_document()
+        self.assertTrue(await self.platform.put_document(limit=10))
+
 
 if __name__ == "__main__":
     unittest.main(verbosity=2, warnings="ignore")
