--- a/tests/answer_end_test.py
+++ b/tests/answer_end_test.py
@@ -38,6 +38,7 @@
     events: bool = True   # a stream's media type is that of events
     head_bytes: int = 0   # the head ends after so many bytes, unless 0
     http: str = "1.1"
+    status: str = "200"
     before: bytes = b""   # sent before the answer
     after: bytes = b""    # sent behind a whole answer
 
@@ -76,7 +77,7 @@
             del head["X-Siskindrift-Response-Seal"]
         if len(attempts) > 1 and self.platform.continue_with:
             return await self.answer_otherwise(writer, head, *self.platform.continue_with)
-        status_line = f"HTTP/{case.http} 200 OK"
+        status_line = f"HTTP/{case.http} {case.status} OK"
         writer.write(case.before)
         if case.head_bytes:
             writer.write(render(status_line, {**head, "Content-Length": "400"})[:case.head_bytes])
@@ -288,6 +289,11 @@
                   Case("length", "close", head_bytes=17, http="1.0")]
         await self.expect_all(["/unsafe/x", "/once/x"], cases, False)
 
+    async def test_an_answer_whose_status_is_none_is_not_passed_on(self):
+        cases = [Case(framing, "whole", status=status)
+                 for framing, status in itertools.product(FRAMINGS, ("000", "099"))]
+        await self.expect_all(["/unsafe/x", "/once/x"], cases, False)
+
     async def test_what_follows_an_answer_is_not_the_answer_to_the_next_request(self):
         other = render("HTTP/1.1 200 OK", {"Content-Type": "text/plain", "Content-Length": "5"},
                        b"other")
