Take a disk for lost only after repeated requests to join

Found by reading again: a single request to join, received once, made the former identity at its address look lost a second later, until it expired after 3 s. A wrong loss matters where half of the voters are thought lost: their survivors may then lead without them.

Cause: the time since the first request was compared, not the time between the first and the last one. Now the last request must have come a second after the first. Requests that waited in a frozen process arrive together, so they don't count. Evidence: MembershipManager.TakesNoDiskForLostByRequestsThatArriveTogether is new and describes the case; its neighbours repeat their requests now, which is stricter than before. No caller is known to have met this.

--- a/include/siskindrift/consensus/raft_node.h
+++ b/include/siskindrift/consensus/raft_node.h
@@ -169,9 +169,12 @@
     ///     voter would change, or no voter would be left
     std::optional<std::uint64_t> propose_members(const member_list& members);
 
-    /// Sets the replicas whose disks are lost for good. They never vote or acknowledge anything
-    /// again. Where half of the voters are among them, all others together are a quorum: each
-    /// committed entry is on more than half of the voters, so on at least one of those.
+    /// Tells this replica which others have lost their disks for good.
+    ///
+    /// These never vote or acknowledge anything again. Where exactly half of the voters are among
+    /// them, all others together are a quorum: each committed entry is on more than half of the
+    /// voters, so on at least one of those, and no other quorum can form.
+    /// @param lost replaces the set of the previous call; this replica itself is left out of it
     void set_lost_replicas(std::set<std::uint64_t> lost);
 
     /// Requests a heartbeat round that confirms the leadership of this replica (ReadIndex).
--- a/include/siskindrift/control/membership_manager.h
+++ b/include/siskindrift/control/membership_manager.h
@@ -22,8 +22,8 @@
     /// How long a join request is valid. A replica that wants to join repeats it every 500 ms.
     core::duration join_request_ttl = core::milliseconds{3000};
 
-    /// How long another identity must have asked to join from a voter's address before the voter's
-    /// disk counts as lost. Requests that were delayed arrive together, not over this time.
+    /// Time over which another identity must repeat its request to join from a voter's address
+    /// before the voter's disk counts as lost. Requests that were delayed arrive together.
     core::duration lost_disk_confirmation = core::milliseconds{1000};
 
     /// Time without a reply after which a learner is removed. Must exceed the longest freeze of a
@@ -49,8 +49,8 @@
     /// same address. A request without an identity or address is ignored.
     void record_join_request(const wire::join_request_t& request, core::time_point now);
 
-    /// Returns the replicas of @p members that have lost their disks: other identities have asked
-    /// to join from their addresses for `lost_disk_confirmation`.
+    /// Returns the replicas of @p members that have lost their disks: other identities have
+    /// repeated their requests to join from the same addresses over `lost_disk_confirmation`.
     [[nodiscard]] std::set<std::uint64_t> lost_replicas(const consensus::member_list& members,
                                                         core::time_point now);
 
--- a/src/apps/coordinator_process.h
+++ b/src/apps/coordinator_process.h
@@ -180,7 +180,7 @@
     core::time_point m_join_due{};
     bool m_asks_to_join = false;
     std::string m_cluster_member; ///< Address that was heard of before the replica joined.
-    std::set<std::uint64_t> m_lost_replicas;
+    std::set<std::uint64_t> m_lost_replicas; ///< As the consensus was told.
     core::time_point m_leader_seen_at{};     ///< When a leader was last known.
     std::uint64_t m_placement_term = 0;      ///< Term in which this replica places adapters, or 0.
     std::uint64_t m_last_placement_term = 0; ///< Latest nonzero `m_placement_term`.
--- a/src/control/membership_manager.cpp
+++ b/src/control/membership_manager.cpp
@@ -54,7 +54,7 @@
     expire_join_requests(now);
     std::set<std::uint64_t> lost;
     for (const auto& [id, pending] : m_pending_joins) {
-        if (now - pending.first_received_at < m_options.lost_disk_confirmation) {
+        if (pending.received_at - pending.first_received_at < m_options.lost_disk_confirmation) {
             continue;
         }
         for (const auto& info : members) {
--- a/src/control/membership_manager_test.cpp
+++ b/src/control/membership_manager_test.cpp
@@ -131,16 +131,30 @@
     join(3, "b:1");
     CHECK_TRUE(manager.lost_replicas(raft.members(), clock.now()).empty());
     clock.advance(core::milliseconds{1000});
+    join(3, "b:1");
     const std::set<std::uint64_t> expected{2};
     CHECK_TRUE(manager.lost_replicas(raft.members(), clock.now()) == expected);
 }
 
+TEST(MembershipManager, TakesNoDiskForLostByRequestsThatArriveTogether)
+{
+    become_leader();
+    join(2, "b:1");
+    apply();
+    join(3, "b:1");
+    join(3, "b:1");
+    clock.advance(core::milliseconds{2000});
+    CHECK_TRUE(manager.lost_replicas(raft.members(), clock.now()).empty());
+}
+
 TEST(MembershipManager, TakesNoDiskForLostWhenTheOtherIdentityAsksNoLonger)
 {
     become_leader();
     join(2, "b:1");
     apply();
     join(3, "b:1");
+    clock.advance(core::milliseconds{1000});
+    join(3, "b:1");
     clock.advance(core::milliseconds{4000});
     CHECK_TRUE(manager.lost_replicas(raft.members(), clock.now()).empty());
 }
