Revert the quorum of survivors: it could lose what was acknowledged

Callers could have read an older document than the acknowledged one. Let A, B, C and E vote, and D be promoted: the new list and a document are committed on A, B and D, which is a majority of five; C and E were frozen or cut off and miss both. A and B lose their disks, as many as may be lost at once. C and E, whose list still names four, would have taken themselves for all the survivors and led without the document, although D has it. With majorities C and E need D, whose log is longer, so D leads. A quorum smaller than a majority doesn't overlap the majorities of the next list of members, and committing a list on some replicas doesn't tell the others.

--- a/include/siskindrift/consensus/raft_node.h
+++ b/include/siskindrift/consensus/raft_node.h
@@ -6,7 +6,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -169,14 +168,6 @@
     ///     voter would change, or no voter would be left
     std::optional<std::uint64_t> propose_members(const member_list& members);
 
-    /// Tells this replica which others have lost their disks for good.
-    ///
-    /// These never vote or acknowledge anything again. Where exactly half of the voters are among
-    /// them, all others together are a quorum: each committed entry is on more than half of the
-    /// voters, so on at least one of those, and no other quorum can form.
-    /// @param lost replaces the set of the previous call; this replica itself is left out of it
-    void set_lost_replicas(std::set<std::uint64_t> lost);
-
     /// Requests a heartbeat round that confirms the leadership of this replica (ReadIndex).
     ///
     /// @returns the number of the round. Once `confirmed_round()` has reached it, a quorum has
@@ -276,14 +267,8 @@
     void recompute_members();
     [[nodiscard]] bool is_single_voter_change(const member_list& members) const;
 
-    /// Returns the voters whose disks aren't known to be lost.
-    [[nodiscard]] std::vector<std::uint64_t> surviving_voters() const;
-    /// Returns how many of the surviving voters are a quorum.
-    [[nodiscard]] std::size_t quorum() const;
-    /// Returns the highest value that a quorum has reached, or 0 if there is none.
-    /// @param value_of returns the value of a replica.
-    template <class Function>
-    [[nodiscard]] std::uint64_t highest_of_quorum(Function value_of) const;
+    [[nodiscard]] std::size_t voter_count() const;
+    [[nodiscard]] bool is_quorum(std::size_t votes) const { return votes * 2 > voter_count(); }
     [[nodiscard]] const wire::replica_info_t* find_member(std::uint64_t replica) const;
     [[nodiscard]] bool is_addressed_to_self(std::uint64_t cluster, std::uint64_t to) const;
 
@@ -310,7 +295,6 @@
     raft_log m_log;
     member_list m_members;
     member_list m_snapshot_members;
-    std::set<std::uint64_t> m_lost;    ///< Replicas whose disks are lost.
     std::uint64_t m_members_index = 0; ///< Index of the entry or snapshot with `m_members`.
     std::uint64_t m_commit_index = 0;
     std::uint64_t m_delivered_index = 0; ///< Last index passed to the driver as committed.
--- a/include/siskindrift/control/control_core.h
+++ b/include/siskindrift/control/control_core.h
@@ -4,7 +4,6 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -106,12 +105,6 @@
     /// @returns false when `raft_node::propose_members` doesn't accept it
     bool change_members(const consensus::member_list& members);
 
-    /// Sets the replicas whose disks are lost; see `raft_node::set_lost_replicas`.
-    void set_lost_replicas(std::set<std::uint64_t> lost)
-    {
-        m_raft.set_lost_replicas(std::move(lost));
-    }
-
     /// Transfers leadership to another replica, as part of a graceful stop.
     void prepare_stop();
 
--- a/include/siskindrift/control/membership_manager.h
+++ b/include/siskindrift/control/membership_manager.h
@@ -5,7 +5,6 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 
 #include "siskindrift/consensus/raft_node.h"
 
@@ -22,10 +21,6 @@
     /// How long a join request is valid. A replica that wants to join repeats it every 500 ms.
     core::duration join_request_ttl = core::milliseconds{3000};
 
-    /// Time over which another identity must repeat its request to join from a voter's address
-    /// before the voter's disk counts as lost. Requests that were delayed arrive together.
-    core::duration lost_disk_confirmation = core::milliseconds{1000};
-
     /// Time without a reply after which a learner is removed. Must exceed the longest freeze of a
     /// process that later resumes.
     core::duration learner_removal_timeout = core::milliseconds{15'000};
@@ -49,11 +44,6 @@
     /// same address. A request without an identity or address is ignored.
     void record_join_request(const wire::join_request_t& request, core::time_point now);
 
-    /// Returns the replicas of @p members that have lost their disks: other identities have
-    /// repeated their requests to join from the same addresses over `lost_disk_confirmation`.
-    [[nodiscard]] std::set<std::uint64_t> lost_replicas(const consensus::member_list& members,
-                                                        core::time_point now);
-
     /// Returns the list of members to propose, or no value when @p raft isn't a leader that has
     /// committed an entry in its term or no change is needed.
     [[nodiscard]] std::optional<consensus::member_list>
@@ -62,12 +52,9 @@
 private:
     struct pending_join {
         wire::join_request_t request;
-        core::time_point first_received_at{};
         core::time_point received_at{};
     };
 
-    void expire_join_requests(core::time_point now);
-
     membership_manager_options m_options;
     std::map<std::uint64_t, pending_join> m_pending_joins; ///< By replica.
 };
--- a/src/apps/coordinator_fleet.cpp
+++ b/src/apps/coordinator_fleet.cpp
@@ -43,8 +43,8 @@
     for (const auto& info : m_core->raft().members()) {
         addresses.insert(info.address);
     }
-    if (m_core->raft().cluster() == 0 && !m_cluster_member.empty()) {
-        addresses.insert(m_cluster_member);
+    if (m_core->raft().cluster() == 0 && !m_cluster_leader.empty()) {
+        addresses.insert(m_cluster_leader);
     }
     addresses.erase(m_settings.inner_address);
     return {addresses.begin(), addresses.end()};
--- a/src/apps/coordinator_process.cpp
+++ b/src/apps/coordinator_process.cpp
@@ -279,7 +279,6 @@
 
 bool coordinator_process::run_replica()
 {
-    update_lost_replicas();
     if (m_storage->disk_full()) {
         if (m_clock.now() < m_storage_retry_at) {
             return true;
@@ -323,18 +322,6 @@
     return true;
 }
 
-void coordinator_process::update_lost_replicas()
-{
-    auto lost = m_membership.lost_replicas(m_core->raft().members(), m_clock.now());
-    if (lost == m_lost_replicas) {
-        return;
-    }
-    observe::info("lost_disks_known",
-                  {{"lost", lost.size()}, {"members", describe_members(m_core->raft().members())}});
-    m_lost_replicas = lost;
-    m_core->set_lost_replicas(std::move(lost));
-}
-
 void coordinator_process::update_membership()
 {
     const auto members = m_membership.next_members(m_core->raft(), m_clock.now());
@@ -393,17 +380,14 @@
     m_mesh->send(leader, wire::make_envelope(std::move(request)));
 }
 
-// Leaders and candidates go on sending to the former identity of a replica that has lost its disk.
-void coordinator_process::record_cluster_member(const wire::envelope_t& message)
+// The leader goes on sending to the former identity of a replica that has lost its disk.
+void coordinator_process::record_cluster_leader(const wire::envelope_t& message)
 {
-    const auto record = [this](const auto* request) {
-        if (request != nullptr && m_core->raft().cluster() == 0 &&
-            request->to != m_core->raft().self().value() && net::parse_address(request->address)) {
-            m_cluster_member = request->address;
-        }
-    };
-    record(message.body.Asappend_request());
-    record(message.body.Asvote_request());
+    const auto* request = message.body.Asappend_request();
+    if (request != nullptr && m_core->raft().cluster() == 0 &&
+        request->to != m_core->raft().self().value() && net::parse_address(request->address)) {
+        m_cluster_leader = request->address;
+    }
 }
 
 bool coordinator_process::is_leading() const
@@ -500,7 +484,7 @@
         handle_join_request(*join_request);
     }
     else {
-        record_cluster_member(message);
+        record_cluster_leader(message);
         // The replica takes no part in consensus until its last state is on disk.
         if (!m_storage->disk_full()) {
             m_core->on_peer(message);
--- a/src/apps/coordinator_process.h
+++ b/src/apps/coordinator_process.h
@@ -67,11 +67,10 @@
     void run_cycle();
     bool run_replica();
     bool run_replica_round();
-    void update_lost_replicas();
     void update_membership();
     void request_membership();
     void handle_join_request(wire::join_request_t request);
-    void record_cluster_member(const wire::envelope_t& message);
+    void record_cluster_leader(const wire::envelope_t& message);
     void update_leadership();
     void send_messages(const std::vector<consensus::outgoing_message>& messages);
     /// Answers all calls that wait for a quorum with 503, because the disk is full.
@@ -179,10 +178,9 @@
     core::time_point m_stop_deadline{};
     core::time_point m_join_due{};
     bool m_asks_to_join = false;
-    std::string m_cluster_member; ///< Address that was heard of before the replica joined.
-    std::set<std::uint64_t> m_lost_replicas; ///< As the consensus was told.
-    core::time_point m_leader_seen_at{};     ///< When a leader was last known.
-    std::uint64_t m_placement_term = 0;      ///< Term in which this replica places adapters, or 0.
+    std::string m_cluster_leader;        ///< Address that was heard of before the replica joined.
+    core::time_point m_leader_seen_at{}; ///< When a leader was last known.
+    std::uint64_t m_placement_term = 0;  ///< Term in which this replica places adapters, or 0.
     std::uint64_t m_last_placement_term = 0; ///< Latest nonzero `m_placement_term`.
 
     fleet::roster m_roster;
--- a/src/consensus/raft_node.cpp
+++ b/src/consensus/raft_node.cpp
@@ -149,29 +149,10 @@
     return found == m_members.end() ? nullptr : &*found;
 }
 
-void raft_node::set_lost_replicas(std::set<std::uint64_t> lost)
+std::size_t raft_node::voter_count() const
 {
-    lost.erase(m_self);
-    m_lost = std::move(lost);
-}
-
-std::vector<std::uint64_t> raft_node::surviving_voters() const
-{
-    std::vector<std::uint64_t> voters;
-    for (const auto& info : m_members) {
-        if (info.voter && !m_lost.contains(info.id)) {
-            voters.push_back(info.id);
-        }
-    }
-    return voters;
-}
-
-std::size_t raft_node::quorum() const
-{
-    const auto voters = static_cast<std::size_t>(std::count_if(
-        m_members.begin(), m_members.end(), [](const auto& info) { return info.voter; }));
-    const auto survivors = surviving_voters().size();
-    return survivors > 0 && survivors * 2 == voters ? survivors : voters / 2 + 1;
+    return static_cast<std::size_t>(std::count_if(m_members.begin(), m_members.end(),
+                                                  [](const auto& info) { return info.voter; }));
 }
 
 bool raft_node::is_addressed_to_self(std::uint64_t cluster, std::uint64_t to) const
@@ -272,11 +253,7 @@
     if (std::find(m_votes.begin(), m_votes.end(), voter) == m_votes.end()) {
         m_votes.push_back(voter);
     }
-    const auto voters = surviving_voters();
-    const auto granted = std::count_if(voters.begin(), voters.end(), [&](std::uint64_t id) {
-        return std::find(m_votes.begin(), m_votes.end(), id) != m_votes.end();
-    });
-    if (static_cast<std::size_t>(granted) < quorum()) {
+    if (!is_quorum(m_votes.size())) {
         return;
     }
     if (m_role == role::pre_candidate) {
@@ -383,13 +360,14 @@
 void raft_node::check_quorum(core::time_point now)
 {
     // A leader that no quorum has replied to within the longest election timeout steps down.
-    const auto voters = surviving_voters();
-    const auto alive = std::count_if(voters.begin(), voters.end(), [&](std::uint64_t id) {
-        const auto peer = m_progress.find(id);
-        return id == m_self ||
-               (peer != m_progress.end() && now - peer->second.last_ack < m_options.election_max);
-    });
-    if (static_cast<std::size_t>(alive) < quorum()) {
+    std::size_t alive = is_voter() ? 1 : 0;
+    for (const auto& [replica, peer] : m_progress) {
+        const auto* info = find_member(replica);
+        if (info != nullptr && info->voter && now - peer.last_ack < m_options.election_max) {
+            ++alive;
+        }
+    }
+    if (!is_quorum(alive)) {
         become_follower(m_hard.term, 0);
     }
 }
@@ -401,9 +379,10 @@
     }
     std::uint64_t best = 0;
     // Voter with the highest match index among the other voters.
-    for (const auto id : surviving_voters()) {
-        if (id != m_self && (best == 0 || match_index(id) > match_index(best))) {
-            best = id;
+    for (const auto& peer : m_members) {
+        const bool candidate = peer.id != m_self && peer.voter;
+        if (candidate && (best == 0 || match_index(peer.id) > match_index(best))) {
+            best = peer.id;
         }
     }
     if (best == 0) {
--- a/src/consensus/raft_node_test.cpp
+++ b/src/consensus/raft_node_test.cpp
@@ -11,16 +11,16 @@
 
 constexpr core::time_point start{std::chrono::seconds{10}};
 
-// Returns replica 1 of several voters as a follower in term 3. Its snapshot ends at index 1, and
-// its log holds the entries 2 and 3 of term 3.
-raft_node follower_with_entries(raft_options options = {}, std::uint64_t voters = 3)
+// Returns replica 1 of three as a follower in term 3. Its snapshot ends at index 1, and its log
+// holds the entries 2 and 3 of term 3.
+raft_node follower_with_entries(raft_options options = {})
 {
     recovered_state recovered;
     recovered.hard = {77, 3, 0};
     snapshot base;
     base.last_index = 1;
     base.last_term = 1;
-    for (std::uint64_t id = 1; id <= voters; ++id) {
+    for (std::uint64_t id = 1; id <= 3; ++id) {
         wire::replica_info_t info;
         info.id = id;
         info.address = std::to_string(id);
@@ -349,66 +349,3 @@
     }
     UNSIGNED_LONGS_EQUAL(documents, sent);
 }
-
-TEST(RaftNode, TheOnlyReplicaOfTwoThatKeptItsDiskLeads)
-{
-    auto node = follower_with_entries({}, 2);
-    node.set_lost_replicas({2});
-    const auto now = start + std::chrono::seconds{5};
-    node.tick(now);
-    node.take_ready();
-    node.persisted(now);
-    CHECK_TRUE(node.is_leader());
-    node.take_ready();
-    node.persisted(now);
-    CHECK_TRUE(node.has_committed_in_term());
-}
-
-TEST(RaftNode, TheTwoReplicasOfFourThatKeptTheirDisksElectAndCommitTogether)
-{
-    auto node = follower_with_entries({}, 4);
-    node.set_lost_replicas({3, 4});
-    const auto now = start + std::chrono::seconds{5};
-    node.tick(now);
-    node.take_ready();
-    CHECK_FALSE(node.is_leader());
-    grant_vote(node, 4, true, now);
-    grant_vote(node, 4, false, now);
-    CHECK_TRUE(node.is_leader());
-    CHECK_FALSE(node.has_committed_in_term());
-    acknowledge(node, now);
-    CHECK_TRUE(node.has_committed_in_term());
-}
-
-TEST(RaftNode, TheOnlyReplicaOfThreeThatKeptItsDiskDoesNotLead)
-{
-    auto node = follower_with_entries({}, 3);
-    node.set_lost_replicas({2, 3});
-    const auto now = start + std::chrono::seconds{5};
-    node.tick(now);
-    node.take_ready();
-    node.persisted(now);
-    CHECK_TRUE(node.current_role() == role::pre_candidate);
-}
-
-TEST(RaftNode, AReplicaThatLostItsDiskSinceCountsForNoCommit)
-{
-    auto node = follower_with_entries({}, 4);
-    const auto now = start + std::chrono::seconds{5};
-    node.set_lost_replicas({3, 4});
-    make_leader(node, now);
-    node.propose("x", 0);
-    node.take_ready();
-    node.persisted(now);
-    wire::append_reply_t stale;
-    stale.cluster = 77;
-    stale.to = 1;
-    stale.from = 3;
-    stale.term = 4;
-    stale.success = true;
-    stale.match_index = 5;
-    node.step(wire::make_envelope(stale), now);
-    LONGS_EQUAL(4, node.commit_index());
-    acknowledge(node, now, 5);
-    LONGS_EQUAL(5, node.commit_index());
-}
--- a/src/consensus/raft_replication.cpp
+++ b/src/consensus/raft_replication.cpp
@@ -433,23 +433,19 @@
     advance_confirmed_round();
 }
 
-template <class Function>
-std::uint64_t raft_node::highest_of_quorum(Function value_of) const
+void raft_node::advance_commit()
 {
-    std::vector<std::uint64_t> values;
-    for (const auto id : surviving_voters()) {
-        values.push_back(value_of(id));
+    std::vector<std::uint64_t> matches;
+    for (const auto& peer : m_members) {
+        if (peer.voter) {
+            matches.push_back(match_index(peer.id));
+        }
     }
-    if (values.size() < quorum()) {
-        return 0;
+    if (matches.empty()) {
+        return;
     }
-    std::sort(values.begin(), values.end(), std::greater<>{});
-    return values[quorum() - 1];
-}
-
-void raft_node::advance_commit()
-{
-    const auto candidate = highest_of_quorum([this](std::uint64_t id) { return match_index(id); });
+    std::sort(matches.begin(), matches.end(), std::greater<>{});
+    const auto candidate = matches[matches.size() / 2];
     // Only entries of the current term are committed by counting replicas; earlier entries are
     // committed with them.
     if (candidate <= m_commit_index || m_log.term_at(candidate) != m_hard.term) {
@@ -467,9 +463,14 @@
     if (!has_committed_in_term()) {
         return;
     }
-    const auto round = highest_of_quorum(
-        [this](std::uint64_t id) { return id == m_self ? m_round : m_progress[id].acked_round; });
-    m_confirmed_round = std::max(m_confirmed_round, round);
+    std::vector<std::uint64_t> rounds;
+    for (const auto& peer : m_members) {
+        if (peer.voter) {
+            rounds.push_back(peer.id == m_self ? m_round : m_progress[peer.id].acked_round);
+        }
+    }
+    std::sort(rounds.begin(), rounds.end(), std::greater<>{});
+    m_confirmed_round = std::max(m_confirmed_round, rounds[rounds.size() / 2]);
     m_round_starts.erase(m_round_starts.begin(), m_round_starts.lower_bound(m_confirmed_round));
 }
 
--- a/src/control/membership_manager.cpp
+++ b/src/control/membership_manager.cpp
@@ -32,44 +32,15 @@
     std::erase_if(m_pending_joins, [&](const auto& item) {
         return item.first != request.id && item.second.request.address == request.address;
     });
-    expire_join_requests(now);
-    const auto [pending, added] = m_pending_joins.try_emplace(request.id);
-    if (added) {
-        pending->second.first_received_at = now;
-    }
-    pending->second.request = request;
-    pending->second.received_at = now;
+    m_pending_joins[request.id] = {request, now};
 }
 
-void membership_manager::expire_join_requests(core::time_point now)
+std::optional<member_list> membership_manager::next_members(const consensus::raft_node& raft,
+                                                            core::time_point now)
 {
     std::erase_if(m_pending_joins, [&](const auto& item) {
         return now - item.second.received_at > m_options.join_request_ttl;
     });
-}
-
-std::set<std::uint64_t> membership_manager::lost_replicas(const member_list& members,
-                                                          core::time_point now)
-{
-    expire_join_requests(now);
-    std::set<std::uint64_t> lost;
-    for (const auto& [id, pending] : m_pending_joins) {
-        if (pending.received_at - pending.first_received_at < m_options.lost_disk_confirmation) {
-            continue;
-        }
-        for (const auto& info : members) {
-            if (info.address == pending.request.address && info.id != id) {
-                lost.insert(info.id);
-            }
-        }
-    }
-    return lost;
-}
-
-std::optional<member_list> membership_manager::next_members(const consensus::raft_node& raft,
-                                                            core::time_point now)
-{
-    expire_join_requests(now);
     if (!raft.has_committed_in_term()) {
         return std::nullopt;
     }
--- a/tests/control_world.cpp
+++ b/tests/control_world.cpp
@@ -153,10 +153,6 @@
     if (!one.core || one.frozen) {
         return;
     }
-    // Replicas learn of lost disks at different times.
-    if (core::uniform_below(m_random, 2) == 0) {
-        one.core->set_lost_replicas(m_wiped_ids);
-    }
     one.core->tick();
     const auto work = one.core->take_ready();
     send_messages(index, work.messages_before_sync);
@@ -275,29 +271,6 @@
     return voters >= replica_count;
 }
 
-bool control_world::half_would_survive(std::uint64_t replica) const
-{
-    const auto leader = leader_at();
-    if (!leader) {
-        return false;
-    }
-    const auto& raft = m_replicas[*leader].core->raft();
-    // Of a change of members that isn't committed, the survivors may not know.
-    const bool is_behind = std::any_of(m_replicas.begin(), m_replicas.end(), [&](const auto& one) {
-        return one.core && one.core->raft().commit_index() > raft.commit_index();
-    });
-    if (is_behind || raft.commit_index() != raft.last_index()) {
-        return false;
-    }
-    std::size_t voters = 0;
-    std::size_t lost = 0;
-    for (const auto& info : raft.members()) {
-        voters += info.voter ? 1 : 0;
-        lost += info.voter && (info.id == replica || m_wiped_ids.contains(info.id)) ? 1 : 0;
-    }
-    return 2 * lost <= voters;
-}
-
 void control_world::submit(std::size_t index, wire::control_request_t request,
                            issued_request issued)
 {
@@ -650,7 +623,7 @@
         }
         break;
     case step_kind::wipe:
-        if (all_voters_intact() || half_would_survive(one.id)) {
+        if (all_voters_intact()) {
             m_wiped_ids.insert(one.id);
             one.id = m_next_replica_id++;
             one.stored = {};
--- a/tests/control_world.h
+++ b/tests/control_world.h
@@ -142,8 +142,6 @@
     void record_violation(const std::string& text);
     [[nodiscard]] std::optional<std::size_t> leader_at() const;
     [[nodiscard]] bool all_voters_intact() const;
-    /// Returns whether half of the voters keep their disks if @p replica loses its own.
-    [[nodiscard]] bool half_would_survive(std::uint64_t replica) const;
 
     static constexpr std::size_t replica_count = 3;
     static constexpr std::size_t vm_count = 3;
