Review: requests begin on a version that was replaced long ago

Cause: for 1.5 s after a version is named, a gateway accepts every older copy, not only the former newest.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,11 +1,11 @@
-"""The operator raises the limit of request headers; a caller sends a header that uses half of it.
+"""New versions of an adapter are named one after the other, more than version_ms apart.
 
-Exit status: 1 if a gateway passed requests from kept channels on and closed these channels without
-an answer more than three times, 0 if not, 2 if the case could not run. TROUBLE=0 leaves out the
-change of the configuration: the caller then uses half of the limit that stays in force.
+Exit status: 1 if a request begins on a version later than version_ms after a newer one was
+acknowledged, 0 if not, 2 if the case could not run. TROUBLE=0 leaves out the last version.
 """
 
 import asyncio
+import json
 import os
 import pathlib
 import shutil
@@ -16,17 +16,16 @@
 HERE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent.parent / "tests"))
 
-from platform_fixture import Connection, PlatformFixture, request_headers  # noqa: E402
+from platform_fixture import (MODEL, Connection, PlatformFixture, Upstream,  # noqa: E402
+                              request_headers)
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-BEFORE_BYTES = 16384    # MaxHeaderBytes at first, as on our pages
-AFTER_BYTES = 135168    # MaxHeaderBytes of the next version
-APPLY_S = 2.0           # ConfigApplyMs
+ADAPTER = "a1"
+VERSION_S = 5.0         # version_ms
 STABLE_WINDOW_S = 3.0   # StableWindowMs
-CALLERS = 8
-WORK_S = 1.5            # of each request at its worker
-DEADLINE_S = 3.5
-ALLOWED = 3             # "more than three times"
+APART_S = 8.0           # between the acks of two versions
+PAUSE_S = 0.1           # between two requests at each gateway
+WATCH_S = 4.0           # after the last version
 
 
 class Record:
@@ -34,93 +33,129 @@
         self.begun = time.monotonic()
         self.file = (HERE / "record.txt").open("w")
 
-    def __call__(self, text):
-        line = f"{time.monotonic() - self.begun:7.2f} {text}"
+    def __call__(self, text, at=None):
+        line = f"{(at or time.monotonic()) - self.begun:7.2f} {text}"
         print(line, flush=True)
         self.file.write(line + "\n")
         self.file.flush()
 
 
-class Deployment(PlatformFixture):
-    max_header_bytes = BEFORE_BYTES
-
-    def document(self, version):
-        document = super().document(version)
-        document["Limits"]["MaxHeaderBytes"] = self.max_header_bytes
-        return document
-
-
-def long_prompt(header_bytes):
-    """The parts of a long session, as one header of the given length."""
-    parts = []
-    length = 0
-    number = 0x5c1e07a2
-    while length < header_bytes:
-        parts.append(f"{number:x}:250")
-        length += len(parts[-1]) + 1
-        number += 1
-    return ",".join(parts)
+class Engine(Upstream):
+    """A model worker that knows versions of adapters; it holds the first one from its start."""
+
+    def __init__(self, platform, name, host):
+        super().__init__(platform, name, "models", host, adapter_slots=4)
+        self.adapters[ADAPTER] = 1
+        self.runs_of = {}
+
+    def apply_order(self, order):
+        name = order.get("Adapter", "")
+        version = order.get("Version", self.platform.newest)
+        if order["Op"] != "model_load" or self.adapters.get(name, version) >= version:
+            return super().apply_order(order)
+        # Another version: it replaces the one that is held, once its runs have finished.
+        held = self.adapters.pop(name)
+        status = 409 if self.runs_of.get(name) else super().apply_order(order)
+        if status != 202:
+            self.adapters[name] = held
+        else:
+            self.platform.record(f"{self.name}: loads {name}@{version} for {order['Holder']}")
+        return status
+
+    async def answer(self, writer, method, path, headers, body):
+        request_id = headers.get("x-siskindrift-request-id", "")
+        name = headers.get("x-siskindrift-model", "").partition("/")[2]
+        wanted = headers.get("x-siskindrift-expect-version")
+        if name in self.adapters and wanted and int(wanted) != self.adapters[name]:
+            return await self.reply(writer, 421, request_id, not_run=True)
+        return await super().answer(writer, method, path, headers, body)
+
+    async def execute(self, writer, path, headers, request_id):
+        name = headers.get("x-siskindrift-model", "").partition("/")[2]
+        self.platform.begins.append((time.monotonic(), request_id, self.name, self.adapters[name]))
+        self.runs_of[name] = self.runs_of.get(name, 0) + 1
+        try:
+            return await super().execute(writer, path, headers, request_id)
+        finally:
+            self.runs_of[name] -= 1
 
 
-async def call(platform, record, connection, number, name, prompt="5c1e07a2:60,91bd3f06:40"):
-    request_id = f"{number:016x}"
-    headers = request_headers(request_id, DEADLINE_S)
-    headers["X-Siskindrift-Prompt-Prefix"] = prompt
-    answer = await connection.call("POST", "/unsafe/x", headers, limit=DEADLINE_S + 1)
-    runs = len(platform.executions.get(request_id, []))
-    outcome = answer.status or "channel closed without an answer"
-    record(f"{name}: request {request_id} on a {'kept' if number > 1000 else 'new'} channel: "
-           f"{outcome}; runs at workers: {runs}")
-    return answer, runs
+class Deployment(PlatformFixture):
+    def __init__(self, folder, record):
+        super().__init__(folder, seed=7, plain=1, engines=2)
+        self.upstreams[1:] = [Engine(self, f"engine-{i + 1}", i + 101) for i in range(2)]
+        self.record = record
+        self.newest = 1
+        self.begins = []  # (time, request, engine, version)
+        self.sent = {}    # request: gateway
+
+
+async def name_version(platform, version):
+    body = json.dumps({"Model": MODEL, "Adapter": ADAPTER, "Version": version}).encode()
+    platform.newest = version
+    while True:  # the call is resent until it receives a 2xx response
+        answer = await platform.control_call("POST", "/api/version-put", body)
+        if answer.status == 200:
+            platform.record(f"operator: version {version} of {MODEL}/{ADAPTER}: 200")
+            return time.monotonic()
+        await asyncio.sleep(0.1)
+
+
+async def caller(platform, index, stop):
+    connection = Connection(platform.caller_address(index))
+    number = 0
+    while not stop.is_set():
+        number += 1
+        request_id = f"{index + 1:04x}{number:012x}"
+        platform.sent[request_id] = index
+        await connection.call("POST", "/once/x", request_headers(request_id, 4.0, ADAPTER, 3),
+                              limit=4.5)
+        await asyncio.sleep(PAUSE_S)
+    connection.close()
 
 
 async def run(platform, record):
     await platform.start_all()
     record("started: " + ", ".join(platform.coordinators + platform.gateways))
+    record(f"both engines hold {ADAPTER}@1 from their start")
+    stop = asyncio.Event()
+    callers = [asyncio.create_task(caller(platform, i, stop))
+               for i in range(len(platform.gateways)) for _ in range(1)]
+    await asyncio.sleep(STABLE_WINDOW_S + 1)
+    acks = {2: await name_version(platform, 2)}
+    await asyncio.sleep(APART_S)
     if TROUBLE:
-        platform.max_header_bytes = AFTER_BYTES
-        if not await platform.put_document(limit=10):
-            return 2
-        record(f"operator: version {platform.version} with MaxHeaderBytes {AFTER_BYTES}: 200")
-    limit = platform.max_header_bytes
-    await asyncio.sleep(APPLY_S + STABLE_WINDOW_S)
-    gateway = platform.caller_address(0)
-    connections = [Connection(gateway) for _ in range(CALLERS)]
-    for i, connection in enumerate(connections):
-        answer, _ = await call(platform, record, connection, i + 1, f"caller {i + 1}")
-        if answer.status != 200 or not connection.usable:
-            return 2
-    for upstream in platform.upstreams:
-        upstream.work_s = WORK_S
-    tasks = [asyncio.create_task(call(platform, record, connection, 1001 + i, f"caller {i + 1}"))
-             for i, connection in enumerate(connections)]
-    await asyncio.sleep(WORK_S / 2)
-    prompt = long_prompt(limit // 2 - 512)
-    long_caller = Connection(gateway)
-    record(f"caller {CALLERS + 1}: sends a header of {len(prompt)} bytes, MaxHeaderBytes is {limit}")
-    answer, runs = await call(platform, record, long_caller, 500, f"caller {CALLERS + 1}", prompt)
-    results = await asyncio.gather(*tasks)
-    await asyncio.sleep(0.5)
-    status = platform.processes["gateway-1"].poll()
-    record(f"gateway-1: {'runs' if status is None else f'has ended with status {status}'}")
-    cut = sum(1 for answer, runs in results if answer.status == 0 and runs > 0)
-    served = sum(1 for answer, runs in results if answer.status == 200)
-    record(f"passed on from kept channels: {CALLERS}; answered with 200: {served}; "
-           f"closed without an answer: {cut}")
-    if cut > ALLOWED:
-        record(f"rule broken: {cut} times, {ALLOWED} are allowed")
-        return 1
-    if served < CALLERS or answer.status != 200:
-        record("could not run: the requests were not served")
+        acks[3] = await name_version(platform, 3)
+    await asyncio.sleep(WATCH_S)
+    stop.set()
+    await asyncio.gather(*callers)
+    for version in (1, 2, 3):
+        begun = [at for at, _, _, held in platform.begins if held == version]
+        if begun:
+            record(f"requests that began on version {version}: {len(begun)}, the last "
+                   f"{max(begun) - record.begun:.2f} s after the start")
+    late = []
+    for at, request_id, engine, held in platform.begins:
+        newer = [acked for version, acked in acks.items() if version > held]
+        if newer and at - min(newer) > VERSION_S:
+            late.append((at, request_id, engine, held, at - min(newer)))
+    for at, request_id, engine, held, after in late[:10]:
+        record(f"request {request_id}, sent to gateway-{platform.sent[request_id] + 1}, begins at "
+               f"{engine} on version {held}, {after:.2f} s after version {held + 1} was acknowledged",
+               at)
+    if not any(held == 2 for _, _, _, held in platform.begins):
+        record("could not run: no request began on version 2")
         return 2
-    record("rule held")
-    return 0
+    record(f"requests that began on a version later than {VERSION_S} s after a newer one was "
+           f"acknowledged: {len(late)} of {len(platform.begins)}")
+    record("rule broken" if late else "rule held")
+    return 1 if late else 0
 
 
 async def main():
     record = Record()
     folder = tempfile.mkdtemp(prefix="review-7-")
-    platform = Deployment(folder, seed=7, engines=1)
+    platform = Deployment(folder, record)
     try:
         return await asyncio.wait_for(run(platform, record), 110)
     except Exception as error:  # the case could not run
