Keep limits of headers at every door, or refuse them

Cause: limits were taken over as sent, but the library's container of fields throws for 64 KiB and more, when a request is read and when it is passed on. Requests and responses are now parsed and written without it. Limits that no gateway can keep are refused when they are set, with their name; relays have room for the fields that gateways add, and heads of answers may be as long as those of requests. A limit of 2^32 had become 0.

The stand-ins take long lines now, as they must read such a request.

--- a/include/siskindrift/gateway/deployment.h
+++ b/include/siskindrift/gateway/deployment.h
@@ -84,6 +84,10 @@
 
 /// Limits on callers' requests and connections.
 struct caller_limits {
+    /// Larger limits can't be kept by a gateway with little memory, so nobody may set them.
+    static constexpr std::size_t largest_header_bytes = 1024UL * 1024;
+    static constexpr std::size_t largest_body_bytes = 32UL * 1024 * 1024;
+
     std::size_t max_header_bytes = 16UL * 1024;
     std::size_t max_body_bytes = 4UL * 1024 * 1024;
     core::duration header_timeout = core::milliseconds{3000};
@@ -96,6 +100,9 @@
     std::vector<route> routes;
     std::map<std::string, service> services; ///< By name.
     caller_limits limits;
+    /// Why the limits that were sent can't be kept, or empty. A document with such limits isn't
+    /// accepted; where an earlier build has accepted it, the nearest limits that can apply.
+    std::string limits_fault;
 };
 
 /// Validates @p document.
--- a/include/siskindrift/http/client.h
+++ b/include/siskindrift/http/client.h
@@ -86,6 +86,8 @@
     core::duration progress_timeout = core::milliseconds{5000};
     /// Limit for the whole call once it is connected; zero for none.
     core::duration total_timeout{};
+    /// Limit on the size of the head of a response.
+    std::size_t max_header_bytes = 16UL * 1024;
     /// Limit on the size of the response body.
     std::size_t max_body_bytes = 64UL * 1024 * 1024;
 };
--- a/src/apps/coordinator_process.cpp
+++ b/src/apps/coordinator_process.cpp
@@ -618,6 +618,13 @@
         respond_error(responder, 400, error.text());
         return;
     }
+    // What has been accepted once is acknowledged again, whatever an earlier build accepted.
+    if (!document->limits_fault.empty() &&
+        request.body != m_core->state().current_document().content) {
+        observe::warn("document_refused", {{"reason", document->limits_fault}});
+        respond_error(responder, 400, document->limits_fault);
+        return;
+    }
     wire::put_document_t command;
     command.version = document->version;
     command.content = request.body;
--- a/src/apps/gateway_exchanges.cpp
+++ b/src/apps/gateway_exchanges.cpp
@@ -404,6 +404,7 @@
     call.connect_timeout = std::min<core::duration>(connect_timeout, time_left(item));
     call.head_timeout = time_left(item) + connect_timeout;
     call.progress_timeout = call.head_timeout;
+    call.max_header_bytes = std::max(call.max_header_bytes, m_deployment->limits.max_header_bytes);
     call.max_body_bytes = item.route.kind == gateway::route_kind::streaming
                               ? max_streamed_response_bytes
                               : max_kept_response_bytes;
--- a/src/apps/gateway_process.cpp
+++ b/src/apps/gateway_process.cpp
@@ -1,6 +1,7 @@
 #include "gateway_process.h"
 
 #include <algorithm>
+#include <limits>
 
 #include "platform/calls.h"
 #include "platform/deployment_codec.h"
@@ -37,6 +38,9 @@
 // All gateways have attached to a coordinator again, which may have restarted.
 constexpr core::milliseconds attach_time{1500};
 
+// What a gateway adds to the header of a request that it passes on through another one.
+constexpr std::size_t relay_header_bytes = 16UL * 1024;
+
 // Requests to these addresses have no body.
 constexpr std::size_t max_query_body_bytes = 64UL * 1024;
 
@@ -556,7 +560,10 @@
     limits.header_timeout = m_deployment->limits.header_timeout;
     limits.idle_timeout = m_deployment->limits.idle_timeout;
     m_callers.set_limits(limits);
-    m_relays.set_limits(limits);
+    http::server_limits relayed;
+    relayed.max_header_bytes = limits.max_header_bytes + relay_header_bytes;
+    relayed.max_body_bytes = limits.max_body_bytes;
+    m_relays.set_limits(relayed);
     for (const auto& [name, service] : m_deployment->services) {
         m_retries[name].set_options(
             {m_settings.retry_ratio, m_settings.retry_extra, m_settings.retry_window});
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -1,7 +1,9 @@
 #include "siskindrift/http/client.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/strand.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <charconv>
@@ -14,6 +16,7 @@
 #include <sys/socket.h>
 #include <vector>
 
+#include "message_parser.h"
 #include "siskindrift/net/mesh.h"
 
 namespace siskindrift::http {
@@ -41,6 +44,7 @@
 // faulty.
 constexpr int max_mismatched_responses = 2;
 constexpr unsigned first_final_status = 200; // lower ones are interim responses
+constexpr unsigned switching_protocols = 101;
 
 // Returns the idle timeout that the server states in a Keep-Alive header, less a margin and at most
 // `max_idle_lifetime`.
@@ -312,39 +316,58 @@
             end(call_result::not_sent, "cancelled");
             return;
         }
-        m_request.method_string(m_call.method);
-        m_request.target(m_call.path);
-        for (const auto& [name, value] : m_call.headers) {
-            m_request.insert(name, value);
-        }
-        if (m_request.find(beast::http::field::host) == m_request.end()) {
-            m_request.set(beast::http::field::host, m_call.address);
-        }
         if (!m_call.shared_body) {
             m_call.shared_body = std::make_shared<const std::string>(std::move(m_call.body));
         }
-        m_request.body() = {m_call.shared_body->data(), m_call.shared_body->size()};
-        m_request.prepare_payload();
+        m_request_head = render_request_head();
         const auto now = clock::now();
         m_call_deadline = m_call.total_timeout > core::duration::zero() ? now + m_call.total_timeout
                                                                         : clock::time_point::max();
         m_head_deadline = std::min(now + m_call.head_timeout, m_call_deadline);
-        beast::http::async_write(*m_stream, m_request,
-                                 [self = shared_from_this()](error_code error, std::size_t) {
-                                     // The response may arrive before the request is
-                                     // written completely.
-                                     self->m_written = !error;
-                                     self->m_write_error = error;
-                                     self->m_request.body() = {};
-                                     self->m_call.shared_body.reset();
-                                 });
+        const std::array<asio::const_buffer, 2> request{asio::buffer(m_request_head),
+                                                        asio::buffer(*m_call.shared_body)};
+        asio::async_write(*m_stream, request,
+                          [self = shared_from_this()](error_code error, std::size_t) {
+                              // The response may arrive before the request is written completely.
+                              self->m_written = !error;
+                              self->m_write_error = error;
+                              self->m_call.shared_body.reset();
+                          });
         read_head();
     }
 
+    // The library's container of fields bears no field of 64 KiB or more (see message_parser).
+    [[nodiscard]] std::string render_request_head() const
+    {
+        const auto is = [](const std::string& name, std::string_view other) {
+            return beast::iequals(name, other);
+        };
+        auto head = m_call.method + " " + m_call.path + " HTTP/1.1\r\n";
+        bool has_host = false;
+        for (const auto& [name, value] : m_call.headers) {
+            if (!is(name, "Content-Length") && !is(name, "Transfer-Encoding")) {
+                head += name + ": " + value + "\r\n";
+            }
+            has_host = has_host || is(name, "Host");
+        }
+        if (!has_host) {
+            head += "Host: " + m_call.address + "\r\n";
+        }
+        const auto body_bytes = m_call.shared_body->size();
+        if (body_bytes > 0 || m_call.method == "POST" || m_call.method == "PUT") {
+            head += "Content-Length: " + std::to_string(body_bytes) + "\r\n";
+        }
+        return head + "\r\n";
+    }
+
     void read_head()
     {
         m_parser.emplace();
+        m_parser->limit_header(m_call.max_header_bytes);
+        m_buffer.max_size(
+            std::max(max_unparsed_bytes, m_call.max_header_bytes + read_buffer_bytes));
         m_parser->body_limit(boost::none);
+        m_parser->keep_body(read_buffer_bytes);
         m_parser->eager(false);
         m_head_begun = false;
         m_stream->expires_at(m_head_deadline);
@@ -398,21 +421,18 @@
 
     void on_head()
     {
-        if (m_parser->get().result_int() < first_final_status) {
+        if (m_parser->status() < first_final_status) {
             on_interim_response();
             return;
         }
         client_head head;
-        head.status = static_cast<std::uint16_t>(m_parser->get().result_int());
+        head.status = static_cast<std::uint16_t>(m_parser->status());
         head.reused_connection = m_reused;
-        for (const auto& field : m_parser->get()) {
-            head.headers.emplace_back(field.name_string(), field.value());
-        }
+        head.headers = m_parser->headers();
         m_mismatched = !m_call.match_header.empty() && !matches(head);
         if (!m_cancelled && !m_mismatched) {
             m_owner->handler().on_head(m_call.id, head);
         }
-        m_read_buffer.resize(read_buffer_bytes);
         read_body();
     }
 
@@ -437,9 +457,7 @@
             end(call_result::complete);
             return;
         }
-        m_parser->get().body().data = m_read_buffer.data();
-        m_parser->get().body().size = m_read_buffer.size();
-        m_parser->get().body().more = true;
+        m_parser->body().clear();
         m_stream->expires_at(std::min(clock::now() + m_call.progress_timeout, m_call_deadline));
         beast::http::async_read_some(
             *m_stream, m_buffer, *m_parser,
@@ -448,7 +466,7 @@
 
     void on_body(error_code error)
     {
-        const auto got = m_read_buffer.size() - m_parser->get().body().size;
+        const auto got = m_parser->body().size();
         m_body_bytes += got;
         if (m_body_bytes > m_call.max_body_bytes) {
             end(call_result::connection_lost,
@@ -456,7 +474,7 @@
             return;
         }
         if (got > 0 && !m_cancelled && !m_mismatched) {
-            m_owner->handler().on_data(m_call.id, m_read_buffer.substr(0, got));
+            m_owner->handler().on_data(m_call.id, m_parser->body());
         }
         if (error && error != beast::http::error::need_buffer) {
             fail(error);
@@ -468,7 +486,7 @@
     // The response follows an interim one, except after a switch to another protocol.
     void on_interim_response()
     {
-        if (m_parser->get().result() == beast::http::status::switching_protocols) {
+        if (m_parser->status() == switching_protocols) {
             end(call_result::connection_lost, "the server switched to another protocol");
             return;
         }
@@ -480,7 +498,7 @@
     void skip_response()
     {
         const bool follows =
-            m_parser->get().keep_alive() && ++m_mismatched_responses <= max_mismatched_responses;
+            m_parser->keep_alive() && ++m_mismatched_responses <= max_mismatched_responses;
         if (!follows) {
             end(call_result::connection_lost, "the response belongs to another request");
             return;
@@ -518,14 +536,13 @@
             return;
         }
         m_owner->forget(m_call.id);
-        const bool reusable = how == call_result::complete && m_parser->get().keep_alive() &&
+        const bool reusable = how == call_result::complete && m_parser->keep_alive() &&
                               m_buffer.size() == 0 && m_written && m_mismatched_responses == 0 &&
                               !m_cancelled;
         if (reusable) {
             m_stream->expires_never();
-            const std::string_view keep_alive{m_parser->get()[beast::http::field::keep_alive]};
             m_owner->return_idle(m_call.address, std::move(m_stream),
-                                 stated_idle_lifetime(keep_alive));
+                                 stated_idle_lifetime(m_parser->header("Keep-Alive")));
         }
         else {
             close_connection();
@@ -548,10 +565,9 @@
     std::unique_ptr<counted_stream> m_stream;
     asio::any_io_executor m_executor;
     bool m_reused = false;
-    beast::http::request<beast::http::span_body<const char>> m_request;
-    std::optional<beast::http::response_parser<beast::http::buffer_body>> m_parser;
+    std::string m_request_head;
+    std::optional<message_parser<false>> m_parser;
     beast::flat_buffer m_buffer{max_unparsed_bytes};
-    std::string m_read_buffer;
     bool m_written = false;
     error_code m_write_error;
     bool m_mismatched = false; ///< The response being read belongs to another request.
--- a/src/http/client_test.cpp
+++ b/src/http/client_test.cpp
@@ -46,6 +46,7 @@
     asio::io_context context;
     recorder handler;
     client tested{context, handler};
+    std::size_t max_header_bytes = 16UL * 1024;
     std::size_t max_body_bytes = 64UL * 1024;
     core::duration total_timeout = core::milliseconds{4000};
 
@@ -67,6 +68,7 @@
         request.address = address;
         request.path = "/";
         request.body = std::string(body_bytes, 'x');
+        request.max_header_bytes = max_header_bytes;
         request.max_body_bytes = max_body_bytes;
         request.total_timeout = total_timeout;
         tested.start(std::move(request));
@@ -370,3 +372,19 @@
     UNSIGNED_LONGS_EQUAL(0, received[0]);
     UNSIGNED_LONGS_EQUAL(5000, received[1]);
 }
+
+// Guards against a server that ends the process with a long header field.
+TEST(Client, TakesAHeadOfAnyLengthWithinItsLimit)
+{
+    const std::string head =
+        "HTTP/1.1 200 OK\r\nX-Long: " + std::string(150'000, 'v') + "\r\nContent-Length: 2\r\n\r\n";
+    const auto serve = [&](tcp::socket& socket) { send(socket, head + "hi"); };
+    max_header_bytes = 200'000;
+    call(serve);
+    expect_end(call_result::complete, body_framing::length);
+    STRCMP_EQUAL("hi", handler.body.c_str());
+    handler.end.reset();
+    max_header_bytes = 100'000;
+    call(serve);
+    expect_end(call_result::connection_lost, body_framing::none);
+}
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -10,6 +10,7 @@
 #include <optional>
 #include <sys/socket.h>
 
+#include "message_parser.h"
 #include "siskindrift/net/mesh.h"
 
 namespace siskindrift::http {
@@ -254,7 +255,7 @@
     // those in force when the bytes arrive, not those of when the connection became idle.
     void parse_header()
     {
-        m_parser->header_limit(static_cast<std::uint32_t>(m_shared->limits.max_header_bytes));
+        m_parser->limit_header(m_shared->limits.max_header_bytes);
         m_parser->body_limit(max_body_bytes());
         error_code error;
         if (m_buffer.size() > 0) {
@@ -305,7 +306,7 @@
             return;
         }
         // With any other coding the end of the body would be ambiguous.
-        const auto coding = m_parser->get()[beast::http::field::transfer_encoding];
+        const auto coding = m_parser->header("Transfer-Encoding");
         if (!coding.empty() && !beast::iequals(coding, "chunked")) {
             refuse(beast::http::error::bad_transfer_encoding, false);
             return;
@@ -315,7 +316,7 @@
             refuse_for_memory();
             return;
         }
-        if (beast::iequals(m_parser->get()[beast::http::field::expect], "100-continue")) {
+        if (beast::iequals(m_parser->header("Expect"), "100-continue")) {
             static const std::string continue_response = "HTTP/1.1 100 Continue\r\n\r\n";
             error_code ignored;
             asio::write(m_stream.socket(), asio::buffer(continue_response), ignored);
@@ -389,12 +390,12 @@
                                      largest - std::min(largest / 2, request_overhead_bytes));
     }
 
-    [[nodiscard]] std::size_t body_bytes() { return m_parser->get().body().size(); }
+    [[nodiscard]] std::size_t body_bytes() { return m_parser->body().size(); }
 
     // Grows the body of unknown length by doubling, once the ledger has room for the next size.
     [[nodiscard]] bool reserve_chunked_body()
     {
-        auto& body = m_parser->get().body();
+        auto& body = m_parser->body();
         const auto needed = body.size() + m_buffer.size();
         if (needed <= body.capacity()) {
             return true;
@@ -415,7 +416,7 @@
             return true;
         }
         if (!m_responding && m_parser && m_parser->is_header_done()) {
-            m_body_bytes = std::max<std::size_t>(m_parser->get().body().capacity(),
+            m_body_bytes = std::max<std::size_t>(m_parser->body().capacity(),
                                                  m_parser->content_length().value_or(0));
         }
         const auto bytes =
@@ -668,7 +669,7 @@
     beast::tcp_stream m_stream;
     std::shared_ptr<server_shared> m_shared;
     beast::flat_buffer m_buffer;
-    std::optional<beast::http::request_parser<beast::http::string_body>> m_parser;
+    std::optional<message_parser<true>> m_parser;
     std::string m_remote;
     std::deque<std::string> m_queue;
     std::string m_out;
@@ -772,18 +773,16 @@
         m_slot->end_waiting();
     }
     m_stream.expires_never();
-    auto message = m_parser->release();
     server_request request;
-    request.method = std::string{message.method_string()};
-    request.target = std::string{message.target()};
+    request.method = m_parser->method();
+    request.target = m_parser->target();
     request.remote_address = m_remote;
-    for (const auto& field : message) {
-        request.headers.emplace_back(field.name_string(), field.value());
-    }
-    m_close_after = !message.keep_alive();
-    constexpr unsigned first_version_with_chunks = 11; // HTTP/1.1
-    const bool chunked = message.version() >= first_version_with_chunks;
-    request.body = std::move(message.body());
+    request.headers = std::move(m_parser->headers());
+    m_close_after = !m_parser->keep_alive();
+    constexpr int first_version_with_chunks = 11; // HTTP/1.1
+    const bool chunked = m_parser->version() >= first_version_with_chunks;
+    request.body = std::move(m_parser->body());
+    m_parser.reset();
     m_exchange = m_shared->next_exchange++;
     m_responding = true;
     ++m_shared->pending_responses;
--- a/src/http/server_test.cpp
+++ b/src/http/server_test.cpp
@@ -406,3 +406,38 @@
     }
     UNSIGNED_LONGS_EQUAL(0, connections.open());
 }
+
+// Guards against a caller that ends the process with a long header field inside the limit.
+TEST(Server, TakesAHeaderFieldOfAnyLengthWithinItsLimit)
+{
+    server_limits limits;
+    limits.max_header_bytes = 200'000;
+    tested->set_limits(limits);
+    const std::string field = "X-Long: " + std::string(150'000, 'v') + "\r\n";
+    const auto answer = exchange("GET / HTTP/1.1\r\n" + field + "Connection: close\r\n\r\n");
+    CHECK_TRUE_TEXT(answer.starts_with("HTTP/1.1 200"), answer.c_str());
+    const auto refused = exchange("GET / HTTP/1.1\r\n" + field + field + "\r\n");
+    CHECK_TRUE_TEXT(refused.starts_with("HTTP/1.1 431"), refused.c_str());
+    expect_alive();
+}
+
+TEST(Server, TakesALongFieldOfATrailerAndDropsIt)
+{
+    server_limits limits;
+    limits.max_header_bytes = 200'000;
+    tested->set_limits(limits);
+    const auto answer =
+        exchange("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n"
+                 "2\r\nhi\r\n0\r\nX-Long: " +
+                 std::string(150'000, 'v') + "\r\n\r\n");
+    CHECK_TRUE_TEXT(answer.starts_with("HTTP/1.1 200"), answer.c_str());
+    expect_alive();
+}
+
+TEST(Server, KeepsALimitThatDoesNotFitInto32Bits)
+{
+    server_limits limits;
+    limits.max_header_bytes = std::size_t{1} << 32U;
+    tested->set_limits(limits);
+    expect_alive();
+}
--- a/tests/client_limit_test.py
+++ b/tests/client_limit_test.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import collections
+import json
 import os
 import pathlib
 import shutil
@@ -375,6 +376,46 @@
         await self.check()
 
 
+class RaisedLimitTest(ClientFixture):
+    """The operator changes the limits of the document."""
+
+    async def put(self, **limits):
+        """Sends a document with these limits; returns the status and the text of the answer."""
+        self.platform.version += 1
+        document = self.platform.document(self.platform.version)
+        document["Limits"].update(limits)
+        answer = await self.platform.control_call("PUT", "/api/config",
+                                                  json.dumps(document).encode())
+        return answer.status, answer.body.decode()
+
+    async def send(self, number, header_bytes):
+        headers = request_headers(f"{number:016x}", ANSWER_S)
+        headers["X-Long"] = "v" * header_bytes
+        connection = Connection(self.platform.caller_address(0))
+        return (await connection.call("POST", "/unsafe/x", headers, limit=ANSWER_S)).status
+
+    async def test_a_long_field_within_a_raised_limit_is_served(self):
+        """A gateway ended when it read a field of 64 KiB or more."""
+        self.assertEqual((await self.put(MaxHeaderBytes=200_000))[0], 200)
+        await asyncio.sleep(APPLY_S)
+        self.assertEqual(await self.send(1, 150_000), 200)
+        self.assertEqual(await self.send(2, 250_000), 431)
+        for upstream in self.platform.upstreams:
+            upstream.answer_fields = {"X-Long": "v" * 150_000}
+        self.assertEqual(await self.send(3, 10), 200)
+        self.assertIsNone(self.platform.processes["gateway-1"].poll())
+
+    async def test_limits_that_no_gateway_can_keep_are_refused(self):
+        for name, value in (("MaxHeaderBytes", 1 << 32), ("MaxHeaderBytes", 0),
+                            ("MaxBodyBytes", 1 << 40), ("HeaderTimeoutMs", 0),
+                            ("IdleTimeoutMs", -1), ("MaxBodyBytes", "many")):
+            with self.subTest(name=name, value=value):
+                status, text = await self.put(**{name: value})
+                self.assertEqual(status, 400)
+                self.assertIn(name, text)
+        self.assertEqual(await self.send(1, 10), 200)
+
+
 class EntryLimitTest(unittest.IsolatedAsyncioTestCase):
     """siskindrift-entry and siskindrift-control use the same server and connections."""
 
--- a/tests/platform_fixture.py
+++ b/tests/platform_fixture.py
@@ -45,6 +45,7 @@
 RETRY_RATIO = 0.2     # retries allowed per request, the default of the settings
 RETRY_EXTRA = 50      # retries allowed in addition, shared by all gateways
 RETRY_WINDOW_S = 10.0 # sliding window of both, the default of the settings
+MAX_LINE_BYTES = 1 << 20  # that a stand-in takes; headers may be long
 CRASH_DOWN_S = 1.5    # time until a crashed engine is back
 FULL_DISK_BYTES = 64  # file size limit: a segment header fits, a record does not
 
@@ -119,7 +120,7 @@
     async def open(self):
         ip, port = self.address.split(":")
         self.reader, self.writer = await asyncio.wait_for(
-            asyncio.open_connection(ip, int(port)), CONNECT_S)
+            asyncio.open_connection(ip, int(port), limit=MAX_LINE_BYTES), CONNECT_S)
         self.usable = True
 
     async def call(self, method, path, headers, body=b"", limit=10.0, on_bytes=None):
@@ -184,6 +185,8 @@
 class Upstream:
     """A plain service or an engine that speaks the platform's wire format."""
 
+    answer_fields = {}  # sent with each answer
+
     def __init__(self, platform, name, service, host, adapter_slots=0):
         self.platform = platform
         self.name = name
@@ -222,7 +225,8 @@
 
     async def start(self):
         ip, port = self.link.target.split(":")
-        self.server = await asyncio.start_server(self.serve, ip, int(port))
+        self.server = await asyncio.start_server(self.serve, ip, int(port),
+                                                limit=MAX_LINE_BYTES)
         await self.link.start()
         self.platform.tasks.append(asyncio.create_task(self.announce()))
 
@@ -273,7 +277,8 @@
         self.adapters.clear()
         self.orders, self.fence, self.holder, self.announcements = 0, 0, "", 0
         ip, port = self.link.target.split(":")
-        self.server = await asyncio.start_server(self.serve, ip, int(port))
+        self.server = await asyncio.start_server(self.serve, ip, int(port),
+                                                limit=MAX_LINE_BYTES)
         self.down = False
 
     async def serve(self, reader, writer):
@@ -454,7 +459,7 @@
         return True
 
     async def reply(self, writer, status, request_id, body=b"", seal="", not_run=False):
-        headers = {"Content-Length": str(len(body)), **self.limit_header()}
+        headers = {"Content-Length": str(len(body)), **self.limit_header(), **self.answer_fields}
         if request_id:
             headers["X-Siskindrift-Request-Id"] = request_id
         if seal:
@@ -530,7 +535,8 @@
     async def accept(self, reader, writer):
         ip, port = self.target.split(":")
         try:
-            inner_reader, inner_writer = await asyncio.open_connection(ip, int(port))
+            inner_reader, inner_writer = await asyncio.open_connection(ip, int(port),
+                                                                       limit=MAX_LINE_BYTES)
         except OSError:
             reset_connection(writer)
             return
--- a/tests/quorum_model.cpp
+++ b/tests/quorum_model.cpp
@@ -405,7 +405,6 @@
         if (one.leads == 0) {
             continue;
         }
-        const auto& sent = from.terms[one.term];
         if (from.values < m_options.values && one.term == 1 && one.log.length < max_entries) {
             auto next = from;
             auto& log = next.replicas[id].log;
