Count each version of an adapter from its own acknowledgement

Cause: a gateway kept the newest version only, and for 1.5 s after it had heard of one it accepted any older copy. What it heard late, after a start or from a coordinator that was behind, counted as new. Now the versions named lately are kept with their ages, which only the leader that committed them knows; an unknown age counts as long ago.

--- a/include/siskindrift/gateway/upstream_pool.h
+++ b/include/siskindrift/gateway/upstream_pool.h
@@ -12,6 +12,7 @@
 #include "siskindrift/core/clock.h"
 #include "siskindrift/core/random.h"
 #include "siskindrift/fleet/roster.h"
+#include "siskindrift/fleet/version_history.h"
 #include "siskindrift/gateway/loss_guard.h"
 #include "siskindrift/gateway/request_metadata.h"
 #include "siskindrift/gateway/upstream_limits.h"
@@ -51,7 +52,7 @@
     core::duration give_up_silence = core::milliseconds{2000};
     /// Maximum number of upstreams that are probed at once.
     std::size_t max_probes = 16;
-    /// Time for which an old version of an adapter is used after a new one became current. Covers
+    /// Time for which an old version of an adapter is used after a newer one was named. Covers
     /// the load of the new version from the store and the report of it, with a margin.
     core::duration old_version_grace = core::milliseconds{1500};
     /// Latest estimated start of a request on an old version, in ms after the new one became
@@ -161,8 +162,10 @@
     void set_gateway_count(std::size_t count) { m_gateway_count = count; }
     /// Applies the load of an engine, summed over all gateways, and the adapters that it holds.
     void update_engine(const wire::engine_view_t& view);
-    /// Sets the current version of an adapter; lower versions than the known one are ignored.
-    void set_current_version(const adapter_name& name, std::uint64_t version, core::time_point now);
+    /// Records that a version of an adapter was named, in any order.
+    /// @param named_at when it was acknowledged, or no value if that may be long ago.
+    void set_current_version(const adapter_name& name, std::uint64_t version,
+                             std::optional<core::time_point> named_at);
 
     /// Chooses an upstream of @p service that is not among @p tried.
     /// @param wanted adapter that the upstream must hold; an empty model for services without
@@ -319,8 +322,7 @@
     std::map<std::string, upstream_stats> m_stats;
     core::time_point m_last_activity{}; ///< Last byte from any upstream.
     std::map<std::string, engine_state> m_engines;
-    /// Current version of each adapter, and when it became current.
-    std::map<adapter_name, std::pair<std::uint64_t, core::time_point>> m_current_versions;
+    std::map<adapter_name, fleet::version_history> m_versions; ///< Named, by adapter.
 };
 
 } // namespace siskindrift::gateway
--- a/src/apps/coordinator_fleet.cpp
+++ b/src/apps/coordinator_fleet.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 #include "coordinator_process.h"
 #include "platform/deployment_codec.h"
@@ -10,7 +11,8 @@
 namespace siskindrift::apps {
 namespace {
 
-constexpr core::milliseconds flush_interval{400}; // a third of the announcement interval
+constexpr core::milliseconds version_history_time{10'000}; // longer than outdated ones are used
+constexpr core::milliseconds flush_interval{400};          // a third of the announcement interval
 // Clock drift over one election timeout, and the time to send an order.
 constexpr core::milliseconds lease_margin{40};
 constexpr core::milliseconds engine_connect_timeout{300};   // several round trips
@@ -178,12 +180,57 @@
         }
         observe::info("document_in_force", {{"version", document.version}});
     }
+    apply_versions();
+}
+
+void coordinator_process::apply_versions()
+{
+    // What was committed while this replica led is acknowledged now. Another replica, or the
+    // predecessor, may have acknowledged anything else at any time before.
+    const auto now = m_clock.now();
+    const bool acknowledged_here = m_placement_term != 0 && m_placement_term == m_versions_term;
+    m_versions_term = m_placement_term;
     for (const auto& [name, version] : m_core->state().adapter_versions()) {
-        if (m_published_versions[name] != version) {
-            m_placer.set_version(name, version);
-            m_flush_requested = true;
+        auto& history = m_versions[name];
+        if (history.current() == version) {
+            continue;
+        }
+        if (!acknowledged_here) {
+            history = {};
+        }
+        history.record(version, acknowledged_here ? std::optional{now} : std::nullopt);
+        history.forget_before(now - version_history_time);
+        observe::info("version_in_force", {{"model", name.first},
+                                           {"adapter", name.second},
+                                           {"version", version},
+                                           {"acknowledged_here", acknowledged_here}});
+        m_placer.set_version(name, version);
+        m_flush_requested = true;
+    }
+}
+
+// Earlier versions are told with the current one: a gateway may have missed them.
+void coordinator_process::append_versions(const state::adapter_name& name,
+                                          wire::fleet_update_t& update) const
+{
+    const auto& history = m_versions.at(name);
+    for (const auto& [version, named_at] : history.versions()) {
+        wire::named_version_t item;
+        item.model = name.first;
+        item.adapter = name.second;
+        item.version = version;
+        if (named_at) {
+            constexpr std::int64_t largest = std::numeric_limits<std::uint32_t>::max() - 1;
+            const auto age = core::to_ms(m_clock.now() - *named_at);
+            item.age_ms = static_cast<std::uint32_t>(std::min<std::int64_t>(age, largest));
         }
+        wire::append(update.versions, std::move(item));
     }
+    wire::adapter_copy_t current; // for gateways of earlier builds
+    current.model = name.first;
+    current.adapter = name.second;
+    current.version = history.current();
+    wire::append(update.named, std::move(current));
 }
 
 void coordinator_process::handle_attach(net::connection_id from,
@@ -264,12 +311,8 @@
     append_upstream_limits(update);
     append_divided(update);
     append_all(update.upstreams, m_roster.snapshot(m_clock.now()));
-    for (const auto& [name, version] : m_core->state().adapter_versions()) {
-        wire::adapter_copy_t item;
-        item.model = name.first;
-        item.adapter = name.second;
-        item.version = version;
-        wire::append(update.named, std::move(item));
+    for (const auto& [name, history] : m_versions) {
+        append_versions(name, update);
     }
     return update;
 }
@@ -307,13 +350,10 @@
             wire::append(update.gateways, *gateway.attach_message.info);
         }
     }
-    for (const auto& [name, version] : m_core->state().adapter_versions()) {
-        if (std::exchange(m_published_versions[name], version) != version) {
-            wire::adapter_copy_t item;
-            item.model = name.first;
-            item.adapter = name.second;
-            item.version = version;
-            wire::append(update.named, std::move(item));
+    for (const auto& [name, history] : m_versions) {
+        const auto current = history.current();
+        if (std::exchange(m_published_versions[name], current) != current) {
+            append_versions(name, update);
         }
     }
     if (m_published_blocks != m_core->state().current_blocked_parts().generation) {
--- a/src/apps/coordinator_process.h
+++ b/src/apps/coordinator_process.h
@@ -29,6 +29,7 @@
 #include "siskindrift/fleet/software_history.h"
 #include "siskindrift/fleet/stream_origins.h"
 #include "siskindrift/fleet/update_pacer.h"
+#include "siskindrift/fleet/version_history.h"
 #include "siskindrift/http/buffered_client.h"
 #include "siskindrift/http/server.h"
 #include "siskindrift/net/mesh.h"
@@ -111,6 +112,8 @@
     void answer_origin_query(net::connection_id from, const wire::stream_origin_query_t& query);
     void apply_peer_update(const wire::fleet_update_t& update);
     void apply_document();
+    void apply_versions();
+    void append_versions(const state::adapter_name& name, wire::fleet_update_t& update) const;
     void handle_attach(net::connection_id from, const wire::gateway_attach_t& message);
     void send_document(net::connection_id connection);
     void flush_updates();
@@ -197,6 +200,8 @@
     adapters::placer m_placer;
     std::map<net::connection_id, attached_gateway> m_gateways;
     std::uint64_t m_document_version = 0;
+    std::map<state::adapter_name, fleet::version_history> m_versions; ///< Of the replicated state.
+    std::uint64_t m_versions_term = 0; ///< Term led when `m_versions` was last updated, or 0.
     /// Current adapter versions that were sent to the gateways.
     std::map<state::adapter_name, std::uint64_t> m_published_versions;
     bool m_gateways_urgent = false; ///< The list must not wait until `m_gateways_due`.
--- a/src/apps/gateway_process.cpp
+++ b/src/apps/gateway_process.cpp
@@ -518,9 +518,7 @@
         m_fleet_known_since = std::min(m_fleet_known_since, known_since);
     }
     update_registrars();
-    for (const auto& item : update.named) {
-        m_pool.set_current_version({item->model, item->adapter}, item->version, now);
-    }
+    apply_versions(update, now);
     const bool changed = !m_roster.take_changed(now).empty() || !update.named.empty();
     m_roster.take_refreshed();
     m_roster.take_changed_copies(now);
@@ -533,6 +531,22 @@
     }
 }
 
+void gateway_process::apply_versions(const wire::fleet_update_t& update, core::time_point now)
+{
+    // An update that was held up on its way is older than its arrival suggests.
+    const auto on_the_way = m_message_ages.estimate(update.address, 0, update.sent_ms, now);
+    for (const auto& item : update.versions) {
+        std::optional<core::time_point> named_at;
+        if (item->age_ms != std::numeric_limits<std::uint32_t>::max()) {
+            named_at = now - on_the_way - core::milliseconds{item->age_ms};
+        }
+        m_pool.set_current_version({item->model, item->adapter}, item->version, named_at);
+    }
+    for (const auto& item : update.named) {
+        m_pool.set_current_version({item->model, item->adapter}, item->version, std::nullopt);
+    }
+}
+
 void gateway_process::request_document()
 {
     if (const auto address = m_document_follower.next_source(m_clock.now())) {
--- a/src/apps/gateway_process.h
+++ b/src/apps/gateway_process.h
@@ -38,6 +38,7 @@
 #include "siskindrift/gateway/upstream_pool.h"
 #include "siskindrift/http/client.h"
 #include "siskindrift/http/server.h"
+#include "siskindrift/membership/message_age.h"
 #include "siskindrift/net/mesh.h"
 
 namespace siskindrift::apps {
@@ -206,6 +207,7 @@
     void on_connection_refused(core::reason reason) override;
     void on_queued(std::string_view kind, std::size_t bytes) override;
     void apply_fleet_update(coordinator_state& sender, const wire::fleet_update_t& update);
+    void apply_versions(const wire::fleet_update_t& update, core::time_point now);
     void apply_document(const wire::document_page_t& page);
     void apply_engine_update(const wire::engine_update_t& update);
     void send_attach(const std::string& address);
@@ -404,8 +406,9 @@
     /// Since when a coordinator has heard of the upstreams.
     core::time_point m_fleet_known_since = core::time_point::max();
     gateway::prompt_guard m_prompt_guard;
-    core::time_point m_fleet_heard_at{};   ///< Last news of upstreams and documents.
-    core::time_point m_engines_heard_at{}; ///< Last news of what engines hold.
+    membership::message_age_estimator m_message_ages; ///< Of updates, by coordinator.
+    core::time_point m_fleet_heard_at{};              ///< Last news of upstreams and documents.
+    core::time_point m_engines_heard_at{};            ///< Last news of what engines hold.
     std::optional<core::time_point> m_evidence_due;
     core::time_point m_evidence_sent_at{};
     std::uint64_t m_engine_term = 0; ///< Highest leader term among the engine updates.
--- a/src/gateway/upstream_pool.cpp
+++ b/src/gateway/upstream_pool.cpp
@@ -58,11 +58,12 @@
 }
 
 void upstream_pool::set_current_version(const adapter_name& name, std::uint64_t version,
-                                        core::time_point now)
+                                        std::optional<core::time_point> named_at)
 {
-    auto& current = m_current_versions[name];
-    if (version > current.first) {
-        current = {version, now};
+    auto& versions = m_versions[name];
+    versions.record(version, named_at);
+    if (named_at) {
+        versions.forget_before(*named_at - m_options.old_version_grace);
     }
 }
 
@@ -340,13 +341,14 @@
 bool upstream_pool::accepts_version(const adapter_name& name, std::uint64_t version,
                                     bool current_exists, double wait_ms, core::time_point now) const
 {
-    const auto current = m_current_versions.find(name);
-    if (current == m_current_versions.end() || version >= current->second.first) {
+    const auto versions = m_versions.find(name);
+    const auto elapsed =
+        versions == m_versions.end() ? std::nullopt : versions->second.outdated_for(version, now);
+    if (!elapsed) {
         return true;
     }
-    const auto elapsed = now - current->second.second;
-    const double start_ms = static_cast<double>(core::to_ms(elapsed)) + wait_ms;
-    return !current_exists && elapsed < m_options.old_version_grace &&
+    const double start_ms = static_cast<double>(core::to_ms(*elapsed)) + wait_ms;
+    return !current_exists && *elapsed < m_options.old_version_grace &&
            start_ms < m_options.old_version_latest_start_ms;
 }
 
@@ -365,8 +367,8 @@
     shortage lacks = shortage::upstream; // of the upstream that comes nearest to being chosen
     bool any_reachable = false;
     std::vector<std::string> unreached; // refuse the connections of this gateway only
-    const auto current = m_current_versions.find(wanted);
-    const auto current_version = current == m_current_versions.end() ? 0 : current->second.first;
+    const auto versions = m_versions.find(wanted);
+    const auto current_version = versions == m_versions.end() ? 0 : versions->second.current();
     bool current_exists = false;
     for (const auto& [id, entry] : m_roster.entries()) {
         if (entry.info.service != service || (pin && !pin->allows(entry.info))) {
--- a/src/gateway/upstream_pool_test.cpp
+++ b/src/gateway/upstream_pool_test.cpp
@@ -180,6 +180,38 @@
     STRCMP_EQUAL("b", choose(wanted).upstream.c_str());
 }
 
+// Guards against requests that begin on a version that was replaced before the last one was named.
+TEST(UpstreamPool, UsesNoVersionThatWasOutdatedBeforeTheLastOneWasNamed)
+{
+    announce("a");
+    set_held_version("a", 1);
+    pool.set_current_version(wanted, 2, clock.now());
+    clock.advance(core::milliseconds{8000});
+    roster.refresh("a", clock.now());
+    pool.set_current_version(wanted, 3, clock.now());
+    CHECK_TRUE(choose(wanted).result == pool_choice::kind::adapter_not_loaded);
+}
+
+TEST(UpstreamPool, UsesAVersionThroughTwoNewOnesThatFollowCloselyEachOther)
+{
+    announce("a");
+    set_held_version("a", 1);
+    pool.set_current_version(wanted, 3, clock.now());
+    pool.set_current_version(wanted, 2, clock.now() - core::milliseconds{1000}); // learnt late
+    STRCMP_EQUAL("a", choose(wanted).upstream.c_str());
+    clock.advance(core::milliseconds{600});
+    roster.refresh("a", clock.now());
+    CHECK_TRUE(choose(wanted).result == pool_choice::kind::adapter_not_loaded);
+}
+
+TEST(UpstreamPool, UsesNoOldVersionIfTheNewOneMayHaveBeenNamedLongAgo)
+{
+    announce("a");
+    set_held_version("a", 1);
+    pool.set_current_version(wanted, 2, std::nullopt);
+    CHECK_TRUE(choose(wanted).result == pool_choice::kind::adapter_not_loaded);
+}
+
 TEST(UpstreamPool, RejectsAnOldVersionThatWouldStartLate)
 {
     announce("a");
