Record departures of upstreams before they are acknowledged

Cause: departures were kept in memory only. The first announcement of an end and a DELETE are now acknowledged once a quorum has them in the replicated log, and announcements of a recorded run no longer make it ready. A later run is taken at once.

--- a/include/siskindrift/state/control_state.h
+++ b/include/siskindrift/state/control_state.h
@@ -28,6 +28,11 @@
     /// is valid.
     std::uint64_t key_skew_ms = 5ULL * 60 * 1000;
 
+    /// How long a departure is known. Must exceed the delay of an announcement that was sent before
+    /// it, and the time for which an upstream serves on.
+    std::uint64_t departure_retention_ms = 10ULL * 60 * 1000;
+    std::size_t max_departures = 8192;
+
     /// Number of changes in the history. Enough for ten days at the target rate of changes.
     std::size_t max_history_items = 20'000;
 
@@ -97,6 +102,13 @@
 
 using claim_key = std::pair<std::string, std::string>; ///< Team, then idempotency key.
 
+/// A run of an upstream that has announced its end, or is gone.
+struct departure {
+    std::uint64_t born_ms = 0; ///< Start of the run, in milliseconds of the wall clock.
+    bool gone = false;
+    std::uint64_t stamp_ms = 0; ///< When it was recorded, in the time of the log.
+};
+
 /// The replicated state machine. It is deterministic: equal logs produce equal states on every
 /// replica, so it reads no clock and takes the time from the log entries. Not thread-safe.
 class control_state {
@@ -144,6 +156,14 @@
         return m_upstream_limits;
     }
     [[nodiscard]] const service_versions& software_versions() const { return m_software_versions; }
+    /// Returns the latest runs of upstreams that leave or have left, by upstream.
+    [[nodiscard]] const std::map<std::string, departure>& departures() const
+    {
+        return m_departures;
+    }
+    /// Returns the recorded departure of a run of @p upstream or of a later one, or null.
+    [[nodiscard]] const departure* find_departure(const std::string& upstream,
+                                                  std::uint64_t born_ms) const;
     [[nodiscard]] std::size_t claim_count() const { return m_claims.size(); }
     /// Returns the claim on a key, or null.
     [[nodiscard]] const claim* find_claim(const claim_key& key) const;
@@ -176,10 +196,12 @@
     wire::control_reply_t apply(const wire::change_blocked_parts_t& request);
     wire::control_reply_t apply(const wire::change_upstream_limits_t& request);
     wire::control_reply_t apply(const wire::change_software_versions_t& request);
+    wire::control_reply_t apply(const wire::record_departure_t& request);
 
     void accept_change(const wire::apply_change_t& change);
     void store_change_result(const std::string& change_id, change_result result);
     void purge_expired_claims();
+    void purge_old_departures();
     [[nodiscard]] static wire::control_reply_t make_change_reply(const change_result& stored);
     [[nodiscard]] wire::control_reply_t make_claim_reply(const claim& held,
                                                          wire::claim_state state) const;
@@ -197,6 +219,7 @@
     std::map<std::string, wire::ownership_info_t> m_ownerships;
     document m_document;
     std::map<adapter_name, std::uint64_t> m_adapter_versions;
+    std::map<std::string, departure> m_departures;
     retry_shares m_retry_shares;
     blocked_parts m_blocked_parts;
     upstream_limits m_upstream_limits;
--- a/src/apps/coordinator_fleet.cpp
+++ b/src/apps/coordinator_fleet.cpp
@@ -12,7 +12,11 @@
 namespace {
 
 constexpr core::milliseconds version_history_time{10'000}; // longer than outdated ones are used
-constexpr core::milliseconds flush_interval{400};          // a third of the announcement interval
+// Below the second after which an upstream calls another coordinator.
+constexpr core::milliseconds departure_timeout{700};
+// Longer than an announcement can be delayed. Later ones show that the run goes on.
+constexpr std::uint64_t departure_lifetime_ms = 60'000;
+constexpr core::milliseconds flush_interval{400}; // a third of the announcement interval
 // Clock drift over one election timeout, and the time to send an order.
 constexpr core::milliseconds lease_margin{40};
 constexpr core::milliseconds engine_connect_timeout{300};   // several round trips
@@ -29,6 +33,14 @@
 // A quarter of the time that an engine takes to process one prompt.
 constexpr core::milliseconds min_load_update_interval{60};
 
+void respond_unavailable(const std::shared_ptr<http::responder>& responder, std::string_view text)
+{
+    constexpr std::uint16_t service_unavailable = 503;
+    observe::warn("call_unavailable", {{"reason", text}});
+    responder->respond(service_unavailable, {{"Content-Type", "application/json"}},
+                       platform::encode_error(text));
+}
+
 template <class Items>
 void append_all(std::vector<std::unique_ptr<wire::fleet_upstream_t>>& to, Items items)
 {
@@ -65,6 +77,13 @@
         return;
     }
     const auto id = announcement->id;
+    const auto born_ms = announcement->born_ms;
+    const bool leaves = announcement->state == wire::fleet_state::draining &&
+                        find_departure(id, born_ms) == nullptr;
+    if (!respect_departure(*announcement)) {
+        responder->respond(200, {{"Content-Type", "application/json"}}, "{}");
+        return;
+    }
     const auto change = m_roster.update(std::move(*announcement), m_clock.now());
     if (change != fleet::roster_change::stale) {
         m_local_upstreams.insert(id);
@@ -75,9 +94,144 @@
         m_flush_requested = true;
         flush_updates();
     }
+    if (leaves) {
+        confirm_departure(id, born_ms, false, responder);
+        return;
+    }
+    responder->respond(200, {{"Content-Type", "application/json"}}, "{}");
+}
+
+// Returns the departure of a run of an upstream or of a later one, if it was recorded lately.
+const state::departure* coordinator_process::find_departure(const std::string& id,
+                                                            std::uint64_t born_ms) const
+{
+    const auto* left = m_core->state().find_departure(id, born_ms);
+    return left != nullptr && left->stamp_ms + departure_lifetime_ms > m_clock.wall_ms() ? left
+                                                                                         : nullptr;
+}
+
+// A late announcement of a run that has left must not bring it back. Returns false if it says
+// nothing of a later run.
+bool coordinator_process::respect_departure(wire::fleet_upstream_t& announcement) const
+{
+    const auto* left = find_departure(announcement.id, announcement.born_ms);
+    if (left == nullptr) {
+        return true;
+    }
+    if (left->gone || announcement.born_ms < left->born_ms) {
+        observe::routine("announcement_after_departure", {{"upstream", announcement.id}});
+        return false;
+    }
+    if (announcement.state == wire::fleet_state::ready) {
+        announcement.state = wire::fleet_state::draining;
+    }
+    return true;
+}
+
+// Acknowledges a departure once it is in the replicated log: what is only in memory is forgotten
+// when all processes are killed, and a late announcement would count as one of a new upstream.
+void coordinator_process::confirm_departure(const std::string& id, std::uint64_t born_ms, bool gone,
+                                            const std::shared_ptr<http::responder>& responder)
+{
+    wire::record_departure_t departure;
+    departure.upstream = id;
+    departure.born_ms = born_ms;
+    departure.gone = gone;
+    auto request = wire::make_control_request(departure);
+    const auto client = m_next_client++;
+    const auto& raft = m_core->raft();
+    if (m_storage->disk_full()) {
+        respond_unavailable(responder, "the disk of this replica is full");
+        return;
+    }
+    if (raft.is_leader() && !m_stopping) {
+        if (too_few_voters()) {
+            respond_unavailable(responder, "too few replicas have joined");
+            return;
+        }
+        m_pending_responders[client] = responder;
+        m_core->on_request(client, request);
+        schedule_cycle();
+        return;
+    }
+    const auto leader = raft.leader_address();
+    if (leader.empty() || leader == m_settings.inner_address) {
+        respond_unavailable(responder, "no leader is known");
+        return;
+    }
+    request.id = client;
+    m_forwarded_departures[client] = {responder, m_clock.now() + departure_timeout};
+    m_mesh->send(leader, wire::make_envelope(std::move(request)));
+}
+
+void coordinator_process::handle_forwarded_departure(net::connection_id from,
+                                                     const wire::control_request_t& request)
+{
+    if (request.body.Asrecord_departure() == nullptr) {
+        observe::warn("request_refused", {{"reason", "a peer may only record departures"}});
+        return;
+    }
+    if (m_storage->disk_full() || m_stopping || too_few_voters()) {
+        wire::control_reply_t refusal;
+        refusal.id = request.id;
+        refusal.outcome = wire::control_outcome::unavailable;
+        m_mesh->reply(from, wire::make_envelope(std::move(refusal)));
+        return;
+    }
+    const auto client = m_next_client++;
+    m_pending_peers[client] = from;
+    m_core->on_request(client, request);
+}
+
+void coordinator_process::handle_departure_reply(const wire::control_reply_t& reply)
+{
+    const auto pending = m_forwarded_departures.extract(reply.id);
+    if (pending.empty()) {
+        return;
+    }
+    const auto& responder = pending.mapped().responder;
+    if (reply.outcome != wire::control_outcome::ok) {
+        respond_unavailable(responder, "the leader didn't record the departure");
+        return;
+    }
     responder->respond(200, {{"Content-Type", "application/json"}}, "{}");
 }
 
+void coordinator_process::refuse_overdue_departures()
+{
+    const auto now = m_clock.now();
+    std::erase_if(m_forwarded_departures, [&](const auto& item) {
+        if (now < item.second.due) {
+            return false;
+        }
+        respond_unavailable(item.second.responder, "the leader doesn't answer");
+        return true;
+    });
+}
+
+// Marks what has left before this process started, or at another replica.
+void coordinator_process::apply_departures()
+{
+    if (std::exchange(m_departures_applied, m_core->applied()) == m_core->applied()) {
+        return;
+    }
+    for (const auto& [id, left] : m_core->state().departures()) {
+        const auto* item = m_roster.find(id);
+        if (item == nullptr || find_departure(id, item->info.born_ms) == nullptr) {
+            continue;
+        }
+        const bool gone = left.gone || item->info.born_ms < left.born_ms;
+        const bool changed = gone ? m_roster.mark_gone(id, m_clock.now())
+                                  : m_roster.mark_draining(id, item->info.born_ms, {});
+        if (changed) {
+            observe::info("departure_applied", {{"upstream", id}, {"gone", gone}});
+            m_local_upstreams.insert(id);
+            m_flush_requested = true;
+            update_placer(id);
+        }
+    }
+}
+
 void coordinator_process::update_placer(const std::string& id)
 {
     if (const auto* item = m_roster.find(id)) {
@@ -88,12 +242,25 @@
 void coordinator_process::handle_withdrawal(const platform::incoming_call& call,
                                             const std::shared_ptr<http::responder>& responder)
 {
+    const auto* item = m_roster.find(call.upstream_id);
+    const auto* left = find_departure(call.upstream_id, 0);
+    if (item == nullptr && left == nullptr) {
+        // Its run isn't known, so that a late announcement couldn't be told from one of a new run.
+        respond_unavailable(responder, "no announcement of the upstream is known here");
+        return;
+    }
+    const auto born_ms =
+        std::max(item != nullptr ? item->info.born_ms : 0, left != nullptr ? left->born_ms : 0);
     if (m_roster.mark_gone(call.upstream_id, m_clock.now())) {
         m_local_upstreams.insert(call.upstream_id);
         m_flush_requested = true;
         flush_updates();
     }
-    responder->respond(200, {{"Content-Type", "application/json"}}, "{}");
+    if (left != nullptr && left->born_ms == born_ms && left->gone) {
+        responder->respond(200, {{"Content-Type", "application/json"}}, "{}");
+        return;
+    }
+    confirm_departure(call.upstream_id, born_ms, true, responder);
 }
 
 void coordinator_process::apply_peer_update(const wire::fleet_update_t& update)
@@ -106,6 +273,9 @@
                                                {"reason", *error}});
             continue;
         }
+        if (announcement->state != wire::fleet_state::gone && !respect_departure(*announcement)) {
+            continue;
+        }
         const auto age = core::milliseconds{announcement->age_ms};
         m_roster.update(*announcement, now, age);
         update_placer(announcement->id);
--- a/src/apps/coordinator_process.cpp
+++ b/src/apps/coordinator_process.cpp
@@ -274,6 +274,8 @@
     update_upstream_limits();
     update_software_versions();
     apply_document();
+    apply_departures();
+    refuse_overdue_departures();
     place_adapters();
     flush_updates();
     log_sent_bytes();
@@ -518,6 +520,13 @@
     else if (const auto* join_request = message.body.Asjoin_request()) {
         handle_join_request(*join_request);
     }
+    else if (const auto* forwarded = message.body.Ascontrol_request()) {
+        handle_forwarded_departure(from, *forwarded);
+    }
+    else if (const auto* answer = message.body.Ascontrol_reply()) {
+        handle_departure_reply(*answer);
+        return;
+    }
     else if (const auto* identity_query = message.body.Asidentity_query()) {
         answer_identity_query(*identity_query);
         return;
@@ -652,8 +661,6 @@
         respond_error(responder, 503, "the disk of this replica is full");
         return;
     }
-    const auto voters = std::count_if(raft.members().begin(), raft.members().end(),
-                                      [](const auto& info) { return info.voter; });
     if (!raft.is_leader() || m_stopping) {
         const auto leader = raft.leader_address();
         if (leader.empty() || leader == m_settings.inner_address) {
@@ -667,8 +674,7 @@
         responder->respond(307, {{"Location", platform::redirect_location(request, control)}}, "");
         return;
     }
-    // With so few voters, the loss of the tolerated number of disks could lose the change.
-    if (voters <= static_cast<std::ptrdiff_t>(m_settings.losses_borne)) {
+    if (too_few_voters()) {
         respond_error(responder, 503, "too few replicas have joined");
         return;
     }
@@ -677,6 +683,12 @@
     m_core->on_request(client, command);
 }
 
+// With so few voters, the loss of the tolerated number of disks could lose what is acknowledged.
+bool coordinator_process::too_few_voters() const
+{
+    return consensus::voters_of(m_core->raft().members()).size() <= m_settings.losses_borne;
+}
+
 // What these calls propose may still be committed once the disk has room, so callers send it again.
 void coordinator_process::refuse_open_calls()
 {
@@ -692,6 +704,10 @@
 
 void coordinator_process::send_reply(const control::client_reply& reply)
 {
+    if (const auto peer = m_pending_peers.extract(reply.client)) {
+        m_mesh->reply(peer.mapped(), wire::make_envelope(reply.reply));
+        return;
+    }
     auto pending = m_pending_responders.extract(reply.client);
     if (pending.empty()) {
         return;
--- a/src/apps/coordinator_process.h
+++ b/src/apps/coordinator_process.h
@@ -113,6 +113,17 @@
     void apply_peer_update(const wire::fleet_update_t& update);
     void apply_document();
     void apply_versions();
+    void apply_departures();
+    [[nodiscard]] const state::departure* find_departure(const std::string& id,
+                                                         std::uint64_t born_ms) const;
+    [[nodiscard]] bool respect_departure(wire::fleet_upstream_t& announcement) const;
+    void confirm_departure(const std::string& id, std::uint64_t born_ms, bool gone,
+                           const std::shared_ptr<http::responder>& responder);
+    void handle_forwarded_departure(net::connection_id from,
+                                    const wire::control_request_t& request);
+    void handle_departure_reply(const wire::control_reply_t& reply);
+    void refuse_overdue_departures();
+    [[nodiscard]] bool too_few_voters() const;
     void append_versions(const state::adapter_name& name, wire::fleet_update_t& update) const;
     void handle_attach(net::connection_id from, const wire::gateway_attach_t& message);
     void send_document(net::connection_id connection);
@@ -178,6 +189,14 @@
     std::uint64_t m_announced_shares = 0; ///< Generation that this leader announced last.
     /// Responders of proposed commands, keyed by client id.
     std::map<std::uint64_t, std::shared_ptr<http::responder>> m_pending_responders;
+    /// Departures that a peer asked to record, keyed by client id.
+    std::map<std::uint64_t, net::connection_id> m_pending_peers;
+    struct forwarded_departure {
+        std::shared_ptr<http::responder> responder;
+        core::time_point due{};
+    };
+    std::map<std::uint64_t, forwarded_departure> m_forwarded_departures; ///< By request id.
+    std::uint64_t m_departures_applied = 0; ///< Index up to which the roster knows departures.
     std::uint64_t m_next_client = 1;
     std::uint64_t m_next_report = 1;
     bool m_cycle_scheduled = false; ///< A cycle is posted to `m_context`.
--- a/src/control/control_core.cpp
+++ b/src/control/control_core.cpp
@@ -28,6 +28,7 @@
     case wire::control_body::change_blocked_parts:
     case wire::control_body::change_upstream_limits:
     case wire::control_body::change_software_versions:
+    case wire::control_body::record_departure:
         return true;
     default:
         return false;
--- a/src/state/control_state.cpp
+++ b/src/state/control_state.cpp
@@ -84,6 +84,9 @@
     if (const auto* request = body.Aschange_software_versions()) {
         return apply(*request);
     }
+    if (const auto* request = body.Asrecord_departure()) {
+        return apply(*request);
+    }
     return make_refusal("not a logged command");
 }
 
@@ -103,6 +106,40 @@
     return {};
 }
 
+wire::control_reply_t control_state::apply(const wire::record_departure_t& request)
+{
+    auto& known = m_departures[request.upstream];
+    if (request.born_ms > known.born_ms) {
+        known = {request.born_ms, request.gone, m_time_ms};
+    }
+    else if (request.born_ms == known.born_ms) {
+        known = {known.born_ms, known.gone || request.gone, m_time_ms};
+    }
+    purge_old_departures();
+    return {};
+}
+
+const departure* control_state::find_departure(const std::string& upstream,
+                                               std::uint64_t born_ms) const
+{
+    const auto found = m_departures.find(upstream);
+    return found != m_departures.end() && found->second.born_ms >= born_ms ? &found->second
+                                                                           : nullptr;
+}
+
+void control_state::purge_old_departures()
+{
+    std::erase_if(m_departures, [&](const auto& item) {
+        return item.second.stamp_ms + m_limits.departure_retention_ms < m_time_ms;
+    });
+    while (m_departures.size() > m_limits.max_departures) {
+        m_departures.erase(std::min_element(m_departures.begin(), m_departures.end(),
+                                            [](const auto& left, const auto& right) {
+                                                return left.second.stamp_ms < right.second.stamp_ms;
+                                            }));
+    }
+}
+
 wire::control_reply_t control_state::apply(const wire::change_retry_shares_t& request)
 {
     auto& shares = m_retry_shares;
--- a/src/state/control_state_snapshot.cpp
+++ b/src/state/control_state_snapshot.cpp
@@ -111,6 +111,14 @@
         item.version = version;
         wire::append(image.software_versions, std::move(item));
     }
+    for (const auto& [upstream, left] : m_departures) {
+        wire::stored_departure_t item;
+        item.upstream = upstream;
+        item.born_ms = left.born_ms;
+        item.gone = left.gone;
+        item.stamp_ms = left.stamp_ms;
+        wire::append(image.departures, std::move(item));
+    }
     return wire::encode_table(image);
 }
 
@@ -147,6 +155,9 @@
     for (const auto& item : image->named) {
         fresh.m_adapter_versions[{item->model, item->adapter}] = item->version;
     }
+    for (const auto& item : image->departures) {
+        fresh.m_departures[item->upstream] = {item->born_ms, item->gone, item->stamp_ms};
+    }
     fresh.m_retry_shares.generation = image->retry_generation;
     for (const auto& item : image->retry_shares) {
         fresh.m_retry_shares.holders[item->vm] = {item->admitted, item->usable};
--- a/src/state/control_state_test.cpp
+++ b/src/state/control_state_test.cpp
@@ -366,3 +366,51 @@
     const service_versions left{{"llm", "v2"}};
     CHECK_TRUE(left == restored.software_versions());
 }
+
+// Guards against an upstream that comes back because a restart has forgotten its departure.
+TEST_GROUP(ControlStateDeparture)
+{
+    control_state state;
+    log_writer log{state};
+};
+
+TEST(ControlStateDeparture, KeepsDeparturesOverASnapshot)
+{
+    wire::record_departure_t command;
+    command.upstream = "engine-1";
+    command.born_ms = 500;
+    log.put(command);
+    command.gone = true;
+    log.put(command);
+    control_state restored;
+    CHECK_TRUE(restored.restore(state.save()));
+    const auto* left = restored.find_departure("engine-1", 500);
+    CHECK_TRUE(left != nullptr && left->gone);
+    CHECK_TRUE(restored.find_departure("engine-1", 400) == left);
+    CHECK_TRUE(restored.find_departure("engine-1", 501) == nullptr); // a later run
+}
+
+TEST(ControlStateDeparture, KeepsTheDepartureOfTheLatestRun)
+{
+    wire::record_departure_t command;
+    command.upstream = "engine-1";
+    command.born_ms = 500;
+    log.put(command);
+    command.born_ms = 400;
+    command.gone = true;
+    log.put(command);
+    UNSIGNED_LONGS_EQUAL(500, state.find_departure("engine-1", 0)->born_ms);
+    CHECK_FALSE(state.find_departure("engine-1", 0)->gone);
+}
+
+TEST(ControlStateDeparture, ForgetsOldDepartures)
+{
+    wire::record_departure_t command;
+    command.upstream = "engine-1";
+    command.born_ms = 500;
+    log.put(command, 1000);
+    command.upstream = "engine-2";
+    log.put(command, 1000 + state_limits{}.departure_retention_ms + 1);
+    CHECK_TRUE(state.find_departure("engine-1", 0) == nullptr);
+    UNSIGNED_LONGS_EQUAL(1, state.departures().size());
+}
