Keep a replica that replies when a former one asks to join

Now a member must have been silent for 300 ms, five heartbeats.

MembershipManager.KeepsAReplicaThatRepliesWhenAFormerOneAsksToJoin guards it. RemovesTheFormerIdentityOfAReplicaThatLostItsDisk lets that time pass first, as it does for a replica whose disk is lost; it still fails if the former identity stays.

--- a/include/siskindrift/control/membership_manager.h
+++ b/include/siskindrift/control/membership_manager.h
@@ -25,6 +25,10 @@
     /// Time since the last reply within which a replica counts as reachable for a change.
     core::duration reply_timeout = core::milliseconds{1000};
 
+    /// Time without a reply before another identity may take the place of a replica at its address.
+    /// A sound replica replies to several heartbeats within it.
+    core::duration identity_timeout = core::milliseconds{300};
+
     /// How long a join request is valid. A replica that wants to join repeats it every 500 ms.
     core::duration join_request_ttl = core::milliseconds{3000};
 
@@ -40,8 +44,9 @@
 /// Decides the membership changes of the leader, one at a time. Does no I/O.
 ///
 /// A new replica is first added as a learner and becomes a voter once it has caught up. A voter
-/// that stops replying is removed only if enough others remain. A member is also removed when
-/// another identity asks to join from its address, because its disk is then permanently lost.
+/// that stops replying is removed only if enough others remain. A silent member is also removed
+/// when another identity asks to join from its address, because its disk is then permanently lost.
+/// While the member replies, such a request is a late one of a former identity.
 class membership_manager {
 public:
     explicit membership_manager(membership_manager_options options = {}) : m_options(options) {}
--- a/src/control/membership_manager.cpp
+++ b/src/control/membership_manager.cpp
@@ -61,8 +61,14 @@
         const auto previous = std::find_if(members.begin(), members.end(), [&](const auto& info) {
             return info.address == request.address && info.id != request.id;
         });
-        // The replica at this address has lost its disk and with it its former identity.
         if (previous != members.end()) {
+            const bool is_sound =
+                previous->id == raft.self().value() ||
+                time_since_last_ack(raft, previous->id, now) <= m_options.identity_timeout;
+            if (is_sound) {
+                continue;
+            }
+            // The replica at this address has lost its disk and with it its former identity.
             return remove_member(members, previous->id);
         }
         wire::replica_info_t learner;
--- a/src/control/membership_manager_test.cpp
+++ b/src/control/membership_manager_test.cpp
@@ -92,11 +92,26 @@
     become_leader();
     join(2, "b:1");
     apply();
+    clock.advance(core::milliseconds{301});
     join(3, "b:1"); // the same address under another identity
     STRCMP_EQUAL("1v ", apply().c_str());
     STRCMP_EQUAL("1v 3l ", apply().c_str());
 }
 
+// Guards against the removal of a sound replica by a late request of a former one at its address.
+TEST(MembershipManager, KeepsAReplicaThatRepliesWhenAFormerOneAsksToJoin)
+{
+    become_leader();
+    join(2, "b:1");
+    apply();
+    clock.advance(core::milliseconds{1000});
+    acknowledge(2);
+    join(3, "b:1");
+    STRCMP_EQUAL("1v 2v ", apply().c_str()); // only the pending promotion
+    join(4, "a:1");                          // the address of the leader
+    STRCMP_EQUAL("unchanged", apply().c_str());
+}
+
 TEST(MembershipManager, KeepsAFurtherReplicaAsAStandby)
 {
     become_leader();
