Let one limit decide how long a departure counts

The replicated state kept departures for ten minutes and coordinators counted them for one; a newcomer had to find out which applies. Refused departures are logged with their upstream.

--- a/include/siskindrift/fleet/version_history.h
+++ b/include/siskindrift/fleet/version_history.h
@@ -16,8 +16,7 @@
     /// Records a version, in any order.
     /// @param named_at when it was acknowledged at the latest, or no value if that is unknown and
     ///     may be long ago. A known time replaces an unknown one, and an earlier a later one.
-    /// @returns whether the version wasn't known or its time has changed
-    bool record(std::uint64_t version, std::optional<core::time_point> named_at);
+    void record(std::uint64_t version, std::optional<core::time_point> named_at);
 
     /// Returns the newest version, or 0.
     [[nodiscard]] std::uint64_t current() const
--- a/include/siskindrift/state/control_state.h
+++ b/include/siskindrift/state/control_state.h
@@ -28,9 +28,9 @@
     /// is valid.
     std::uint64_t key_skew_ms = 5ULL * 60 * 1000;
 
-    /// How long a departure is known. Must exceed the delay of an announcement that was sent before
-    /// it, and the time for which an upstream serves on.
-    std::uint64_t departure_retention_ms = 10ULL * 60 * 1000;
+    /// How long a departure counts. Must exceed the delay of an announcement that was sent before
+    /// it. A later announcement shows that the run goes on.
+    std::uint64_t departure_lifetime_ms = 60ULL * 1000;
     std::size_t max_departures = 8192;
 
     /// Number of changes in the history. Enough for ten days at the target rate of changes.
@@ -161,9 +161,10 @@
     {
         return m_departures;
     }
-    /// Returns the recorded departure of a run of @p upstream or of a later one, or null.
-    [[nodiscard]] const departure* find_departure(const std::string& upstream,
-                                                  std::uint64_t born_ms) const;
+    /// Returns the departure of a run of @p upstream or of a later one if it still counts, or null.
+    /// @param now_ms wall clock time in milliseconds
+    [[nodiscard]] const departure*
+    find_departure(const std::string& upstream, std::uint64_t born_ms, std::uint64_t now_ms) const;
     [[nodiscard]] std::size_t claim_count() const { return m_claims.size(); }
     /// Returns the claim on a key, or null.
     [[nodiscard]] const claim* find_claim(const claim_key& key) const;
--- a/src/apps/coordinator_fleet.cpp
+++ b/src/apps/coordinator_fleet.cpp
@@ -14,8 +14,6 @@
 constexpr core::milliseconds version_history_time{10'000}; // longer than outdated ones are used
 // Below the second after which an upstream calls another coordinator.
 constexpr core::milliseconds departure_timeout{700};
-// Longer than an announcement can be delayed. Later ones show that the run goes on.
-constexpr std::uint64_t departure_lifetime_ms = 60'000;
 constexpr core::milliseconds flush_interval{400}; // a third of the announcement interval
 // Clock drift over one election timeout, and the time to send an order.
 constexpr core::milliseconds lease_margin{40};
@@ -33,10 +31,11 @@
 // A quarter of the time that an engine takes to process one prompt.
 constexpr core::milliseconds min_load_update_interval{60};
 
-void respond_unavailable(const std::shared_ptr<http::responder>& responder, std::string_view text)
+void refuse_departure(const std::shared_ptr<http::responder>& responder,
+                      const std::string& upstream, std::string_view text)
 {
     constexpr std::uint16_t service_unavailable = 503;
-    observe::warn("call_unavailable", {{"reason", text}});
+    observe::warn("departure_refused", {{"upstream", upstream.substr(0, 64)}, {"reason", text}});
     responder->respond(service_unavailable, {{"Content-Type", "application/json"}},
                        platform::encode_error(text));
 }
@@ -101,13 +100,10 @@
     responder->respond(200, {{"Content-Type", "application/json"}}, "{}");
 }
 
-// Returns the departure of a run of an upstream or of a later one, if it was recorded lately.
 const state::departure* coordinator_process::find_departure(const std::string& id,
                                                             std::uint64_t born_ms) const
 {
-    const auto* left = m_core->state().find_departure(id, born_ms);
-    return left != nullptr && left->stamp_ms + departure_lifetime_ms > m_clock.wall_ms() ? left
-                                                                                         : nullptr;
+    return m_core->state().find_departure(id, born_ms, m_clock.wall_ms());
 }
 
 // A late announcement of a run that has left must not bring it back. Returns false if it says
@@ -141,12 +137,12 @@
     const auto client = m_next_client++;
     const auto& raft = m_core->raft();
     if (m_storage->disk_full()) {
-        respond_unavailable(responder, "the disk of this replica is full");
+        refuse_departure(responder, id, "the disk of this replica is full");
         return;
     }
     if (raft.is_leader() && !m_stopping) {
         if (too_few_voters()) {
-            respond_unavailable(responder, "too few replicas have joined");
+            refuse_departure(responder, id, "too few replicas have joined");
             return;
         }
         m_pending_responders[client] = responder;
@@ -156,11 +152,11 @@
     }
     const auto leader = raft.leader_address();
     if (leader.empty() || leader == m_settings.inner_address) {
-        respond_unavailable(responder, "no leader is known");
+        refuse_departure(responder, id, "no leader is known");
         return;
     }
     request.id = client;
-    m_forwarded_departures[client] = {responder, m_clock.now() + departure_timeout};
+    m_forwarded_departures[client] = {id, responder, m_clock.now() + departure_timeout};
     m_mesh->send(leader, wire::make_envelope(std::move(request)));
 }
 
@@ -189,9 +185,9 @@
     if (pending.empty()) {
         return;
     }
-    const auto& responder = pending.mapped().responder;
+    const auto& [upstream, responder, due] = pending.mapped();
     if (reply.outcome != wire::control_outcome::ok) {
-        respond_unavailable(responder, "the leader didn't record the departure");
+        refuse_departure(responder, upstream, "the leader didn't record the departure");
         return;
     }
     responder->respond(200, {{"Content-Type", "application/json"}}, "{}");
@@ -204,7 +200,7 @@
         if (now < item.second.due) {
             return false;
         }
-        respond_unavailable(item.second.responder, "the leader doesn't answer");
+        refuse_departure(item.second.responder, item.second.upstream, "the leader doesn't answer");
         return true;
     });
 }
@@ -246,7 +242,8 @@
     const auto* left = find_departure(call.upstream_id, 0);
     if (item == nullptr && left == nullptr) {
         // Its run isn't known, so that a late announcement couldn't be told from one of a new run.
-        respond_unavailable(responder, "no announcement of the upstream is known here");
+        refuse_departure(responder, call.upstream_id,
+                         "no announcement of the upstream is known here");
         return;
     }
     const auto born_ms =
--- a/src/apps/coordinator_process.h
+++ b/src/apps/coordinator_process.h
@@ -192,6 +192,7 @@
     /// Departures that a peer asked to record, keyed by client id.
     std::map<std::uint64_t, net::connection_id> m_pending_peers;
     struct forwarded_departure {
+        std::string upstream;
         std::shared_ptr<http::responder> responder;
         core::time_point due{};
     };
--- a/src/state/control_state.cpp
+++ b/src/state/control_state.cpp
@@ -119,18 +119,19 @@
     return {};
 }
 
-const departure* control_state::find_departure(const std::string& upstream,
-                                               std::uint64_t born_ms) const
+const departure* control_state::find_departure(const std::string& upstream, std::uint64_t born_ms,
+                                               std::uint64_t now_ms) const
 {
     const auto found = m_departures.find(upstream);
-    return found != m_departures.end() && found->second.born_ms >= born_ms ? &found->second
-                                                                           : nullptr;
+    const bool counts = found != m_departures.end() && found->second.born_ms >= born_ms &&
+                        found->second.stamp_ms + m_limits.departure_lifetime_ms >= now_ms;
+    return counts ? &found->second : nullptr;
 }
 
 void control_state::purge_old_departures()
 {
     std::erase_if(m_departures, [&](const auto& item) {
-        return item.second.stamp_ms + m_limits.departure_retention_ms < m_time_ms;
+        return item.second.stamp_ms + m_limits.departure_lifetime_ms < m_time_ms;
     });
     while (m_departures.size() > m_limits.max_departures) {
         m_departures.erase(std::min_element(m_departures.begin(), m_departures.end(),
